--- a/src/main/java/gorsemill/Attempt.java
+++ b/src/main/java/cresschute/Attempt.java
@@ -1,4 +1,4 @@
-package gorsemill;
+package cresschute;
 
 /** One send that has not ended. */
 final class Attempt {
--- a/src/main/java/gorsemill/Cell.java
+++ b/src/main/java/cresschute/Cell.java
@@ -1,4 +1,4 @@
-package gorsemill;
+package cresschute;
 
 /** Requests of one class, size and side of the tenant's share: the unit of the fill. */
 final class Cell {
--- a/src/main/java/gorsemill/ClassState.java
+++ b/src/main/java/cresschute/ClassState.java
@@ -1,6 +1,6 @@
-package gorsemill;
+package cresschute;
 
-import gorsemill.DispatchApi.RequestClass;
+import cresschute.DispatchApi.RequestClass;
 import java.util.List;
 
 /** What is known of a class. */
--- a/src/main/java/gorsemill/DispatchApi.java
+++ b/src/main/java/cresschute/DispatchApi.java
@@ -1,4 +1,4 @@
-package gorsemill;
+package cresschute;
 
 import java.util.List;
 
--- a/src/main/java/gorsemill/Fleet.java
+++ b/src/main/java/cresschute/Fleet.java
@@ -1,8 +1,8 @@
-package gorsemill;
+package cresschute;
 
-import gorsemill.DispatchApi.Placement;
-import gorsemill.DispatchApi.RequestClass;
-import gorsemill.DispatchApi.Worker;
+import cresschute.DispatchApi.Placement;
+import cresschute.DispatchApi.RequestClass;
+import cresschute.DispatchApi.Worker;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/gorsemill/Kind.java
+++ b/src/main/java/cresschute/Kind.java
@@ -1,6 +1,6 @@
-package gorsemill;
+package cresschute;
 
-import gorsemill.DispatchApi.LoadReport;
+import cresschute.DispatchApi.LoadReport;
 
 /** What the workers of one kind have in common. */
 final class Kind {
--- a/src/main/java/gorsemill/Logic.java
+++ b/src/main/java/cresschute/Logic.java
@@ -1,19 +1,19 @@
 // The interface of this module (settings, events, actions) is DispatchApi.java, beside this file.
-package gorsemill;
-
-import gorsemill.DispatchApi.Actions;
-import gorsemill.DispatchApi.ColdStart;
-import gorsemill.DispatchApi.Effect;
-import gorsemill.DispatchApi.Events;
-import gorsemill.DispatchApi.Job;
-import gorsemill.DispatchApi.ListForm;
-import gorsemill.DispatchApi.LoadReport;
-import gorsemill.DispatchApi.Outcome;
-import gorsemill.DispatchApi.RequestClass;
-import gorsemill.DispatchApi.Settings;
-import gorsemill.DispatchApi.WeightSource;
-import gorsemill.DispatchApi.Worker;
-import gorsemill.DispatchApi.WorkerState;
+package cresschute;
+
+import cresschute.DispatchApi.Actions;
+import cresschute.DispatchApi.ColdStart;
+import cresschute.DispatchApi.Effect;
+import cresschute.DispatchApi.Events;
+import cresschute.DispatchApi.Job;
+import cresschute.DispatchApi.ListForm;
+import cresschute.DispatchApi.LoadReport;
+import cresschute.DispatchApi.Outcome;
+import cresschute.DispatchApi.RequestClass;
+import cresschute.DispatchApi.Settings;
+import cresschute.DispatchApi.WeightSource;
+import cresschute.DispatchApi.Worker;
+import cresschute.DispatchApi.WorkerState;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
--- a/src/main/java/gorsemill/Node.java
+++ b/src/main/java/cresschute/Node.java
@@ -1,6 +1,6 @@
-package gorsemill;
+package cresschute;
 
-import gorsemill.DispatchApi.Worker;
+import cresschute.DispatchApi.Worker;
 import java.util.ArrayDeque;
 import java.util.List;
 
--- a/src/main/java/gorsemill/Pool.java
+++ b/src/main/java/cresschute/Pool.java
@@ -1,4 +1,4 @@
-package gorsemill;
+package cresschute;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/gorsemill/ShareMeter.java
+++ b/src/main/java/cresschute/ShareMeter.java
@@ -1,4 +1,4 @@
-package gorsemill;
+package cresschute;
 
 /** Tells what of a tenant's traffic is within its share, by this dispatcher's even part of it. */
 final class ShareMeter {
--- a/src/main/java/gorsemill/benchlink/FrameWriter.java
+++ b/src/main/java/cresschute/benchlink/FrameWriter.java
@@ -1,4 +1,4 @@
-package gorsemill.benchlink;
+package cresschute.benchlink;
 
 import java.io.IOException;
 import java.io.OutputStream;
--- a/src/main/java/gorsemill/benchlink/InstanceHost.java
+++ b/src/main/java/cresschute/benchlink/InstanceHost.java
@@ -1,14 +1,14 @@
-package gorsemill.benchlink;
+package cresschute.benchlink;
 
-import gorsemill.DispatchApi.Actions;
-import gorsemill.DispatchApi.Events;
-import gorsemill.DispatchApi.Job;
-import gorsemill.DispatchApi.ListForm;
-import gorsemill.DispatchApi.LoadReport;
-import gorsemill.DispatchApi.Outcome;
-import gorsemill.DispatchApi.Worker;
-import gorsemill.DispatchApi.WorkerState;
-import gorsemill.Logic;
+import cresschute.DispatchApi.Actions;
+import cresschute.DispatchApi.Events;
+import cresschute.DispatchApi.Job;
+import cresschute.DispatchApi.ListForm;
+import cresschute.DispatchApi.LoadReport;
+import cresschute.DispatchApi.Outcome;
+import cresschute.DispatchApi.Worker;
+import cresschute.DispatchApi.WorkerState;
+import cresschute.Logic;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
--- a/src/main/java/gorsemill/benchlink/Main.java
+++ b/src/main/java/cresschute/benchlink/Main.java
@@ -1,4 +1,4 @@
-package gorsemill.benchlink;
+package cresschute.benchlink;
 
 import java.io.FileInputStream;
 import java.io.FileDescriptor;
@@ -14,7 +14,7 @@
     /** Runs the named subcommand; exits with 2 on bad usage or malformed input, with 1 on a broken stream. */
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("benchlink")) {
-            System.err.println("usage: java -jar gorsemill.jar benchlink");
+            System.err.println("usage: java -jar cresschute.jar benchlink");
             System.exit(2);
         }
         try {
--- a/src/main/java/gorsemill/benchlink/MalformedInputException.java
+++ b/src/main/java/cresschute/benchlink/MalformedInputException.java
@@ -1,4 +1,4 @@
-package gorsemill.benchlink;
+package cresschute.benchlink;
 
 /** Input that does not follow the wire; the message is one plain line. */
 final class MalformedInputException extends RuntimeException {
--- a/src/main/java/gorsemill/benchlink/ReportLayout.java
+++ b/src/main/java/cresschute/benchlink/ReportLayout.java
@@ -1,6 +1,6 @@
-package gorsemill.benchlink;
+package cresschute.benchlink;
 
-import gorsemill.DispatchApi.LoadReport;
+import cresschute.DispatchApi.LoadReport;
 
 /** Where the known values stand in an instance's load reports; -1 where they do not. */
 record ReportLayout(int freeSlotsAt, int outstandingAt) {
--- a/src/main/java/gorsemill/benchlink/SettingsParser.java
+++ b/src/main/java/cresschute/benchlink/SettingsParser.java
@@ -1,15 +1,15 @@
-package gorsemill.benchlink;
-
-import gorsemill.DispatchApi.ColdStart;
-import gorsemill.DispatchApi.Effect;
-import gorsemill.DispatchApi.Goal;
-import gorsemill.DispatchApi.Limits;
-import gorsemill.DispatchApi.Placement;
-import gorsemill.DispatchApi.RepeatScope;
-import gorsemill.DispatchApi.RequestClass;
-import gorsemill.DispatchApi.Settings;
-import gorsemill.DispatchApi.Tenant;
-import gorsemill.DispatchApi.WeightSource;
+package cresschute.benchlink;
+
+import cresschute.DispatchApi.ColdStart;
+import cresschute.DispatchApi.Effect;
+import cresschute.DispatchApi.Goal;
+import cresschute.DispatchApi.Limits;
+import cresschute.DispatchApi.Placement;
+import cresschute.DispatchApi.RepeatScope;
+import cresschute.DispatchApi.RequestClass;
+import cresschute.DispatchApi.Settings;
+import cresschute.DispatchApi.Tenant;
+import cresschute.DispatchApi.WeightSource;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/main/java/gorsemill/benchlink/WireCodes.java
+++ b/src/main/java/cresschute/benchlink/WireCodes.java
@@ -1,4 +1,4 @@
-package gorsemill.benchlink;
+package cresschute.benchlink;
 
 /** Record codes of the wire: events first, then actions. */
 final class WireCodes {
--- a/src/test/java/gorsemill/FillTest.java
+++ b/src/test/java/cresschute/FillTest.java
@@ -1,12 +1,12 @@
-package gorsemill;
+package cresschute;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.within;
 
-import gorsemill.DispatchApi.Effect;
-import gorsemill.DispatchApi.Placement;
-import gorsemill.DispatchApi.RepeatScope;
-import gorsemill.DispatchApi.RequestClass;
+import cresschute.DispatchApi.Effect;
+import cresschute.DispatchApi.Placement;
+import cresschute.DispatchApi.RepeatScope;
+import cresschute.DispatchApi.RequestClass;
 import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
--- a/src/test/java/gorsemill/Recorder.java
+++ b/src/test/java/cresschute/Recorder.java
@@ -1,22 +1,22 @@
-package gorsemill;
-
-import gorsemill.DispatchApi.Actions;
-import gorsemill.DispatchApi.ColdStart;
-import gorsemill.DispatchApi.Effect;
-import gorsemill.DispatchApi.Goal;
-import gorsemill.DispatchApi.Limits;
-import gorsemill.DispatchApi.Job;
-import gorsemill.DispatchApi.ListForm;
-import gorsemill.DispatchApi.LoadReport;
-import gorsemill.DispatchApi.Outcome;
-import gorsemill.DispatchApi.Placement;
-import gorsemill.DispatchApi.RepeatScope;
-import gorsemill.DispatchApi.RequestClass;
-import gorsemill.DispatchApi.Settings;
-import gorsemill.DispatchApi.Tenant;
-import gorsemill.DispatchApi.WeightSource;
-import gorsemill.DispatchApi.Worker;
-import gorsemill.DispatchApi.WorkerState;
+package cresschute;
+
+import cresschute.DispatchApi.Actions;
+import cresschute.DispatchApi.ColdStart;
+import cresschute.DispatchApi.Effect;
+import cresschute.DispatchApi.Goal;
+import cresschute.DispatchApi.Limits;
+import cresschute.DispatchApi.Job;
+import cresschute.DispatchApi.ListForm;
+import cresschute.DispatchApi.LoadReport;
+import cresschute.DispatchApi.Outcome;
+import cresschute.DispatchApi.Placement;
+import cresschute.DispatchApi.RepeatScope;
+import cresschute.DispatchApi.RequestClass;
+import cresschute.DispatchApi.Settings;
+import cresschute.DispatchApi.Tenant;
+import cresschute.DispatchApi.WeightSource;
+import cresschute.DispatchApi.Worker;
+import cresschute.DispatchApi.WorkerState;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/gorsemill/benchlink/FrameTest.java
+++ b/src/test/java/cresschute/benchlink/FrameTest.java
@@ -1,4 +1,4 @@
-package gorsemill.benchlink;
+package cresschute.benchlink;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
--- a/src/test/java/gorsemill/benchlink/SettingsParserTest.java
+++ b/src/test/java/cresschute/benchlink/SettingsParserTest.java
@@ -1,13 +1,13 @@
-package gorsemill.benchlink;
+package cresschute.benchlink;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import gorsemill.DispatchApi.Effect;
-import gorsemill.DispatchApi.Placement;
-import gorsemill.DispatchApi.RepeatScope;
-import gorsemill.DispatchApi.Settings;
-import gorsemill.DispatchApi.WeightSource;
+import cresschute.DispatchApi.Effect;
+import cresschute.DispatchApi.Placement;
+import cresschute.DispatchApi.RepeatScope;
+import cresschute.DispatchApi.Settings;
+import cresschute.DispatchApi.WeightSource;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
