--- a/src/main/java/cresschute/benchlink/SettingsParser.java
+++ b/src/main/java/cresschute/benchlink/SettingsParser.java
@@ -16,7 +16,7 @@
 import java.util.Map;
 
 /** Turns the path=value lines of a launch into {@link Settings}. Keys it does not know are ignored. */
-final class SettingsParser {
+public final class SettingsParser {
 
     private final Map<String, String> values = new HashMap<>();
 
@@ -29,7 +29,8 @@
         }
     }
 
-    static Settings parse(String text) {
+    /** Reads the settings that an instance is launched with. */
+    public static Settings parse(String text) {
         return new SettingsParser(text).settings();
     }
 
--- /dev/null
+++ b/src/main/java/cresschute/node/Backends.java
@@ -0,0 +1,43 @@
+package cresschute.node;
+
+import cresschute.DispatchApi.LoadReport;
+import cresschute.DispatchApi.Outcome;
+import java.net.InetSocketAddress;
+
+/** The way to the backends. All calls and all callbacks are on the loop. */
+public interface Backends {
+
+    /** Starts a fetch, which reports to its listener and ends there once. */
+    Call fetch(InetSocketAddress addr, ReqContent content, long waitUs, FetchListener listener);
+
+    /** Asks for a sign of life and a load report; told once. */
+    void probe(InetSocketAddress addr, ProbeListener listener);
+
+    /** Closes the connections there that nothing is using. */
+    void closeIdle(InetSocketAddress addr);
+
+    /** A fetch that is out. */
+    interface Call {
+
+        /** Stops waiting and closes the connection; tells how the fetch ended by that, and reports no end. */
+        Outcome giveUp();
+    }
+
+    /** Who hears of a fetch. */
+    interface FetchListener {
+
+        /** The job has started (share 0), or how much of it is done. */
+        void progressed(double shareDone);
+
+        /** The end; {@code result} is there where the outcome is served. */
+        void ended(Outcome outcome, LoadReport report, String result);
+    }
+
+    /** Who hears of a probe. */
+    @FunctionalInterface
+    interface ProbeListener {
+
+        /** The end of it. */
+        void probed(Outcome outcome, LoadReport report);
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/node/ConfigException.java
@@ -0,0 +1,11 @@
+package cresschute.node;
+
+/** The configuration or the environment cannot be used; the message is one plain line. */
+public final class ConfigException extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    public ConfigException(String message) {
+        super(message);
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/node/Core.java
@@ -0,0 +1,343 @@
+package cresschute.node;
+
+import cresschute.DispatchApi.Actions;
+import cresschute.DispatchApi.Events;
+import cresschute.DispatchApi.Job;
+import cresschute.DispatchApi.ListForm;
+import cresschute.DispatchApi.LoadReport;
+import cresschute.DispatchApi.Outcome;
+import cresschute.DispatchApi.Worker;
+import cresschute.DispatchApi.WorkerState;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.LongConsumer;
+
+/**
+ * Owner of all open reqs and fetches, between the fronts, the backends, the director and the module. All of
+ * it happens on one loop: what is ready there is gathered, handed to the module in one turn, and then the
+ * module's actions are carried out in order. It decides nothing by itself.
+ */
+public final class Core {
+
+    /** Taken off a req's time, us: the way of the answer, and of the req before its last byte was read. */
+    static final long ANSWER_MARGIN_US = 15_000;
+    /** Past its due time by this, us, a req that the module left unanswered is failed by the node. */
+    static final long OVERDUE_US = 10_000;
+    private static final Logger LOG = System.getLogger("cresschute.core");
+
+    private final ScheduledExecutorService loop;
+    private final Clock clock;
+    private final RateLimitedLog troubles;
+    private final Invariant invariant = new Invariant();
+    private final Roster roster;
+    private final Events module;
+    private final Map<Integer, Req> open = new HashMap<>();
+    private final List<Runnable> actions = new ArrayList<>();
+    private List<Event> gathered = new ArrayList<>();
+    private boolean turnDue;
+    private boolean ready;
+    private int lastReqId;
+    private int owed;
+    private Backends backends;
+    private Director director;
+    private Runnable whenNothingOwed = () -> { };
+
+    /** A core without its ways out; {@code module} builds the decision module around its actions. */
+    public Core(NodeConfig config, ScheduledExecutorService loop, Clock clock, RateLimitedLog troubles,
+                Function<Actions, Events> module) {
+        this.loop = loop;
+        this.clock = clock;
+        this.troubles = troubles;
+        this.roster = new Roster(config.zones(), config.kinds());
+        this.module = module.apply(new GatheredActions());
+    }
+
+    /** Begins to work: the module hears of the list as it is known, then the director is asked. */
+    public void start(Backends toBackends, Director toDirector, DirectorList known) {
+        backends = toBackends;
+        director = toDirector;
+        tellList(ListForm.CACHED, known);
+    }
+
+    // ---- Reqs ----
+
+    /** Takes a req that is to be answered within this time; its client hears of it exactly once. */
+    public Req take(ReqContent content, int requestClass, Job job, long waitUs, ReqClient client) {
+        final long nowUs = clock.nowUs();
+        final Req req = new Req(++lastReqId, content, nowUs + waitUs, client);
+        final long giveUpUs = Math.max(nowUs, req.dueUs - ANSWER_MARGIN_US);
+        open.put(req.id, req);
+        owed++;
+        // Guards against a req that the module forgets or fails on: it is never left without an answer.
+        req.overdue = after(waitUs + OVERDUE_US, () -> {
+            invariant.holds(false, "req overdue");
+            answer(req, req.client::failed);
+            gather(req, now -> module.clientLeft(now, req.id));
+        });
+        gather(req, now -> module.requested(now, req.id, job, giveUpUs));
+        return req;
+    }
+
+    /** The client of a req has gone: nothing is owed any more, but its fetches run on. */
+    public void clientLeft(Req req) {
+        if (!req.closed) {
+            close(req);
+            gather(req, now -> module.clientLeft(now, req.id));
+        }
+    }
+
+    /** The one place where a client gets its answer. */
+    private void answer(Req req, Runnable answer) {
+        if (req.closed) {
+            // The client may have left in the same turn; a second answer may not happen.
+            invariant.holds(!req.answered, "second answer");
+            return;
+        }
+        invariant.holds(clock.nowUs() <= req.dueUs, "late answer");
+        req.answered = true;
+        try {
+            answer.run();
+        } finally {
+            close(req);
+        }
+    }
+
+    private void close(Req req) {
+        req.closed = true;
+        req.overdue.cancel(false);
+        forgetIfDone(req);
+        owed--;
+        if (owed == 0) {
+            whenNothingOwed.run();
+        }
+    }
+
+    private void forgetIfDone(Req req) {
+        if (req.closed && req.fetchesOut == 0) {
+            open.remove(req.id);
+        }
+    }
+
+    /** Runs this each time when no req is left that is owed an answer, and at once if there is none. */
+    public void whenNothingOwed(Runnable then) {
+        whenNothingOwed = then;
+        if (owed == 0) {
+            then.run();
+        }
+    }
+
+    /** Reqs that are owed an answer. */
+    public int owed() {
+        return owed;
+    }
+
+    // ---- Fetches ----
+
+    private void send(int reqId, int backend, long giveUpUs) {
+        final Req req = open.get(reqId);
+        final InetSocketAddress addr = roster.address(backend);
+        if (req == null || req.closed || addr == null) {
+            // The client left, or was answered, in the turn in which the module chose: nothing is sent.
+            final int number = req == null ? 0 : req.fetchesStarted++;
+            gather(req, now -> module.ended(now, reqId, number, backend, Outcome.NOT_SENT, 0,
+                req == null || req.closed, LoadReport.NONE));
+            return;
+        }
+        final long nowUs = clock.nowUs();
+        final Fetch fetch = new Fetch(req, req.fetchesStarted++, backend, nowUs);
+        req.fetchesOut++;
+        final long waitUs = Math.max(0, Math.min(giveUpUs, req.dueUs) - nowUs);
+        fetch.giveUp = after(waitUs, () -> end(fetch, fetch.call.giveUp(), LoadReport.NONE, null));
+        fetch.call = backends.fetch(addr, req.content, waitUs, new Backends.FetchListener() {
+            @Override
+            public void progressed(double shareDone) {
+                gather(req, now -> module.jobProgressed(now, reqId, fetch.number, backend, shareDone));
+            }
+
+            @Override
+            public void ended(Outcome outcome, LoadReport report, String result) {
+                end(fetch, outcome, report, result);
+            }
+        });
+    }
+
+    private void end(Fetch fetch, Outcome outcome, LoadReport report, String result) {
+        if (!invariant.holds(!fetch.ended, "fetch ended twice")) {
+            return;
+        }
+        fetch.ended = true;
+        fetch.giveUp.cancel(false);
+        final Req req = fetch.req;
+        if (outcome == Outcome.SERVED && !req.closed) {
+            answer(req, () -> req.client.served(result));
+        }
+        req.fetchesOut--;
+        forgetIfDone(req);
+        final long elapsedUs = clock.nowUs() - fetch.sentUs;
+        gather(req, now -> module.ended(now, req.id, fetch.number, fetch.backend, outcome, elapsedUs,
+            req.closed, report));
+    }
+
+    private void probe(int backend) {
+        final InetSocketAddress addr = roster.address(backend);
+        backends.probe(addr, (outcome, report) ->
+            gather(null, now -> module.probed(now, backend, outcome, report)));
+    }
+
+    // ---- The director's list ----
+
+    /** The director's answer to a watch. */
+    public void directorTold(DirectorList list) {
+        tellList(list.full() ? ListForm.FULL : ListForm.CHANGES, list);
+    }
+
+    /** The watch has failed; the list stands. */
+    public void directorFailed() {
+        gather(null, now -> module.listed(now, ListForm.FAILED, List.of()));
+    }
+
+    /** Version of the list that is held, or -1. */
+    public long listVersion() {
+        return roster.version();
+    }
+
+    private void tellList(ListForm form, DirectorList list) {
+        final List<Worker> workers = roster.take(list);
+        ready |= workers.stream().anyMatch(worker -> worker.state() == WorkerState.READY);
+        gather(null, now -> module.listed(now, form, workers));
+    }
+
+    /** Whether reqs can be served: the module has been told of a backend that takes work. */
+    public boolean isReady() {
+        return ready;
+    }
+
+    // ---- The loop ----
+
+    private record Event(Req req, LongConsumer tell) {
+    }
+
+    /** Keeps what happened for the turn that follows once the loop has read all that is ready. */
+    private void gather(Req req, LongConsumer tell) {
+        gathered.add(new Event(req, tell));
+        if (!turnDue) {
+            turnDue = true;
+            loop.execute(this::turn);
+        }
+    }
+
+    private void turn() {
+        turnDue = false;
+        final List<Event> events = gathered;
+        gathered = new ArrayList<>();
+        final long nowUs = clock.nowUs();
+        for (final Event event : events) {
+            try {
+                event.tell().accept(nowUs);
+            } catch (RuntimeException e) {
+                moduleFailed(event.req(), e);
+            }
+        }
+        final List<Runnable> due = List.copyOf(actions);
+        actions.clear();
+        for (final Runnable action : due) {
+            try {
+                action.run();
+            } catch (RuntimeException e) {
+                LOG.log(Level.ERROR, "an action of the module failed", e);
+                invariant.holds(false, "action failed");
+            }
+        }
+    }
+
+    /** Guards against a req left unanswered because the module threw while it was told of it. */
+    private void moduleFailed(Req req, RuntimeException e) {
+        LOG.log(Level.ERROR, "the module failed on an event", e);
+        if (req != null && !req.closed) {
+            answer(req, req.client::failed);
+            gather(req, now -> module.clientLeft(now, req.id));
+        }
+        invariant.holds(false, "module failed");
+    }
+
+    private Future<?> after(long delayUs, Runnable then) {
+        return loop.schedule(then, delayUs, TimeUnit.MICROSECONDS);
+    }
+
+    /** What must hold, and how often it did not. */
+    public Invariant invariant() {
+        return invariant;
+    }
+
+    /** Where troubles are counted and logged. */
+    public RateLimitedLog troubles() {
+        return troubles;
+    }
+
+    /** Keeps the module's actions, to be carried out in order once it has heard all of a turn. */
+    private final class GatheredActions implements Actions {
+
+        @Override
+        public void send(int requestId, int workerId, long giveUpUs) {
+            actions.add(() -> Core.this.send(requestId, workerId, giveUpUs));
+        }
+
+        @Override
+        public void refuse(int requestId, long retryAfterUs) {
+            actions.add(() -> answerOpen(requestId, client -> client.refused(retryAfterUs)));
+        }
+
+        @Override
+        public void fail(int requestId) {
+            actions.add(() -> answerOpen(requestId, ReqClient::failed));
+        }
+
+        private void answerOpen(int requestId, Consumer<ReqClient> answer) {
+            final Req req = open.get(requestId);
+            if (req != null) {
+                answer(req, () -> answer.accept(req.client));
+            }
+        }
+
+        @Override
+        public void wakeAfter(long token, long delayUs) {
+            actions.add(() -> after(delayUs, () -> gather(null, now -> module.woken(now, token))));
+        }
+
+        @Override
+        public void watchList() {
+            actions.add(() -> director.watch());
+        }
+
+        @Override
+        public void probe(int workerId) {
+            actions.add(() -> Core.this.probe(workerId));
+        }
+
+        @Override
+        public void tellSilent(int workerId, int requestClass) {
+            // Nodes have no way to talk to each other here; the settings do not allow it.
+            invariant.holds(false, "peer message");
+        }
+
+        @Override
+        public void closeIdle(int workerId) {
+            actions.add(() -> {
+                final InetSocketAddress addr = roster.address(workerId);
+                if (addr != null) {
+                    backends.closeIdle(addr);
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/node/DirectorList.java
@@ -0,0 +1,62 @@
+package cresschute.node;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import cresschute.DispatchApi.WorkerState;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One answer of the director: the whole list or changes to it.
+ *
+ * @param full whether it holds the whole list
+ */
+public record DirectorList(long version, boolean full, List<Entry> entries) {
+
+    /** One backend as listed; {@code startedMs} is Unix time, or 0 for long ago. */
+    public record Entry(String id, InetSocketAddress addr, String zone, String kind, int cell,
+                        WorkerState state, double weight, long startedMs) {
+    }
+
+    /** Reads an answer whole; any flaw in it is a {@link JsonParseException}. */
+    public static DirectorList parse(JsonObject json) {
+        final List<Entry> entries = new ArrayList<>();
+        for (final JsonElement element : Json.array(json, "servers")) {
+            if (!element.isJsonObject()) {
+                throw new JsonParseException("an entry of the list is no object");
+            }
+            entries.add(entry(element.getAsJsonObject()));
+        }
+        final JsonElement full = json.get("full");
+        if (full == null || !full.isJsonPrimitive() || !full.getAsJsonPrimitive().isBoolean()) {
+            throw new JsonParseException("full is missing or no boolean");
+        }
+        final double version = Json.number(json, "version", -1);
+        if (version < 0) {
+            throw new JsonParseException("version is missing or negative");
+        }
+        return new DirectorList((long) version, full.getAsBoolean(), List.copyOf(entries));
+    }
+
+    private static Entry entry(JsonObject json) {
+        final String addr = Json.string(json, "addr");
+        final InetSocketAddress parsed;
+        try {
+            parsed = Addresses.parse(addr);
+        } catch (IllegalArgumentException e) {
+            throw new JsonParseException(e.getMessage());
+        }
+        final String word = Json.string(json, "state");
+        final WorkerState state = switch (word) {
+            case "SERVING" -> WorkerState.READY;
+            case "DRAINING" -> WorkerState.DRAINING;
+            case "DELETED" -> WorkerState.GONE;
+            default -> throw new JsonParseException("unknown state " + word);
+        };
+        return new Entry(Json.string(json, "id"), parsed, Json.string(json, "zone"),
+            Json.string(json, "kind"), (int) Json.number(json, "cell", 0), state,
+            Json.number(json, "weight", 1), (long) Json.number(json, "started_ms", 0));
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/node/Json.java
@@ -0,0 +1,73 @@
+package cresschute.node;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import com.google.gson.Strictness;
+import com.google.gson.stream.JsonReader;
+import com.google.gson.stream.JsonToken;
+import java.io.IOException;
+import java.io.StringReader;
+
+/** Strict reading of JSON objects; whatever is wrong with one is a {@link JsonParseException}. */
+public final class Json {
+
+    private Json() {
+    }
+
+    /** The one object that the text holds. */
+    public static JsonObject object(String text) {
+        final JsonReader reader = new JsonReader(new StringReader(text));
+        reader.setStrictness(Strictness.STRICT);
+        try {
+            final JsonElement element = JsonParser.parseReader(reader);
+            if (!element.isJsonObject() || reader.peek() != JsonToken.END_DOCUMENT) {
+                throw new JsonParseException("not one JSON object");
+            }
+            return element.getAsJsonObject();
+        } catch (IOException e) {
+            throw new JsonParseException(e);
+        }
+    }
+
+    /** A string that must be there. */
+    public static String string(JsonObject object, String name) {
+        final JsonElement element = object.get(name);
+        if (element == null || !element.isJsonPrimitive() || !element.getAsJsonPrimitive().isString()) {
+            throw new JsonParseException(name + " is missing or no string");
+        }
+        return element.getAsString();
+    }
+
+    /** A number, or the other value where it is absent. */
+    public static double number(JsonObject object, String name, double otherwise) {
+        final JsonElement element = object.get(name);
+        if (element == null || element.isJsonNull()) {
+            return otherwise;
+        }
+        if (!element.isJsonPrimitive() || !element.getAsJsonPrimitive().isNumber()) {
+            throw new JsonParseException(name + " is no number");
+        }
+        return element.getAsDouble();
+    }
+
+    /** An object that must be there. */
+    public static JsonObject child(JsonObject object, String name) {
+        final JsonElement element = object.get(name);
+        if (element == null || !element.isJsonObject()) {
+            throw new JsonParseException(name + " is missing or no object");
+        }
+        return element.getAsJsonObject();
+    }
+
+    /** An array that must be there. */
+    public static JsonArray array(JsonObject object, String name) {
+        final JsonElement element = object.get(name);
+        if (element == null || !element.isJsonArray()) {
+            throw new JsonParseException(name + " is missing or no array");
+        }
+        return element.getAsJsonArray();
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/node/NodeConfig.java
@@ -0,0 +1,111 @@
+package cresschute.node;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import cresschute.DispatchApi.Settings;
+import cresschute.benchlink.SettingsParser;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * All that a node is told at its start.
+ *
+ * @param settings what the module reads
+ * @param classes the classes' names, in the order of the settings
+ * @param zones zone names, in the order of the settings
+ * @param kinds names of the machine kinds, in the order of the settings
+ * @param connectTimeoutUs the longest that a connection to a backend may take to come up
+ * @param connIdleUs when a backend closes an idle connection
+ * @param sockets file descriptors that the process may hold
+ * @param known the list as this node last had it; it may be old
+ */
+public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress director, long seed,
+                         Settings settings, List<String> classes, List<String> zones, List<String> kinds,
+                         long connectTimeoutUs, long connIdleUs, int sockets, DirectorList known) {
+
+    private static final long DEFAULT_CONNECT_TIMEOUT_US = 250_000;
+    private static final long DEFAULT_CONN_IDLE_US = 10_000_000;
+    private static final int DEFAULT_SOCKETS = 1024;
+
+    /** Reads the environment and the file that it names. */
+    public static NodeConfig load(Map<String, String> environment) throws ConfigException {
+        final String file = variable(environment, "BALANCER_CONFIG");
+        final String text;
+        try {
+            text = Files.readString(Path.of(file));
+        } catch (IOException | InvalidPathException e) {
+            throw new ConfigException("BALANCER_CONFIG: cannot read " + file + ": " + e);
+        }
+        return parse(text, environment);
+    }
+
+    /** Reads a configuration; the environment's addresses and name go before the file's. */
+    static NodeConfig parse(String text, Map<String, String> environment) throws ConfigException {
+        try {
+            final JsonObject json = Json.object(text);
+            final JsonObject settings = Json.child(json, "settings");
+            final JsonObject limits = optional(settings, "limits");
+            final JsonObject machine = optional(json, "limits");
+            final DirectorList known = json.has("known") ? DirectorList.parse(Json.child(json, "known"))
+                : new DirectorList(-1, true, List.of());
+            return new NodeConfig(
+                setting(environment, "BALANCER_NAME", json, "name"),
+                Addresses.parse(setting(environment, "BALANCER_LISTEN", json, "listen")),
+                Addresses.parse(setting(environment, "BALANCER_DISCOVERY", json, "discovery")),
+                Long.parseUnsignedLong(Json.string(json, "seed"), 16),
+                SettingsParser.parse(FlatSettings.of(settings)),
+                classNames(settings),
+                names(settings, "zones"),
+                names(settings, "hostTypes"),
+                (long) Json.number(limits, "connectTimeoutUs", DEFAULT_CONNECT_TIMEOUT_US),
+                (long) Json.number(limits, "connIdleUs", DEFAULT_CONN_IDLE_US),
+                (int) Json.number(machine, "sockets", DEFAULT_SOCKETS),
+                known);
+        } catch (JsonParseException | IllegalArgumentException e) {
+            throw new ConfigException("configuration: " + String.valueOf(e.getMessage()).lines().findFirst()
+                .orElse("unusable"));
+        }
+    }
+
+    private static JsonObject optional(JsonObject object, String name) {
+        return object.has(name) ? Json.child(object, name) : new JsonObject();
+    }
+
+    private static String variable(Map<String, String> environment, String name) throws ConfigException {
+        final String value = environment.get(name);
+        if (value == null || value.isBlank()) {
+            throw new ConfigException(name + " is not set");
+        }
+        return value;
+    }
+
+    private static String setting(Map<String, String> environment, String variable, JsonObject json,
+                                  String name) {
+        final String value = environment.get(variable);
+        return value == null || value.isBlank() ? Json.string(json, name) : value;
+    }
+
+    private static List<String> classNames(JsonObject settings) {
+        final List<String> names = new ArrayList<>();
+        Json.array(settings, "classes").forEach(
+            element -> names.add(Json.string(element.getAsJsonObject(), "name")));
+        return List.copyOf(names);
+    }
+
+    private static List<String> names(JsonObject settings, String key) {
+        final List<String> names = new ArrayList<>();
+        if (settings.has(key)) {
+            for (final JsonElement element : Json.array(settings, key)) {
+                names.add(element.getAsString());
+            }
+        }
+        return List.copyOf(names);
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/node/Roster.java
@@ -0,0 +1,55 @@
+package cresschute.node;
+
+import cresschute.DispatchApi.Worker;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The backends that the director has named so far, under numbers that hold for the life of the process. */
+final class Roster {
+
+    private final Map<String, Integer> idNumbers = new HashMap<>();
+    private final List<InetSocketAddress> addresses = new ArrayList<>();
+    private final Map<String, Integer> zones = new HashMap<>();
+    private final Map<String, Integer> kinds = new HashMap<>();
+    private long version = -1;
+
+    Roster(List<String> zones, List<String> kinds) {
+        zones.forEach(zone -> number(this.zones, zone));
+        kinds.forEach(kind -> number(this.kinds, kind));
+    }
+
+    /** Takes in an answer and tells it in the module's terms; a changed address holds from now on. */
+    List<Worker> take(DirectorList list) {
+        version = list.version();
+        final List<Worker> workers = new ArrayList<>();
+        for (final DirectorList.Entry entry : list.entries()) {
+            final int id = number(idNumbers, entry.id());
+            if (id == addresses.size()) {
+                addresses.add(entry.addr());
+            } else {
+                addresses.set(id, entry.addr());
+            }
+            workers.add(new Worker(id, number(zones, entry.zone()), number(kinds, entry.kind()), entry.cell(),
+                entry.state(), entry.weight(), entry.startedMs() * 1000));
+        }
+        return workers;
+    }
+
+    /** Names are opaque: each new one gets the next number. */
+    private static int number(Map<String, Integer> numbers, String name) {
+        return numbers.computeIfAbsent(name, unseen -> numbers.size());
+    }
+
+    /** Where a backend listens, or null for a number that no list has named. */
+    InetSocketAddress address(int id) {
+        return id >= 0 && id < addresses.size() ? addresses.get(id) : null;
+    }
+
+    /** Version of the newest list, or -1 before the first. */
+    long version() {
+        return version;
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/node/http/BackendConnection.java
@@ -0,0 +1,130 @@
+package cresschute.node.http;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.net.InetSocketAddress;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/** A connection to a backend. It carries one exchange at a time and nothing is ever sent again on it. */
+final class BackendConnection extends SimpleChannelInboundHandler<HttpObject> {
+
+    /** Time for the end of an answer whose outcome is told, before the connection is given up, ms. */
+    private static final long TAIL_MS = 1_000;
+
+    final InetSocketAddress addr;
+    private final BackendConnections owner;
+    private Channel channel;
+    private Exchange exchange;
+    private boolean keepAlive;
+    private boolean informational;
+    private Future<?> retire;
+
+    BackendConnection(InetSocketAddress addr, BackendConnections owner) {
+        this.addr = addr;
+        this.owner = owner;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+    }
+
+    /** Starts an exchange on this connection, which is up and idle. */
+    void start(Exchange next) {
+        if (retire != null) {
+            retire.cancel(false);
+            retire = null;
+        }
+        exchange = next;
+        next.connection = this;
+        channel.writeAndFlush(next.request()).addListener(sent -> {
+            next.written = sent.isSuccess();
+            if (!sent.isSuccess()) {
+                channel.close();
+            }
+        });
+    }
+
+    /** Closes this connection after it has been idle for that long. */
+    void retireAfter(long idleUs) {
+        retire = channel.eventLoop().schedule(this::close, idleUs, TimeUnit.MICROSECONDS);
+    }
+
+    boolean isUp() {
+        return channel != null && channel.isActive();
+    }
+
+    void close() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+        if (message.decoderResult().isFailure() || exchange == null) {
+            ctx.close();
+            return;
+        }
+        if (message instanceof HttpResponse response) {
+            informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+            if (!informational) {
+                keepAlive = HttpUtil.isKeepAlive(response);
+                exchange.head(response);
+            }
+        }
+        if (message instanceof HttpContent content && !informational) {
+            content(content);
+        }
+    }
+
+    private void content(HttpContent content) {
+        final Exchange current = exchange;
+        final boolean wasOver = current.over;
+        current.content(content.content());
+        if (content instanceof LastHttpContent) {
+            exchange = null;
+            current.last();
+            current.connection = null;
+            if (keepAlive && current.written) {
+                owner.idle(this);
+            } else {
+                close();
+            }
+        } else if (current.over && !wasOver) {
+            // Guards against a backend that tells the outcome and never ends its answer.
+            channel.eventLoop().schedule(() -> {
+                if (exchange == current) {
+                    close();
+                }
+            }, TAIL_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        if (retire != null) {
+            retire.cancel(false);
+        }
+        owner.closed(this);
+        if (exchange != null) {
+            final Exchange broken = exchange;
+            exchange = null;
+            broken.broken();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        owner.troubled(addr, cause);
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/node/http/BackendConnections.java
@@ -0,0 +1,161 @@
+package cresschute.node.http;
+
+import cresschute.node.Backends;
+import cresschute.node.RateLimitedLog;
+import cresschute.node.ReqContent;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.util.NetUtil;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** All connections to backends: those in use and those idle, newest first, by address. */
+public final class BackendConnections implements Backends {
+
+    /** An idle connection is closed at this part of the time at which its backend would close it. */
+    private static final double RETIRE_AT = 0.75;
+    /** How long a probe may take, ms. */
+    private static final long PROBE_MS = 350;
+
+    private final EventLoop loop;
+    private final RateLimitedLog troubles;
+    private final long retireUs;
+    private final int most;
+    private final Bootstrap bootstrap;
+    private final Map<InetSocketAddress, Deque<BackendConnection>> idle = new HashMap<>();
+    private int opened;
+
+    /**
+     * None are open at first.
+     *
+     * @param most how many may be open at a time
+     */
+    public BackendConnections(EventLoop loop, RateLimitedLog troubles, long connectTimeoutUs, long connIdleUs,
+                              int most) {
+        this.loop = loop;
+        this.troubles = troubles;
+        this.retireUs = (long) (connIdleUs * RETIRE_AT);
+        this.most = most;
+        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutUs / 1000));
+    }
+
+    @Override
+    public Call fetch(InetSocketAddress addr, ReqContent content, long waitUs, FetchListener listener) {
+        final HttpFetch fetch = new HttpFetch(host(addr), content, waitUs, listener, troubles);
+        start(addr, fetch);
+        return fetch;
+    }
+
+    @Override
+    public void probe(InetSocketAddress addr, ProbeListener listener) {
+        final HttpProbe probe = new HttpProbe(host(addr), listener, troubles);
+        probe.endWith(loop.schedule(probe::timedOut, PROBE_MS, TimeUnit.MILLISECONDS));
+        start(addr, probe);
+    }
+
+    private static String host(InetSocketAddress addr) {
+        return NetUtil.toSocketAddressString(addr);
+    }
+
+    private void start(InetSocketAddress addr, Exchange exchange) {
+        final Deque<BackendConnection> waiting = idle.getOrDefault(addr, new ArrayDeque<>(0));
+        for (BackendConnection up = waiting.poll(); up != null; up = waiting.poll()) {
+            if (up.isUp()) {
+                up.start(exchange);
+                return;
+            }
+        }
+        if (opened >= most && !closeOneIdle()) {
+            troubles.trouble("no connection left", "for " + host(addr));
+            loop.execute(exchange::broken);
+            return;
+        }
+        opened++;
+        connect(addr, exchange);
+    }
+
+    private void connect(InetSocketAddress addr, Exchange exchange) {
+        final BackendConnection connection = new BackendConnection(addr, this);
+        final ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new HttpClientCodec(), connection);
+            }
+        }).connect(addr);
+        connecting.addListener(done -> {
+            if (!done.isSuccess()) {
+                opened--;
+                exchange.broken();
+            } else if (exchange.over) {
+                // Given up before it was up.
+                connecting.channel().close();
+            } else {
+                connection.start(exchange);
+            }
+        });
+    }
+
+    private boolean closeOneIdle() {
+        for (final Deque<BackendConnection> waiting : idle.values()) {
+            final BackendConnection oldest = waiting.pollLast();
+            if (oldest != null) {
+                oldest.close();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    @Override
+    public void closeIdle(InetSocketAddress addr) {
+        final Deque<BackendConnection> waiting = idle.get(addr);
+        if (waiting != null) {
+            List.copyOf(waiting).forEach(BackendConnection::close);
+        }
+    }
+
+    /** Takes back a connection whose exchange is over. */
+    void idle(BackendConnection connection) {
+        if (connection.isUp()) {
+            connection.retireAfter(retireUs);
+            idle.computeIfAbsent(connection.addr, unseen -> new ArrayDeque<>()).push(connection);
+        }
+    }
+
+    void closed(BackendConnection connection) {
+        opened--;
+        final Deque<BackendConnection> waiting = idle.get(connection.addr);
+        if (waiting != null) {
+            waiting.remove(connection);
+            if (waiting.isEmpty()) {
+                idle.remove(connection.addr);
+            }
+        }
+    }
+
+    /** A connection breaking is an outcome and no news; anything else is worth a line. */
+    void troubled(InetSocketAddress addr, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            troubles.trouble("backend connection", host(addr) + ": " + cause);
+        }
+    }
+
+    /** Connections to backends that are open or coming up. */
+    public int opened() {
+        return opened;
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/node/http/ClientConnection.java
@@ -0,0 +1,263 @@
+package cresschute.node.http;
+
+import cresschute.node.Req;
+import cresschute.node.ReqClient;
+import cresschute.node.ReqContent;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+
+/** A client's connection: reads reqs, hands them to the core and writes the answers in the reqs' order. */
+final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
+
+    static final int MOST_BODY_BYTES = 64 * 1024;
+    /** Reqs read ahead of their answers; a client that sends more waits. */
+    private static final int MOST_AHEAD = 16;
+    /** How long an unwanted body's rest is read away, ms: an early reset could eat the answer. */
+    private static final long LINGER_MS = 1_000;
+    private static final String READY = "/health/ready";
+
+    private final ClientFront front;
+    private final Deque<Answer> answers = new ArrayDeque<>();
+    private ChannelHandlerContext context;
+    private Answer reading;
+    private ReqHead head;
+    private byte[] body = new byte[0];
+    private int bodyBytes;
+    private boolean deaf;
+    private long sinceNs = System.nanoTime();
+
+    ClientConnection(ClientFront front) {
+        this.front = front;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        front.opened(this);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        front.closed(this);
+        answers.forEach(Answer::clientLeft);
+        answers.clear();
+    }
+
+    // ---- Reading ----
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+        sinceNs = System.nanoTime();
+        if (deaf) {
+            if (message instanceof LastHttpContent && answers.isEmpty()) {
+                ctx.close();
+            }
+            return;
+        }
+        if (message.decoderResult().isFailure()) {
+            if (reading == null) {
+                reading = new Answer(false);
+                answers.add(reading);
+            }
+            deafWith(HttpResponseStatus.BAD_REQUEST, "malformed HTTP");
+            return;
+        }
+        if (message instanceof HttpRequest request) {
+            begin(request);
+        }
+        if (message instanceof HttpContent content && reading != null && !deaf) {
+            collect(content.content());
+            if (content instanceof LastHttpContent && !deaf) {
+                finish();
+            }
+        }
+    }
+
+    private void begin(HttpRequest request) {
+        reading = new Answer(HttpUtil.isKeepAlive(request) && !front.isClosing());
+        answers.add(reading);
+        head = null;
+        bodyBytes = 0;
+        if (answers.size() >= MOST_AHEAD) {
+            context.channel().config().setAutoRead(false);
+        }
+        // Guards against reading on for a body that is too large by its own word.
+        if (HttpUtil.getContentLength(request, 0L) > MOST_BODY_BYTES) {
+            deafWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over 64 KiB");
+            return;
+        }
+        final int pathEnd = request.uri().indexOf('?');
+        if ((pathEnd < 0 ? request.uri() : request.uri().substring(0, pathEnd)).equals(READY)) {
+            final boolean get = request.method().equals(HttpMethod.GET);
+            reading.complete(!get ? HttpResponseStatus.METHOD_NOT_ALLOWED : front.isReady()
+                ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, "", 0);
+            return;
+        }
+        try {
+            head = front.parser().parse(request);
+            if (HttpUtil.is100ContinueExpected(request)) {
+                context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            }
+        } catch (ReqHead.RefusedHead e) {
+            reading.complete(e.status(), e.getMessage() + "\n", 0);
+        }
+    }
+
+    private void collect(ByteBuf content) {
+        final int count = content.readableBytes();
+        if (bodyBytes + count > MOST_BODY_BYTES) {
+            deafWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over 64 KiB");
+            return;
+        }
+        if (bodyBytes + count > body.length) {
+            final int wanted = Math.max(bodyBytes + count, body.length * 2);
+            body = Arrays.copyOf(body, Math.min(MOST_BODY_BYTES, wanted));
+        }
+        content.readBytes(body, bodyBytes, count);
+        bodyBytes += count;
+    }
+
+    /** The req's last byte is here: from now on it is owed an answer. */
+    private void finish() {
+        final Answer answer = reading;
+        reading = null;
+        if (head != null && !answer.isComplete()) {
+            final ReqContent content = new ReqContent(head.requestId(), head.target(), head.idempotencyKey(),
+                Arrays.copyOf(body, bodyBytes));
+            answer.req = front.core().take(content, head.requestClass(), head.job(), head.waitUs(), answer);
+        }
+    }
+
+    /** Answers what cannot be read on, and closes; the rest of it is read away for a while. */
+    private void deafWith(HttpResponseStatus status, String why) {
+        deaf = true;
+        reading.keepAlive = false;
+        reading.complete(status, why + "\n", 0);
+        context.executor().schedule(this::close, LINGER_MS, TimeUnit.MILLISECONDS);
+    }
+
+    // ---- Answering ----
+
+    /** Writes all answers that are ready and whose turn it is. */
+    private void flush() {
+        while (!answers.isEmpty() && answers.peek().isComplete()) {
+            final Answer answer = answers.poll();
+            final boolean keepAlive = answer.keepAlive && !front.isClosing();
+            if (!keepAlive) {
+                answer.response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            final var written = context.writeAndFlush(answer.response);
+            if (!keepAlive && !deaf) {
+                answers.forEach(Answer::clientLeft);
+                written.addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+        sinceNs = System.nanoTime();
+        if (answers.size() < MOST_AHEAD && context.channel().isActive()) {
+            context.channel().config().setAutoRead(true);
+        }
+    }
+
+    /** Nothing is being read, answered or written here. */
+    boolean isIdle() {
+        return answers.isEmpty() && reading == null && context.channel().unsafe().outboundBuffer() != null
+            && context.channel().unsafe().outboundBuffer().isEmpty();
+    }
+
+    /** Waiting for the client alone: for the rest of a req, for the next one, or to take its answer. */
+    boolean isWaitingForClient() {
+        return answers.isEmpty() || reading != null;
+    }
+
+    long quietNs() {
+        return System.nanoTime() - sinceNs;
+    }
+
+    void close() {
+        context.close();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            front.core().troubles().trouble("client connection", cause.toString());
+        }
+        ctx.close();
+    }
+
+    /** The answer to one req, in its place among those of this connection. */
+    private final class Answer implements ReqClient {
+
+        private boolean keepAlive;
+        private Req req;
+        private FullHttpResponse response;
+
+        Answer(boolean keepAlive) {
+            this.keepAlive = keepAlive;
+        }
+
+        boolean isComplete() {
+            return response != null;
+        }
+
+        void clientLeft() {
+            if (req != null) {
+                front.core().clientLeft(req);
+            }
+        }
+
+        @Override
+        public void served(String result) {
+            complete(HttpResponseStatus.OK, result, 0);
+        }
+
+        @Override
+        public void refused(long retryAfterUs) {
+            complete(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused\n", retryAfterUs);
+        }
+
+        @Override
+        public void failed() {
+            complete(HttpResponseStatus.INTERNAL_SERVER_ERROR, "failed\n", 0);
+        }
+
+        private void complete(HttpResponseStatus status, String text, long retryAfterUs) {
+            response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8)));
+            HttpUtil.setContentLength(response, response.content().readableBytes());
+            if (status.equals(HttpResponseStatus.METHOD_NOT_ALLOWED)) {
+                response.headers().set(HttpHeaderNames.ALLOW, head == null ? "GET, POST" : "POST");
+            }
+            if (retryAfterUs > 0) {
+                response.headers().set(HttpHeaderNames.RETRY_AFTER, RetryAfter.format(retryAfterUs));
+            }
+            flush();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/node/http/ClientFront.java
@@ -0,0 +1,125 @@
+package cresschute.node.http;
+
+import cresschute.node.Core;
+import cresschute.node.NodeConfig;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/** The clients' way in over HTTP/1.1: accepts connections and keeps those that are open. */
+public final class ClientFront {
+
+    private static final int BACKLOG = 1024;
+    private static final long SWEEP_S = 1;
+    /** A req whose rest does not come for so long is not waited for. */
+    private static final long PARTIAL_S = 30;
+    /** A connection on which no req comes for so long is closed. */
+    private static final long QUIET_S = 300;
+
+    private final EventLoop loop;
+    private final Core core;
+    private final ReqHead.Parser parser;
+    private final int most;
+    private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    private Channel server;
+    private boolean stopping;
+    private boolean closing;
+
+    /**
+     * A front that does not listen yet.
+     *
+     * @param most connections that it holds at a time
+     */
+    public ClientFront(EventLoop loop, Core core, NodeConfig config, int most) {
+        this.loop = loop;
+        this.core = core;
+        this.parser = new ReqHead.Parser(config.classes(), config.settings().classes());
+        this.most = most;
+    }
+
+    /** Listens on this address only. */
+    public ChannelFuture listen(EventLoopGroup group, InetSocketAddress addr) {
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_S, SWEEP_S, TimeUnit.SECONDS);
+        final ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    channel.pipeline().addLast(new HttpServerCodec(), new ClientConnection(ClientFront.this));
+                }
+            }).bind(addr);
+        server = bound.channel();
+        return bound;
+    }
+
+    /** Says that no new clients should come; those that do are served all the same. */
+    public void stopReady() {
+        stopping = true;
+    }
+
+    /** Accepts no more, closes what is idle, and the rest once it is answered. */
+    public void stopAccepting() {
+        closing = true;
+        server.close();
+        List.copyOf(connections).stream().filter(ClientConnection::isIdle).forEach(ClientConnection::close);
+    }
+
+    boolean isReady() {
+        return !stopping && core.isReady();
+    }
+
+    boolean isClosing() {
+        return closing;
+    }
+
+    Core core() {
+        return core;
+    }
+
+    ReqHead.Parser parser() {
+        return parser;
+    }
+
+    void opened(ClientConnection connection) {
+        connections.add(connection);
+        if (connections.size() >= most) {
+            // Guards the descriptors: the longest idle one makes room, else new ones wait to be accepted.
+            connections.stream().filter(ClientConnection::isIdle).findFirst()
+                .ifPresentOrElse(ClientConnection::close, () -> server.config().setAutoRead(false));
+        }
+    }
+
+    void closed(ClientConnection connection) {
+        connections.remove(connection);
+        if (connections.size() < most && server.isOpen()) {
+            server.config().setAutoRead(true);
+        }
+    }
+
+    /** Guards against clients that went silent: no wait for one is without end. */
+    private void sweep() {
+        for (final ClientConnection connection : List.copyOf(connections)) {
+            final long limitS = connection.isIdle() ? QUIET_S : PARTIAL_S;
+            if (connection.isWaitingForClient() && connection.quietNs() > TimeUnit.SECONDS.toNanos(limitS)) {
+                connection.close();
+            }
+        }
+    }
+
+    /** Connections from clients that are open. */
+    public int open() {
+        return connections.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/node/http/DirectorClient.java
@@ -0,0 +1,173 @@
+package cresschute.node.http;
+
+import com.google.gson.JsonParseException;
+import cresschute.node.Core;
+import cresschute.node.Director;
+import cresschute.node.DirectorList;
+import cresschute.node.Json;
+import cresschute.node.RateLimitedLog;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.NetUtil;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/** Watches the director's list by one call after the other on one connection, until a call fails. */
+public final class DirectorClient implements Director {
+
+    /** How long the director may wait for news, ms: short, since a silent one shows only after it. */
+    private static final long WAIT_MS = 4_000;
+    /** Time past that after which a call has failed, ms; what was not told counts as told after 2 s. */
+    private static final long ANSWER_MS = 1_900;
+    private static final int CONNECT_MS = 1_000;
+    private static final int MOST_BYTES = 4 << 20;
+
+    private final EventLoop loop;
+    private final InetSocketAddress addr;
+    private final Core core;
+    private final RateLimitedLog troubles;
+    private final Bootstrap bootstrap;
+    private Channel channel;
+    private Future<?> deadline;
+    private boolean watching;
+
+    /** Does nothing until it is asked to watch. */
+    public DirectorClient(EventLoop loop, InetSocketAddress addr, Core core, RateLimitedLog troubles) {
+        this.loop = loop;
+        this.addr = addr;
+        this.core = core;
+        this.troubles = troubles;
+        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+            .handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel opened) {
+                    opened.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_BYTES),
+                        new Answers());
+                }
+            });
+    }
+
+    @Override
+    public void watch() {
+        if (!watching) {
+            watching = true;
+            call();
+        }
+    }
+
+    private void call() {
+        // Guards against a director that says nothing, not even a reset.
+        deadline = loop.schedule(() -> fail("no answer in time"), WAIT_MS + ANSWER_MS, TimeUnit.MILLISECONDS);
+        if (channel != null && channel.isActive()) {
+            send();
+            return;
+        }
+        final ChannelFuture connecting = bootstrap.connect(addr);
+        channel = connecting.channel();
+        connecting.addListener(done -> {
+            if (connecting.channel() != channel) {
+                connecting.channel().close();
+            } else if (done.isSuccess()) {
+                send();
+            } else {
+                fail("cannot connect: " + done.cause().getMessage());
+            }
+        });
+    }
+
+    private void send() {
+        final long version = core.listVersion();
+        final String path = "/registry/instances"
+            + (version < 0 ? "" : "?since=" + version + "&timeout_ms=" + WAIT_MS);
+        final FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
+            Unpooled.EMPTY_BUFFER);
+        request.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(addr));
+        channel.writeAndFlush(request);
+    }
+
+    private void told(FullHttpResponse response) {
+        if (!response.status().equals(HttpResponseStatus.OK)) {
+            fail("answered " + response.status());
+            return;
+        }
+        final DirectorList list;
+        try {
+            list = DirectorList.parse(Json.object(response.content().toString(StandardCharsets.UTF_8)));
+        } catch (JsonParseException e) {
+            fail("bad list: " + e.getMessage());
+            return;
+        }
+        deadline.cancel(false);
+        if (!HttpUtil.isKeepAlive(response)) {
+            final Channel last = channel;
+            channel = null;
+            last.close();
+        }
+        core.directorTold(list);
+        // Guards against the watch lapsing: it goes on only if the next call comes within 200 ms.
+        call();
+    }
+
+    private void fail(String why) {
+        if (!watching) {
+            return;
+        }
+        watching = false;
+        deadline.cancel(false);
+        final Channel failed = channel;
+        channel = null;
+        if (failed != null) {
+            failed.close();
+        }
+        troubles.trouble("director call failed", why);
+        core.directorFailed();
+    }
+
+    private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            if (ctx.channel() == channel && watching) {
+                if (response.decoderResult().isFailure()) {
+                    fail("malformed answer");
+                } else {
+                    told(response);
+                }
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (ctx.channel() == channel) {
+                fail("connection closed");
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/node/http/Headers.java
@@ -0,0 +1,18 @@
+package cresschute.node.http;
+
+import io.netty.util.AsciiString;
+
+/** Header names of the platform. */
+final class Headers {
+
+    static final AsciiString REQUEST_ID = AsciiString.cached("X-Request-Id");
+    static final AsciiString DEADLINE = AsciiString.cached("X-Deadline");
+    static final AsciiString IDEMPOTENCY_KEY = AsciiString.cached("Idempotency-Key");
+    static final AsciiString RETRY = AsciiString.cached("X-Retry");
+    static final AsciiString EXTRAS = AsciiString.cached("X-Extras");
+    static final AsciiString LOAD = AsciiString.cached("X-Load");
+    static final AsciiString NOT_RUN = AsciiString.cached("X-Not-Run");
+
+    private Headers() {
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/node/http/JobLine.java
@@ -0,0 +1,44 @@
+package cresschute.node.http;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import cresschute.DispatchApi.LoadReport;
+import cresschute.DispatchApi.Outcome;
+import cresschute.node.Json;
+
+/**
+ * One line of a backend's answer.
+ *
+ * @param outcome how the fetch ended, or null where it goes on
+ * @param share how much is done, where it goes on
+ * @param result what the client gets, where it is served
+ */
+record JobLine(Outcome outcome, double share, LoadReport load, String result) {
+
+    /** Reads a line about this req; any flaw is a {@link JsonParseException}. */
+    static JobLine parse(String text, String requestId) {
+        final JsonObject json = Json.object(text);
+        if (!Json.string(json, "id").equals(requestId)) {
+            throw new JsonParseException("a line about another req");
+        }
+        final LoadReport load = json.has("load") ? Loads.parse(Json.child(json, "load")) : LoadReport.NONE;
+        final String state = Json.string(json, "state");
+        return switch (state) {
+            case "started" -> new JobLine(null, 0, load, null);
+            case "running" -> new JobLine(null, share(json), load, null);
+            case "done" -> new JobLine(Outcome.SERVED, 1, load, Json.string(json, "result"));
+            case "failed" -> new JobLine(Outcome.ERROR, 0, load, null);
+            case "returned" -> new JobLine(Outcome.FULL, 0, load, null);
+            case "lost" -> new JobLine(Outcome.BROKEN, 0, load, null);
+            default -> throw new JsonParseException("unknown state " + state);
+        };
+    }
+
+    private static double share(JsonObject json) {
+        final double share = Json.number(json, "share", 0);
+        if (!(share >= 0 && share <= 1)) {
+            throw new JsonParseException("share is out of range");
+        }
+        return share;
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/node/http/ReqHead.java
@@ -0,0 +1,139 @@
+package cresschute.node.http;
+
+import cresschute.DispatchApi.Effect;
+import cresschute.DispatchApi.Job;
+import cresschute.DispatchApi.RequestClass;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What a req's head says.
+ *
+ * @param waitUs how long its client waits for the answer, counted from its sending
+ */
+record ReqHead(String requestId, String target, String idempotencyKey, int requestClass, Job job,
+               long waitUs) {
+
+    /** A head that is answered by a status and never becomes a req. */
+    static final class RefusedHead extends Exception {
+
+        private static final long serialVersionUID = 1L;
+        private final transient HttpResponseStatus status;
+
+        RefusedHead(HttpResponseStatus status, String why) {
+            super(why, null, false, false);
+            this.status = status;
+        }
+
+        HttpResponseStatus status() {
+            return status;
+        }
+    }
+
+    /** Reads heads by the classes of the settings. */
+    static final class Parser {
+
+        private final Map<String, Integer> numbers = new HashMap<>();
+        private final List<RequestClass> classes;
+
+        Parser(List<String> names, List<RequestClass> classes) {
+            names.forEach(name -> numbers.put(name, numbers.size()));
+            this.classes = classes;
+        }
+
+        ReqHead parse(HttpRequest request) throws RefusedHead {
+            final String target = originForm(request.uri());
+            final QueryStringDecoder query = query(target);
+            final Integer requestClass = numbers.get(firstPart(query.path()));
+            if (requestClass == null) {
+                throw new RefusedHead(HttpResponseStatus.NOT_FOUND, "no such class");
+            }
+            if (!request.method().equals(HttpMethod.POST)) {
+                throw new RefusedHead(HttpResponseStatus.METHOD_NOT_ALLOWED, "jobs come by POST");
+            }
+            final HttpHeaders headers = request.headers();
+            final String requestId = headers.get(Headers.REQUEST_ID, "").strip();
+            if (requestId.isEmpty()) {
+                throw bad("X-Request-Id is missing");
+            }
+            final RequestClass stated = classes.get(requestClass);
+            final String key = headers.get(Headers.IDEMPOTENCY_KEY);
+            if (stated.effect() == Effect.KEYED && (key == null || key.isBlank())) {
+                throw bad("Idempotency-Key is missing");
+            }
+            final String deadline = headers.get(Headers.DEADLINE);
+            final long waitUs = deadline == null ? stated.deadlineUs() : Deadline.parseUs(deadline);
+            if (waitUs < 0) {
+                throw bad("X-Deadline is unusable");
+            }
+            final Map<String, Double> extras = extras(headers.get(Headers.EXTRAS, ""));
+            final List<String> objects = query.parameters().getOrDefault("obj", List.of());
+            final Job job = new Job(requestClass, 0, extras.getOrDefault("slots", 1.0), 0,
+                objects.isEmpty() ? 0 : keyNumber(objects.get(0)), "1".equals(headers.get(Headers.RETRY)));
+            return new ReqHead(requestId, target, key, requestClass, job, waitUs);
+        }
+
+        /** Also takes the form with scheme and host, as every HTTP server must. */
+        private static String originForm(String uri) throws RefusedHead {
+            final int host = uri.startsWith("http://") ? "http://".length() : 0;
+            final int path = uri.indexOf('/', host);
+            if (path < 0 || host == 0 && path > 0) {
+                throw bad("unusable target");
+            }
+            return uri.substring(path);
+        }
+
+        private static QueryStringDecoder query(String target) throws RefusedHead {
+            try {
+                final QueryStringDecoder query = new QueryStringDecoder(target, StandardCharsets.UTF_8);
+                query.parameters();
+                query.path();
+                return query;
+            } catch (IllegalArgumentException e) {
+                throw bad("unusable target");
+            }
+        }
+
+        private static String firstPart(String path) {
+            final int end = path.indexOf('/', 1);
+            return path.substring(1, end < 0 ? path.length() : end);
+        }
+
+        private static Map<String, Double> extras(String header) throws RefusedHead {
+            final Map<String, Double> extras = new HashMap<>();
+            for (final String pair : header.isBlank() ? new String[0] : header.split(",")) {
+                final int split = pair.indexOf('=');
+                try {
+                    final double value = Double.parseDouble(pair.substring(split + 1).strip());
+                    if (split < 1 || !(value >= 0 && value < Integer.MAX_VALUE)) {
+                        throw bad("X-Extras is unusable");
+                    }
+                    extras.put(pair.substring(0, split).strip(), value);
+                } catch (NumberFormatException e) {
+                    throw bad("X-Extras is unusable");
+                }
+            }
+            return extras;
+        }
+
+        /** The number of a key in the module's terms: its 16 hex digits, or else a hash of it. */
+        private static long keyNumber(String key) {
+            try {
+                return Long.parseUnsignedLong(key, 16);
+            } catch (NumberFormatException e) {
+                return key.hashCode();
+            }
+        }
+
+        private static RefusedHead bad(String why) {
+            return new RefusedHead(HttpResponseStatus.BAD_REQUEST, why);
+        }
+    }
+}
