--- a/src/main/java/cresschute/node/Core.java
+++ b/src/main/java/cresschute/node/Core.java
@@ -72,17 +72,16 @@
     // ---- Reqs ----
 
     /** Takes a req that is to be answered within this time; its client hears of it exactly once. */
-    public Req take(ReqContent content, int requestClass, Job job, long waitUs, ReqClient client) {
+    public Req take(ReqContent content, Job job, long waitUs, ReqClient client) {
         final long nowUs = clock.nowUs();
-        final Req req = new Req(++lastReqId, content, nowUs + waitUs, client);
-        final long giveUpUs = Math.max(nowUs, req.dueUs - ANSWER_MARGIN_US);
+        final long giveUpUs = nowUs + Math.max(0, waitUs - ANSWER_MARGIN_US);
+        final Req req = new Req(++lastReqId, content, nowUs + waitUs, giveUpUs, client);
         open.put(req.id, req);
         owed++;
         // Guards against a req that the module forgets or fails on: it is never left without an answer.
         req.overdue = after(waitUs + OVERDUE_US, () -> {
+            failUnasked(req);
             invariant.holds(false, "req overdue");
-            answer(req, req.client::failed);
-            gather(req, now -> module.clientLeft(now, req.id));
         });
         gather(req, now -> module.requested(now, req.id, job, giveUpUs));
         return req;
@@ -103,13 +102,14 @@
             invariant.holds(!req.answered, "second answer");
             return;
         }
-        invariant.holds(clock.nowUs() <= req.dueUs, "late answer");
         req.answered = true;
         try {
             answer.run();
         } finally {
             close(req);
         }
+        // Checked once it is written: late is still better than never.
+        invariant.holds(clock.nowUs() <= req.dueUs, "late answer");
     }
 
     private void close(Req req) {
@@ -123,7 +123,8 @@
     }
 
     private void forgetIfDone(Req req) {
-        if (req.closed && req.fetchesOut == 0) {
+        // Guards against numbering a send wrongly: the module may act for a req whose end it has not heard.
+        if (req.closed && req.fetchesOut == 0 && req.untold == 0) {
             open.remove(req.id);
         }
     }
@@ -146,17 +147,20 @@
     private void send(int reqId, int backend, long giveUpUs) {
         final Req req = open.get(reqId);
         final InetSocketAddress addr = roster.address(backend);
-        if (req == null || req.closed || addr == null) {
+        if (!invariant.holds(req != null && addr != null, "send of or to nobody")) {
+            return;
+        }
+        if (req.closed) {
             // The client left, or was answered, in the turn in which the module chose: nothing is sent.
-            final int number = req == null ? 0 : req.fetchesStarted++;
-            gather(req, now -> module.ended(now, reqId, number, backend, Outcome.NOT_SENT, 0,
-                req == null || req.closed, LoadReport.NONE));
+            final int number = req.fetchesStarted++;
+            gather(req, now -> module.ended(now, reqId, number, backend, Outcome.NOT_SENT, 0, true,
+                LoadReport.NONE));
             return;
         }
         final long nowUs = clock.nowUs();
         final Fetch fetch = new Fetch(req, req.fetchesStarted++, backend, nowUs);
         req.fetchesOut++;
-        final long waitUs = Math.max(0, Math.min(giveUpUs, req.dueUs) - nowUs);
+        final long waitUs = Math.max(0, Math.min(giveUpUs, req.giveUpUs) - nowUs);
         fetch.giveUp = after(waitUs, () -> end(fetch, fetch.call.giveUp(), LoadReport.NONE, null));
         fetch.call = backends.fetch(addr, req.content, waitUs, new Backends.FetchListener() {
             @Override
@@ -190,6 +194,9 @@
 
     private void probe(int backend) {
         final InetSocketAddress addr = roster.address(backend);
+        if (!invariant.holds(addr != null, "probe of nobody")) {
+            return;
+        }
         backends.probe(addr, (outcome, report) ->
             gather(null, now -> module.probed(now, backend, outcome, report)));
     }
@@ -230,6 +237,9 @@
     /** Keeps what happened for the turn that follows once the loop has read all that is ready. */
     private void gather(Req req, LongConsumer tell) {
         gathered.add(new Event(req, tell));
+        if (req != null) {
+            req.untold++;
+        }
         if (!turnDue) {
             turnDue = true;
             loop.execute(this::turn);
@@ -258,18 +268,29 @@
                 invariant.holds(false, "action failed");
             }
         }
+        for (final Event event : events) {
+            if (event.req() != null) {
+                event.req().untold--;
+                forgetIfDone(event.req());
+            }
+        }
     }
 
     /** Guards against a req left unanswered because the module threw while it was told of it. */
     private void moduleFailed(Req req, RuntimeException e) {
         LOG.log(Level.ERROR, "the module failed on an event", e);
         if (req != null && !req.closed) {
-            answer(req, req.client::failed);
-            gather(req, now -> module.clientLeft(now, req.id));
+            failUnasked(req);
         }
         invariant.holds(false, "module failed");
     }
 
+    /** Fails a req that the module did not answer, and tells the module that nothing is owed any more. */
+    private void failUnasked(Req req) {
+        gather(req, now -> module.clientLeft(now, req.id));
+        answer(req, req.client::failed);
+    }
+
     private Future<?> after(long delayUs, Runnable then) {
         return loop.schedule(then, delayUs, TimeUnit.MICROSECONDS);
     }
--- a/src/main/java/cresschute/node/Json.java
+++ b/src/main/java/cresschute/node/Json.java
@@ -27,8 +27,8 @@
                 throw new JsonParseException("not one JSON object");
             }
             return element.getAsJsonObject();
-        } catch (IOException e) {
-            throw new JsonParseException(e);
+        } catch (IOException | JsonParseException e) {
+            throw new JsonParseException("not one well-formed JSON object", e);
         }
     }
 
--- a/src/main/java/cresschute/node/Main.java
+++ b/src/main/java/cresschute/node/Main.java
@@ -1,6 +1,5 @@
 package cresschute.node;
 
-import java.io.IOException;
 import java.util.Arrays;
 
 /** The command line: {@code serve} runs a node, {@code benchlink} speaks the simulator's wire. */
@@ -29,7 +28,7 @@
             Runtime.getRuntime().addShutdownHook(new Thread(() -> node.stop().join(), "stop"));
         } catch (ConfigException e) {
             exit(e.getMessage());
-        } catch (IOException | RuntimeException e) {
+        } catch (RuntimeException e) {
             exit("cannot start: " + e.getMessage());
         }
     }
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -1,18 +1,22 @@
 package cresschute.node;
 
+import cresschute.DispatchApi.Actions;
+import cresschute.DispatchApi.Events;
 import cresschute.Logic;
 import cresschute.node.http.BackendConnections;
 import cresschute.node.http.ClientFront;
 import cresschute.node.http.DirectorClient;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.net.SocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 /** A running node: puts its parts together on one loop, starts them and stops them. */
 public final class NodeServer {
@@ -38,29 +42,32 @@
 
     /** A node that does not listen yet. */
     public NodeServer(NodeConfig config) {
+        this(config, actions -> new Logic(config.settings(), config.seed(), actions));
+    }
+
+    NodeServer(NodeConfig config, Function<Actions, Events> module) {
         this.config = config;
         final Clock clock = Clock.system();
         final RateLimitedLog troubles = new RateLimitedLog(System.getLogger("cresschute.trouble"), clock);
         final int each = Math.max(1, (config.sockets() - OTHER_SOCKETS) / 2);
-        core = new Core(config, loop, clock, troubles,
-            actions -> new Logic(config.settings(), config.seed(), actions));
+        core = new Core(config, loop, clock, troubles, module);
         front = new ClientFront(loop, core, config, each);
         backends = new BackendConnections(loop, troubles, config.connectTimeoutUs(), config.connIdleUs(),
             each);
         director = new DirectorClient(loop, config.director(), core, troubles);
     }
 
-    /** Starts all of it; returns once clients can connect. */
-    public void start() throws IOException {
+    /** Starts all of it; returns, with the address, once clients can connect. */
+    public SocketAddress start() {
         loop.execute(() -> core.start(backends, director, config.known()));
-        try {
-            front.listen(group, config.listen()).syncUninterruptibly();
-        } catch (RuntimeException e) {
-            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
-            throw e;
+        final ChannelFuture bound = front.listen(group, config.listen()).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            halt();
+            throw new IllegalStateException("cannot listen on " + config.listen(), bound.cause());
         }
         loop.scheduleWithFixedDelay(this::logStatus, STATUS_S, STATUS_S, TimeUnit.SECONDS);
-        LOG.log(Level.INFO, "node " + config.name() + " listens on " + config.listen());
+        LOG.log(Level.INFO, "node " + config.name() + " listens on " + bound.channel().localAddress());
+        return bound.channel().localAddress();
     }
 
     /** Stops: serves on for a while, then answers all that was taken; done when all of it is answered. */
@@ -87,11 +94,24 @@
         if (front.open() == 0 && !stopped.isDone()) {
             logStatus();
             LOG.log(Level.INFO, "stopped: everything taken is answered");
-            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+            halt();
             stopped.complete(null);
         }
     }
 
+    /** Ends all work at once. */
+    void halt() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    Core core() {
+        return core;
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
     private void logStatus() {
         LOG.log(Level.INFO, "status: " + core.owed() + " reqs open, " + front.open() + " client and "
             + backends.opened() + " backend connections, list version " + core.listVersion());
--- a/src/main/java/cresschute/node/Req.java
+++ b/src/main/java/cresschute/node/Req.java
@@ -2,22 +2,25 @@
 
 import java.util.concurrent.Future;
 
-/** A client's req: owed one answer until closed, held until its last fetch has ended. */
+/** A client's req: owed one answer until closed, held until its fetches have ended and the module knows. */
 public final class Req {
     final int id;
     final ReqContent content;
     final long dueUs;
+    final long giveUpUs;
     final ReqClient client;
     Future<?> overdue;
     int fetchesStarted;
     int fetchesOut;
+    int untold;
     boolean closed;
     boolean answered;
 
-    Req(int id, ReqContent content, long dueUs, ReqClient client) {
+    Req(int id, ReqContent content, long dueUs, long giveUpUs, ReqClient client) {
         this.id = id;
         this.content = content;
         this.dueUs = dueUs;
+        this.giveUpUs = giveUpUs;
         this.client = client;
     }
 }
--- a/src/main/java/cresschute/node/http/BackendConnection.java
+++ b/src/main/java/cresschute/node/http/BackendConnection.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -45,7 +46,15 @@
         }
         exchange = next;
         next.connection = this;
-        channel.writeAndFlush(next.request()).addListener(sent -> {
+        final FullHttpRequest request;
+        try {
+            request = next.request();
+        } catch (IllegalArgumentException e) {
+            // Guards against a fetch without an end: what cannot be put on the wire never runs.
+            exceptionCaught(null, e);
+            return;
+        }
+        channel.writeAndFlush(request).addListener(sent -> {
             next.written = sent.isSuccess();
             if (!sent.isSuccess()) {
                 channel.close();
@@ -125,6 +134,6 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         owner.troubled(addr, cause);
-        ctx.close();
+        close();
     }
 }
--- a/src/main/java/cresschute/node/http/ClientConnection.java
+++ b/src/main/java/cresschute/node/http/ClientConnection.java
@@ -25,6 +25,7 @@
 import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /** A client's connection: reads reqs, hands them to the core and writes the answers in the reqs' order. */
@@ -150,7 +151,7 @@
         if (head != null && !answer.isComplete()) {
             final ReqContent content = new ReqContent(head.requestId(), head.target(), head.idempotencyKey(),
                 Arrays.copyOf(body, bodyBytes));
-            answer.req = front.core().take(content, head.requestClass(), head.job(), head.waitUs(), answer);
+            answer.req = front.core().take(content, head.job(), head.waitUs(), answer);
         }
     }
 
@@ -159,7 +160,18 @@
         deaf = true;
         reading.keepAlive = false;
         reading.complete(status, why + "\n", 0);
-        context.executor().schedule(this::close, LINGER_MS, TimeUnit.MILLISECONDS);
+        linger();
+    }
+
+    /** Closes after a while; reqs read before what went wrong are answered first. */
+    private void linger() {
+        context.executor().schedule(() -> {
+            if (answers.isEmpty()) {
+                close();
+            } else {
+                linger();
+            }
+        }, LINGER_MS, TimeUnit.MILLISECONDS);
     }
 
     // ---- Answering ----
@@ -205,10 +217,21 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        if (!(cause instanceof IOException)) {
-            front.core().troubles().trouble("client connection", cause.toString());
+        if (cause instanceof IOException) {
+            ctx.close();
+            return;
+        }
+        front.core().troubles().trouble("client connection", cause.toString());
+        // Guards against an error of our own that leaves reqs of this connection without an answer.
+        deaf = true;
+        for (final Answer answer : List.copyOf(answers)) {
+            if (!answer.isComplete()) {
+                answer.clientLeft();
+                answer.keepAlive = false;
+                answer.failed();
+            }
         }
-        ctx.close();
+        linger();
     }
 
     /** The answer to one req, in its place among those of this connection. */
--- a/src/main/java/cresschute/node/http/ClientFront.java
+++ b/src/main/java/cresschute/node/http/ClientFront.java
@@ -26,6 +26,8 @@
     private static final long PARTIAL_S = 30;
     /** A connection on which no req comes for so long is closed. */
     private static final long QUIET_S = 300;
+    /** The same once no more are accepted. */
+    private static final long CLOSING_S = 2;
 
     private final EventLoop loop;
     private final Core core;
@@ -111,7 +113,7 @@
     /** Guards against clients that went silent: no wait for one is without end. */
     private void sweep() {
         for (final ClientConnection connection : List.copyOf(connections)) {
-            final long limitS = connection.isIdle() ? QUIET_S : PARTIAL_S;
+            final long limitS = closing ? CLOSING_S : connection.isIdle() ? QUIET_S : PARTIAL_S;
             if (connection.isWaitingForClient() && connection.quietNs() > TimeUnit.SECONDS.toNanos(limitS)) {
                 connection.close();
             }
--- a/src/main/java/cresschute/node/http/ReqHead.java
+++ b/src/main/java/cresschute/node/http/ReqHead.java
@@ -18,8 +18,7 @@
  *
  * @param waitUs how long its client waits for the answer, counted from its sending
  */
-record ReqHead(String requestId, String target, String idempotencyKey, int requestClass, Job job,
-               long waitUs) {
+record ReqHead(String requestId, String target, String idempotencyKey, Job job, long waitUs) {
 
     /** A head that is answered by a status and never becomes a req. */
     static final class RefusedHead extends Exception {
@@ -77,7 +76,7 @@
             final List<String> objects = query.parameters().getOrDefault("obj", List.of());
             final Job job = new Job(requestClass, 0, extras.getOrDefault("slots", 1.0), 0,
                 objects.isEmpty() ? 0 : keyNumber(objects.get(0)), "1".equals(headers.get(Headers.RETRY)));
-            return new ReqHead(requestId, target, key, requestClass, job, waitUs);
+            return new ReqHead(requestId, target, key, job, waitUs);
         }
 
         /** Also takes the form with scheme and host, as every HTTP server must. */
--- /dev/null
+++ b/src/test/java/cresschute/node/CoreTest.java
@@ -0,0 +1,181 @@
+package cresschute.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import cresschute.DispatchApi.Actions;
+import cresschute.DispatchApi.Events;
+import cresschute.DispatchApi.Job;
+import cresschute.DispatchApi.LoadReport;
+import cresschute.DispatchApi.Outcome;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.lang.reflect.Proxy;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The core alone, on a loop that is turned by hand. */
+class CoreTest implements ReqClient {
+
+    private static final Job JOB = new Job(0, 0, 1, 0, 0, false);
+    private static final ReqContent CONTENT = new ReqContent("r1", "/check", null, new byte[0]);
+
+    private final EmbeddedChannel loop = new EmbeddedChannel();
+    private final List<String> heard = new ArrayList<>();
+    private final List<Backends.FetchListener> fetches = new ArrayList<>();
+    private long nowUs = 1_000_000;
+    private boolean moduleThrows;
+    private Actions actions;
+    private Core core;
+
+    @BeforeEach
+    void start() throws Exception {
+        final NodeConfig config;
+        try (ServerSocket free = Peer.listen()) {
+            config = NodeConfig.parse(TestNode.config(free, TestNode.list(1, true,
+                TestNode.entry("s-1", free, "SERVING"))), Map.of());
+        }
+        loop.freezeTime();
+        core = new Core(config, loop.eventLoop(), () -> nowUs,
+            new RateLimitedLog(System.getLogger("test"), () -> nowUs), given -> {
+                actions = given;
+                return module();
+            });
+        core.start(new Backends() {
+            @Override
+            public Call fetch(InetSocketAddress addr, ReqContent content, long waitUs,
+                              FetchListener listener) {
+                fetches.add(listener);
+                return () -> Outcome.TIMED_OUT;
+            }
+
+            @Override
+            public void probe(InetSocketAddress addr, ProbeListener listener) {
+                heard.add("probe");
+            }
+
+            @Override
+            public void closeIdle(InetSocketAddress addr) {
+                heard.add("closeIdle");
+            }
+        }, () -> heard.add("watch"), config.known());
+        turn();
+        heard.clear();
+    }
+
+    /** Notes calls by name, request and outcome; sends each req, and again whatever ended unserved. */
+    private Events module() {
+        return (Events) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {Events.class},
+            (proxy, method, args) -> {
+                if (moduleThrows) {
+                    throw new IllegalStateException("the module is broken");
+                }
+                final boolean end = method.getName().equals("ended");
+                heard.add(method.getName() + (end ? " " + args[2] + " " + args[4] + " " + args[6] : ""));
+                if (method.getName().equals("requested") || end && args[4] == Outcome.FULL) {
+                    actions.send((Integer) args[1], 0, Long.MAX_VALUE);
+                }
+                return null;
+            });
+    }
+
+    private void turn() {
+        loop.runPendingTasks();
+    }
+
+    private void pass(long us) {
+        nowUs += us;
+        loop.advanceTimeBy(us, TimeUnit.MICROSECONDS);
+        loop.runScheduledPendingTasks();
+        turn();
+    }
+
+    private Req take() {
+        final Req req = core.take(CONTENT, JOB, 100_000, this);
+        turn();
+        return req;
+    }
+
+    @Override
+    public void served(String result) {
+        heard.add("served " + result);
+    }
+
+    @Override
+    public void refused(long retryAfterUs) {
+        heard.add("refused " + retryAfterUs);
+    }
+
+    @Override
+    public void failed() {
+        heard.add("failed");
+    }
+
+    @Test
+    void handsOverAllThatIsReadyBeforeItActs() {
+        core.take(CONTENT, JOB, 100_000, this);
+        core.directorFailed();
+        assertThat(heard).isEmpty();
+        turn();
+        assertThat(heard).containsExactly("requested", "listed");
+        assertThat(fetches).hasSize(1);
+    }
+
+    /** Once, the req was forgotten before the module heard of it, and the unsent second send got number 0. */
+    @Test
+    void numbersTheSendThatCrossesAClientsLeaving() {
+        final Req req = take();
+        fetches.get(0).ended(Outcome.FULL, LoadReport.NONE, null);
+        core.clientLeft(req);
+        turn();
+        assertThat(heard).containsExactly("requested", "ended 0 FULL true", "clientLeft",
+            "ended 1 NOT_SENT true");
+        assertThat(fetches).hasSize(1);
+    }
+
+    @Test
+    void givesUpFetchInTimeForTheAnswer() {
+        take();
+        pass(100_000 - Core.ANSWER_MARGIN_US);
+        assertThat(heard).containsExactly("requested", "ended 0 TIMED_OUT false");
+    }
+
+    @Test
+    void answersServedAtOnceAndOnce() {
+        take();
+        fetches.get(0).ended(Outcome.SERVED, LoadReport.NONE, "yes");
+        actions.fail(1);
+        turn();
+        assertThat(heard).containsExactly("requested", "served yes", "ended 0 SERVED true");
+        assertThat(core.owed()).isZero();
+    }
+
+    @Test
+    void failsReqThatTheModuleForgets() {
+        take();
+        pass(100_000 + Core.OVERDUE_US);
+        assertThat(heard).containsOnlyOnce("failed").containsSubsequence("failed", "clientLeft");
+        assertThat(core.invariant().total()).isPositive();
+    }
+
+    @Test
+    void failsReqOnWhichTheModuleThrows() {
+        moduleThrows = true;
+        assertThatThrownBy(this::take).hasMessageContaining("module failed");
+        assertThat(heard).containsExactly("failed");
+        assertThat(core.owed()).isZero();
+    }
+
+    @Test
+    void countsASecondEndOfAFetch() {
+        take();
+        fetches.get(0).ended(Outcome.BROKEN, LoadReport.NONE, null);
+        assertThatThrownBy(() -> fetches.get(0).ended(Outcome.ERROR, LoadReport.NONE, null))
+            .hasMessageContaining("fetch ended twice");
+    }
+}
--- /dev/null
+++ b/src/test/java/cresschute/node/NodeConfigTest.java
@@ -0,0 +1,76 @@
+package cresschute.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import cresschute.DispatchApi.Effect;
+import java.io.File;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class NodeConfigTest {
+
+    private static String good() throws Exception {
+        try (ServerSocket free = Peer.listen()) {
+            return TestNode.config(free, TestNode.list(3, true, ""));
+        }
+    }
+
+    @Test
+    void readsWhatTheSettingsParserReads() throws Exception {
+        final NodeConfig config = NodeConfig.parse(good(), Map.of("BALANCER_LISTEN", "127.0.0.9:7"));
+        assertThat(config.listen().toString()).isEqualTo("/127.0.0.9:7");
+        assertThat(config.classes()).containsExactly("check", "file");
+        assertThat(config.settings().classes().get(1).effect()).isEqualTo(Effect.KEYED);
+        assertThat(config.settings().listMustBeAsked()).isTrue();
+        assertThat(config.connIdleUs()).isEqualTo(400_000);
+        assertThat(config.known().version()).isEqualTo(3);
+    }
+
+    @Test
+    void flattensNestedSettings() {
+        assertThat(FlatSettings.of(Json.object("""
+            {"a":{"b":1.5,"c":"free slots"},"d":[1,2],"e":[],"f":[{"g":true},{"g":"x,y"}],"h":null}""")))
+            .isEqualTo("a.b=1.5\na.c=free_slots\nd=1,2\ne=\nf.count=2\nf.0.g=true\nf.1.g=x_y\n");
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+        "seed":"92094eb940cf389a" | "seed":"none"
+        "seed":"92094eb940cf389a" | "seed":7
+        127.0.0.1:0               | localhost:0
+        127.0.0.1:0               | 127.0.0.1:70000
+        127.0.0.1:0               | 127.0.0.1
+        "classes"                 | "none"
+        "pure"                    | "odd"
+        "worth":2                 | "worth":-2
+        "limits":{"sockets":200}  | "limits":7
+        "servers":[]              | "servers":[{}]
+        "zones"                   | zones
+        "balancers":1             | "balancers":0
+        """)
+    void refusesWhatItCannotUseInOneLine(String from, String to) throws Exception {
+        final String text = good();
+        assertThat(text).contains(from);
+        assertThatThrownBy(() -> NodeConfig.parse(text.replace(from, to), Map.of()))
+            .isInstanceOf(ConfigException.class).message().hasLineCount(1);
+    }
+
+    @Test
+    void endsWithOneLineAndTwo(@TempDir Path folder) throws Exception {
+        final File log = folder.resolve("log").toFile();
+        final String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        final Process node = new ProcessBuilder(java, "-cp", System.getProperty("java.class.path"),
+            "cresschute.node.Main", "serve").redirectErrorStream(true).redirectOutput(log).start();
+        assertThat(node.waitFor(20, TimeUnit.SECONDS)).isTrue();
+        assertThat(node.exitValue()).isEqualTo(2);
+        assertThat(Files.readString(log.toPath())).isEqualTo("cresschute: BALANCER_CONFIG is not set\n");
+    }
+}
--- /dev/null
+++ b/src/test/java/cresschute/node/SocketRulesTest.java
@@ -0,0 +1,363 @@
+package cresschute.node;
+
+import static cresschute.node.TestNode.answer;
+import static cresschute.node.TestNode.entry;
+import static cresschute.node.TestNode.list;
+import static cresschute.node.TestNode.req;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.ServerSocket;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The rules of the protocol, one by one, over real sockets; all that plays the other side is here. */
+@Timeout(30)
+class SocketRulesTest {
+
+    private static final String DONE =
+        "{\"id\":\"r1\",\"from\":\"s-1\",\"state\":\"done\",\"result\":\"yes\"}\n";
+    private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    private static String line(String rest) {
+        return "{\"id\":\"r1\",\"from\":\"s-1\"," + rest + "}\n";
+    }
+
+    @Test
+    void passesReqOnUnchangedAndAnswersWithItsResult() throws Exception {
+        try (TestNode node = new TestNode(); Peer client = node.client()) {
+            client.write(req("r1", "Idempotency-Key: k9\r\nX-Deadline: 4000m\r\n", "some body"));
+            final Peer backend = node.backend();
+            assertThat(backend.read()).startsWith("POST /check?obj=2a HTTP/1.1\r\n")
+                .endsWith("\r\n\r\nsome body").containsIgnoringCase("X-Request-Id: r1\r\n")
+                .containsIgnoringCase("Idempotency-Key: k9\r\n")
+                .containsPattern("(?i)X-Deadline: 39[0-9]{5}u\r\n");
+            backend.write(answer("200 OK", "", DONE));
+            assertThat(client.read()).startsWith("HTTP/1.1 200 OK\r\n").endsWith("\r\n\r\nyes");
+            assertThat(node.event()).isEqualTo("requested 1 class 0 key 42");
+            assertThat(node.event()).startsWith("ended 1 0 SERVED closed true");
+        }
+    }
+
+    @Test
+    void takesReqAtItsLastByteOnly() throws Exception {
+        try (TestNode node = new TestNode(); Peer client = node.client(); Peer other = node.client()) {
+            final String req = req("r1", "", "body");
+            client.write(req.substring(0, req.length() - 1));
+            other.write(req("r2", "", ""));
+            node.backend().read();
+            assertThat(node.events).filteredOn(event -> event.startsWith("requested")).hasSize(1);
+            client.write(req.substring(req.length() - 1));
+            assertThat(node.backend().read()).endsWith("body");
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+        200 OK |                  | 'state':'done','result':'yes' | SERVED
+        200 OK |                  | 'state':'failed'              | ERROR
+        200 OK |                  | 'state':'returned'            | FULL
+        200 OK |                  | 'state':'lost'                | BROKEN
+        200 OK |                  | 'state':'started'             | BROKEN
+        200 OK |                  | 'state':                      | ERROR
+        200 OK |                  | 'state':'odd'                 | ERROR
+        500 No | X-Not-Run: 1     |                               | ERROR
+        503 No | X-Not-Run: 1     |                               | FULL
+        504 No | X-Not-Run: 1     |                               | FULL
+        503 No | X-Not-Run: 0     |                               | ERROR
+        504 No |                  |                               | ERROR
+        503 No | X-Load: x0=what  |                               | ERROR
+        404 No |                  |                               | ERROR
+        """)
+    void tellsEndOfFetchByWhatCameBack(String status, String header, String rest, String outcome)
+        throws Exception {
+        try (TestNode node = new TestNode(); Peer client = node.client()) {
+            client.write(req("r1", "", ""));
+            final Peer backend = node.backend();
+            backend.read();
+            backend.write(answer(status, header == null ? "" : header + "\r\n",
+                rest == null ? "" : line(rest.replace('\'', '"'))));
+            final boolean served = outcome.equals("SERVED");
+            assertThat(client.read()).startsWith(served ? "HTTP/1.1 200" : "HTTP/1.1 503")
+                .matches(text -> served || text.contains("retry-after: 1.500"));
+            node.event();
+            String event = node.event();
+            event = event.startsWith("progressed") ? node.event() : event;
+            assertThat(event).startsWith("ended 1 0 " + outcome + " closed " + served);
+        }
+    }
+
+    @Test
+    void readsSplitAndJoinedChunksAndLoadsInBothForms() throws Exception {
+        try (TestNode node = new TestNode(); Peer client = node.client()) {
+            client.write(req("r1", "", ""));
+            final Peer backend = node.backend();
+            backend.read();
+            final String half = line("\"state\":\"running\",\"share\":0.5");
+            backend.write(CHUNKED + chunk(line("\"state\":\"started\"") + half.substring(0, 20)));
+            assertThat(node.event()).startsWith("requested");
+            assertThat(node.event()).isEqualTo("progressed 1 0 0.0");
+            final String load = "\"load\":{\"x0\":3,\"queue\":1}";
+            final String done = line("\"state\":\"done\",\"result\":\"\\u00e9\"," + load);
+            backend.write(chunk(half.substring(20) + done) + "0\r\n\r\n");
+            assertThat(node.event()).isEqualTo("progressed 1 0 0.5");
+            assertThat(node.event()).isEqualTo("ended 1 0 SERVED closed true load 3.0 -1.0");
+            assertThat(client.read()).endsWith("\u00c3\u00a9");
+            client.write(req("r2", "", ""));
+            backend.read();
+            backend.write(answer("503 No", "X-Not-Run: 1\r\nX-Load: inflight=7,queue=2,x0=1\r\n", ""));
+            node.event();
+            assertThat(node.event()).isEqualTo("ended 2 0 FULL closed false load 1.0 7.0");
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"true", "false"})
+    void countsBreakAfterTheLastByteAsReset(boolean reset) throws Exception {
+        try (TestNode node = new TestNode(); Peer client = node.client()) {
+            client.write(req("r1", "", ""));
+            final Peer backend = node.backend();
+            backend.read();
+            backend.write(CHUNKED + chunk(line("\"state\":\"started\"")));
+            node.event();
+            assertThat(node.event()).startsWith("progressed");
+            if (reset) {
+                backend.reset();
+            } else {
+                backend.close();
+            }
+            assertThat(node.event()).startsWith("ended 1 0 BROKEN closed false");
+        }
+    }
+
+    @Test
+    void countsRefusedConnectionAsCouldNotConnect() throws Exception {
+        try (TestNode node = new TestNode(); Peer client = node.client()) {
+            node.backend.close();
+            client.write(req("r1", "", ""));
+            assertThat(client.read()).startsWith("HTTP/1.1 503");
+            node.event();
+            assertThat(node.event()).startsWith("ended 1 0 CONNECT_FAILED closed false");
+        }
+    }
+
+    @Test
+    void givesUpOnSilenceBeforeTheDeadlineAndCloses() throws Exception {
+        try (TestNode node = new TestNode(); Peer client = node.client()) {
+            final long sentNs = System.nanoTime();
+            client.write(req("r1", "X-Deadline: 300000u\r\n", ""));
+            final Peer backend = node.backend();
+            backend.read();
+            assertThat(client.read()).startsWith("HTTP/1.1 503");
+            assertThat(System.nanoTime() - sentNs).isBetween(200_000_000L, 300_000_000L);
+            assertThat(backend.isClosedByOther()).isTrue();
+            node.event();
+            assertThat(node.event()).startsWith("ended 1 0 TIMED_OUT closed false");
+        }
+    }
+
+    @Test
+    void refusesAtOnceWithAdvice() throws Exception {
+        try (TestNode node = new TestNode((actions, req) -> actions.refuse(req, 2_000_000));
+             Peer client = node.client()) {
+            client.write(req("r1", "", ""));
+            assertThat(client.read()).startsWith("HTTP/1.1 503").contains("\r\nretry-after: 2\r\n");
+        }
+    }
+
+    @Test
+    void goesOnWithFetchesOfClientThatLeft() throws Exception {
+        try (TestNode node = new TestNode()) {
+            final Peer client = node.client().write(req("r1", "", ""));
+            final Peer backend = node.backend();
+            backend.read();
+            client.close();
+            node.event();
+            assertThat(node.event()).isEqualTo("left 1");
+            backend.write(answer("200 OK", "", DONE));
+            assertThat(node.event()).startsWith("ended 1 0 SERVED closed true");
+        }
+    }
+
+    @Test
+    void keepsOneReqOnAConnectionAndRetiresItWhenIdle() throws Exception {
+        try (TestNode node = new TestNode(); Peer client = node.client(); Peer other = node.client()) {
+            client.write(req("r1", "", ""));
+            final Peer first = node.backend();
+            first.read();
+            other.write(req("r2", "", ""));
+            final Peer second = node.backend();
+            assertThat(second.read()).contains("r2");
+            first.write(answer("200 OK", "", DONE));
+            client.read();
+            client.write(req("r3", "", ""));
+            assertThat(first.read()).contains("r3");
+            first.write(answer("503 No", "X-Not-Run: 1\r\n", ""));
+            final long idleNs = System.nanoTime();
+            assertThat(first.isClosedByOther()).isTrue();
+            // Well before the 400 ms at which the backend would close it.
+            assertThat(System.nanoTime() - idleNs).isBetween(200_000_000L, 390_000_000L);
+        }
+    }
+
+    @Test
+    void closesIdleConnectionsAtTheModulesWord() throws Exception {
+        try (TestNode node = new TestNode(); Peer client = node.client()) {
+            client.write(req("r1", "", ""));
+            final Peer backend = node.backend();
+            backend.read();
+            backend.write(answer("200 OK", "", DONE));
+            client.read();
+            final long askedNs = System.nanoTime();
+            node.act(actions -> actions.closeIdle(0));
+            assertThat(backend.isClosedByOther()).isTrue();
+            assertThat(System.nanoTime() - askedNs).isLessThan(250_000_000L);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"200 OK, SERVED load 2.0", "503 No, ERROR load -1.0"})
+    void probesForTheLoad(String status, String told) throws Exception {
+        try (TestNode node = new TestNode()) {
+            node.act(actions -> actions.probe(0));
+            final Peer backend = node.backend();
+            assertThat(backend.read()).startsWith("GET /stats HTTP/1.1");
+            backend.write(answer(status, "", status.startsWith("200") ? "{\"queue\":0,\"x0\":2}" : ""));
+            node.event();
+            assertThat(node.event()).isEqualTo("probed " + told);
+        }
+    }
+
+    @Test
+    void watchesTheListCallByCall() throws Exception {
+        try (TestNode node = new TestNode(); ServerSocket moved = Peer.listen();
+             Peer client = node.client()) {
+            assertThat(node.events.poll(8, TimeUnit.SECONDS)).isEqualTo("listed CACHED 0READY7000");
+            node.act(actions -> actions.watchList());
+            final Peer director = node.director();
+            assertThat(director.read()).startsWith("GET /registry/instances?since=1&timeout_ms=");
+            assertThat(node.event()).isEqualTo("listed FAILED");
+            director.write(answer("200 OK", "", list(2, false, entry("s-2", node.backend, "DRAINING"))));
+            final long toldNs = System.nanoTime();
+            assertThat(director.read()).contains("since=2&");
+            assertThat(System.nanoTime() - toldNs).isLessThan(200_000_000L);
+            assertThat(node.event()).isEqualTo("listed CHANGES 1DRAINING7000");
+            director.write(answer("200 OK", "", list(3, true, entry("s-1", moved, "SERVING"))));
+            assertThat(node.event()).isEqualTo("listed FULL 0READY7000");
+            client.write(req("r1", "", ""));
+            assertThat(Peer.accept(moved).read()).contains("r1");
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', nullValues = "reset", textBlock = """
+        503 No | {}
+        200 OK | {"version":2,"full":false}
+        200 OK | {"version":2,"full":false,"servers":[{"id":"s-1"}]}
+        200 OK | {"version":2,"full":false,"servers":[]} x
+        200 OK | no JSON
+        reset  | reset
+        """)
+    void takesAFailedCallAsFailure(String status, String body) throws Exception {
+        try (TestNode node = new TestNode()) {
+            node.act(actions -> actions.watchList());
+            final Peer director = node.director();
+            director.read();
+            assertThat(node.event()).isEqualTo("listed FAILED");
+            if (status == null) {
+                director.reset();
+            } else {
+                director.write(answer(status, "", body));
+            }
+            assertThat(node.event()).isEqualTo("listed FAILED");
+            node.act(actions -> actions.watchList());
+            assertThat(node.director().read()).contains("since=1&");
+        }
+    }
+
+    @Test
+    void takesASilentDirectorAsFailure() throws Exception {
+        try (TestNode node = new TestNode()) {
+            node.act(actions -> actions.watchList());
+            node.director().read();
+            assertThat(node.event()).isEqualTo("listed FAILED");
+            assertThat(node.event()).isEqualTo("listed FAILED");
+        }
+    }
+
+    @Test
+    void isReadyOnceABackendIsKnown() throws Exception {
+        try (TestNode node = new TestNode((actions, req) -> { }, false); Peer client = node.client()) {
+            final String ask = "GET /health/ready HTTP/1.1\r\nHost: api\r\n\r\n";
+            assertThat(client.write(ask).read()).startsWith("HTTP/1.1 503");
+            node.act(actions -> actions.watchList());
+            final Peer director = node.director();
+            director.read();
+            director.write(answer("200 OK", "", list(2, true, entry("s-1", node.backend, "SERVING"))));
+            assertThat(director.read()).contains("since=2&");
+            assertThat(client.write(ask).read()).startsWith("HTTP/1.1 200");
+        }
+    }
+
+    @Test
+    void servesOnAfterAStopAndAnswersAllItTook() throws Exception {
+        try (TestNode node = new TestNode(); Peer early = node.client(); Peer idle = node.client()) {
+            early.write(req("r1", "", ""));
+            final Peer backend = node.backend();
+            backend.read();
+            final CompletableFuture<Void> stopped = node.server.stop();
+            final Peer late = node.client().write(req("r2", "", ""));
+            final Peer again = node.backend();
+            assertThat(again.read()).contains("r2");
+            again.write(answer("200 OK", "", DONE.replace("r1", "r2")));
+            assertThat(late.read()).startsWith("HTTP/1.1 200");
+            assertThat(idle.isClosedByOther()).isTrue();
+            assertThat(late.isClosedByOther()).isTrue();
+            assertThat(stopped).isNotDone();
+            backend.write(answer("200 OK", "", DONE));
+            assertThat(early.read()).startsWith("HTTP/1.1 200").contains("\r\nconnection: close\r\n");
+            stopped.get(8, TimeUnit.SECONDS);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+        400 | POST /check | Host: a;Content-Length: 0
+        400 | POST /check | Host: a;X-Request-Id: r;X-Deadline: soon;Content-Length: 0
+        400 | POST /check | Host: a;X-Request-Id: r;X-Extras: slots;Content-Length: 0
+        400 | POST /check | Host: a;X-Request-Id: r;Content-Length: x
+        400 | POST /check | Host: a;X-Request-Id: r;no colon
+        400 | POST check  | Host: a;X-Request-Id: r;Content-Length: 0
+        400 | POST /check?obj=%zz | Host: a;X-Request-Id: r;Content-Length: 0
+        400 | POST /file  | Host: a;X-Request-Id: r;Content-Length: 0
+        404 | POST /what  | Host: a;X-Request-Id: r;Content-Length: 0
+        405 | GET /check  | Host: a;X-Request-Id: r
+        405 | POST /health/ready | Host: a;Content-Length: 0
+        413 | POST /check | Host: a;X-Request-Id: r;Content-Length: 65537
+        """)
+    void answersBadInputByAStatus(int status, String line, String headers) throws Exception {
+        try (TestNode node = new TestNode(); Peer client = node.client(); Peer next = node.client()) {
+            client.write(line + " HTTP/1.1\r\n" + headers.replace(";", "\r\n") + "\r\n\r\n");
+            assertThat(client.read()).startsWith("HTTP/1.1 " + status);
+            assertThat(node.events).noneMatch(event -> event.startsWith("requested"));
+            next.write(req("r2", "", ""));
+            assertThat(node.event()).startsWith("requested 1");
+        }
+    }
+
+    @Test
+    void refusesABodyThatGrowsTooLarge() throws Exception {
+        try (TestNode node = new TestNode(); Peer client = node.client()) {
+            client.write("POST /check HTTP/1.1\r\nHost: a\r\nX-Request-Id: r\r\n"
+                + "Transfer-Encoding: chunked\r\n\r\n" + chunk("x".repeat(65_536)) + chunk("y"));
+            assertThat(client.read()).startsWith("HTTP/1.1 413");
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cresschute/node/TestNode.java
@@ -0,0 +1,171 @@
+package cresschute.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import cresschute.DispatchApi.Actions;
+import cresschute.DispatchApi.Events;
+import cresschute.DispatchApi.Job;
+import cresschute.DispatchApi.ListForm;
+import cresschute.DispatchApi.LoadReport;
+import cresschute.DispatchApi.Outcome;
+import cresschute.DispatchApi.Worker;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.SocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/** A node on real sockets, with one backend and a director driven by hand and a module that notes events. */
+final class TestNode implements AutoCloseable {
+
+    final ServerSocket backend = Peer.listen();
+    final ServerSocket director = Peer.listen();
+    final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+    final NodeServer server;
+    final SocketAddress addr;
+    private Actions actions;
+
+    /** The module sends each req to the one backend. */
+    TestNode() throws IOException, ConfigException {
+        this((actions, req) -> actions.send(req, 0, Long.MAX_VALUE));
+    }
+
+    TestNode(BiConsumer<Actions, Integer> onReq) throws IOException, ConfigException {
+        this(onReq, true);
+    }
+
+    TestNode(BiConsumer<Actions, Integer> onReq, boolean known) throws IOException, ConfigException {
+        final String list = list(1, true, known ? entry("s-1", backend, "SERVING") : "");
+        server = new NodeServer(NodeConfig.parse(config(director, list), Map.of()), given -> {
+            actions = given;
+            return new Notes(onReq);
+        });
+        addr = server.start();
+    }
+
+    static String config(ServerSocket director, String known) {
+        return """
+            {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"92094eb940cf389a",
+             "limits":{"sockets":200},"known":%s,"settings":{"balancers":1,"classes":[
+             {"name":"check","idempotency":"pure","worth":2,"goalTimeUs":400000,"deadlineUs":5000000},
+             {"name":"file","idempotency":"token","group":"cell","keyTtlUs":4000000,"goalTimeUs":400000,
+              "deadlineUs":5000000}],"zones":["a"],"hostTypes":["m1"],"membershipMode":"ask",
+             "limits":{"connIdleUs":400000,"connectTimeoutUs":250000}}}""".formatted(
+            director.getLocalPort(), known);
+    }
+
+    static String list(int version, boolean full, String entries) {
+        return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + entries + "]}";
+    }
+
+    static String entry(String id, ServerSocket at, String state) {
+        return "{\"id\":\"" + id + "\",\"addr\":\"127.0.0.1:" + at.getLocalPort() + "\",\"zone\":\"a\","
+            + "\"kind\":\"m1\",\"cell\":0,\"state\":\"" + state + "\",\"weight\":1.0,\"started_ms\":7}";
+    }
+
+    static String answer(String status, String headers, String body) {
+        return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n"
+            + body;
+    }
+
+    static String req(String id, String headers, String body) {
+        return "POST /check?obj=2a HTTP/1.1\r\nHost: api\r\nX-Request-Id: " + id + "\r\n" + headers
+            + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** The next event that the module hears; the list at the start is passed over. */
+    String event() throws InterruptedException {
+        final String event = events.poll(8, TimeUnit.SECONDS);
+        return event != null && event.startsWith("listed CACHED") ? event() : event;
+    }
+
+    void act(Consumer<Actions> action) {
+        server.loop().execute(() -> {
+            action.accept(actions);
+            // Any event makes the loop carry actions out.
+            server.core().directorFailed();
+        });
+    }
+
+    Peer client() throws IOException {
+        return Peer.connect(addr);
+    }
+
+    Peer backend() throws IOException {
+        return Peer.accept(backend);
+    }
+
+    Peer director() throws IOException {
+        return Peer.accept(director);
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.halt();
+        backend.close();
+        director.close();
+        assertThat(server.core().invariant().total()).isZero();
+    }
+
+    private final class Notes implements Events {
+
+        private final BiConsumer<Actions, Integer> onReq;
+
+        Notes(BiConsumer<Actions, Integer> onReq) {
+            this.onReq = onReq;
+        }
+
+        @Override
+        public void listed(long nowUs, ListForm form, List<Worker> entries) {
+            final StringBuilder text = new StringBuilder("listed " + form);
+            entries.forEach(worker -> text.append(" " + worker.id() + worker.state() + worker.startedAtUs()));
+            events.add(text.toString());
+        }
+
+        @Override
+        public void requested(long nowUs, int requestId, Job job, long giveUpUs) {
+            events.add("requested " + requestId + " class " + job.requestClass() + " key " + job.dataKey());
+            onReq.accept(actions, requestId);
+        }
+
+        @Override
+        public void clientLeft(long nowUs, int requestId) {
+            events.add("left " + requestId);
+        }
+
+        @Override
+        public void jobProgressed(long nowUs, int requestId, int attempt, int workerId, double shareDone) {
+            events.add("progressed " + requestId + " " + attempt + " " + shareDone);
+        }
+
+        @Override
+        public void ended(long nowUs, int requestId, int attempt, int workerId, Outcome outcome,
+                          long elapsedUs, boolean requestClosed, LoadReport report) {
+            events.add("ended " + requestId + " " + attempt + " " + outcome + " closed " + requestClosed
+                + " load " + report.freeSlots() + " " + report.outstanding());
+            if (!requestClosed) {
+                actions.refuse(requestId, 1_500_000);
+            }
+        }
+
+        @Override
+        public void probed(long nowUs, int workerId, Outcome outcome, LoadReport report) {
+            events.add("probed " + outcome + " load " + report.freeSlots());
+        }
+
+        @Override
+        public void toldSilent(long nowUs, int workerId, int requestClass) {
+            throw new IllegalStateException("nodes do not talk");
+        }
+
+        @Override
+        public void woken(long nowUs, long token) {
+            events.add("woken " + token);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cresschute/node/http/ParsersTest.java
@@ -0,0 +1,82 @@
+package cresschute.node.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.google.gson.JsonParseException;
+import cresschute.DispatchApi.LoadReport;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ParsersTest {
+
+    @ParameterizedTest
+    @CsvSource({"480m, 480000", "480u, 480", "' 7m ', 7000", "0.5m, 500", "0m, 0",
+        "999999999999m, 3600000000", "480, -1", "m, -1", "-4m, -1", "4s, -1", "4 m, -1",
+        "'', -1", "1e3m, -1", "9999999999999m, -1"})
+    void readsDeadlines(String text, long us) {
+        assertThat(Deadline.parseUs(text)).isEqualTo(us);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"2000000, 2", "1500000, 1.500", "1, 0.001", "1000001, 1.001", "20000, 0.020"})
+    void writesAdvice(long us, String text) {
+        assertThat(RetryAfter.format(us)).isEqualTo(text);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+        inflight=7,queue=2,x0=3 | 3 | 7
+        x0=0                    | 0 | -1
+        queue=2 , inflight=1.5  | -1 | 1.5
+        {"x0":3,"queue":1}      | 3 | -1
+        {}                      | -1 | -1
+        """)
+    void readsLoadsInBothForms(String text, double freeSlots, double outstanding) {
+        assertThat(Loads.parseBody(text)).isEqualTo(new LoadReport(freeSlots, outstanding));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"x0", "x0=", "x0=a", "{\"x0\":\"3\"}", "{", "x0=1,,queue=2"})
+    void refusesOtherLoads(String text) {
+        assertThatThrownBy(() -> Loads.parseBody(text)).isInstanceOf(JsonParseException.class);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"{}", "[]", "{\"id\":\"r2\",\"state\":\"started\"}",
+        "{\"id\":\"r1\",\"state\":7}",
+        "{\"id\":\"r1\",\"state\":\"done\"}", "{\"id\":\"r1\",\"state\":\"running\",\"share\":2}",
+        "{\"id\":\"r1\",\"state\":\"started\"} {}", "{id:'r1'}"})
+    void refusesOtherLines(String text) {
+        assertThatThrownBy(() -> JobLine.parse(text, "r1")).isInstanceOf(JsonParseException.class);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 5, 7, 100})
+    void cutsLinesWhereverChunksEnd(int size) {
+        final String text = "one\n\n  two\u00e9\r\n" + "long".repeat(400) + "\nrest";
+        final byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        final JobLines lines = new JobLines();
+        final List<String> cut = new ArrayList<>();
+        for (int at = 0; at < bytes.length; at += size) {
+            final int count = Math.min(size, bytes.length - at);
+            assertThat(lines.add(Unpooled.wrappedBuffer(bytes, at, count))).isTrue();
+            for (String line = lines.next(); line != null; line = lines.next()) {
+                cut.add(line);
+            }
+        }
+        assertThat(cut).containsExactly("one", "two\u00e9", "long".repeat(400));
+        assertThat(lines.rest()).isEqualTo("rest");
+    }
+
+    @Test
+    void boundsALine() {
+        assertThat(new JobLines().add(Unpooled.wrappedBuffer(new byte[JobLines.MOST_BYTES + 1]))).isFalse();
+    }
+}
