--- a/src/main/java/cresschute/node/http/ClientConnection.java
+++ b/src/main/java/cresschute/node/http/ClientConnection.java
@@ -100,7 +100,7 @@
     }
 
     private void begin(HttpRequest request) {
-        reading = new Answer(HttpUtil.isKeepAlive(request) && !front.isClosing());
+        reading = new Answer(HttpUtil.isKeepAlive(request));
         answers.add(reading);
         head = null;
         bodyBytes = 0;
@@ -180,13 +180,18 @@
     private void flush() {
         while (!answers.isEmpty() && answers.peek().isComplete()) {
             final Answer answer = answers.poll();
-            final boolean keepAlive = answer.keepAlive && !front.isClosing();
+            // Guards against losing reqs read ahead: at a stop, only the last answer closes the connection.
+            final boolean isLast = front.isClosing() && answers.isEmpty() && reading == null;
+            final boolean keepAlive = answer.keepAlive && !isLast;
             if (!keepAlive) {
                 answer.response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
             final var written = context.writeAndFlush(answer.response);
             if (!keepAlive && !deaf) {
+                // The client asked for the end here; what it may have sent after that is not answered.
+                deaf = true;
                 answers.forEach(Answer::clientLeft);
+                answers.clear();
                 written.addListener(ChannelFutureListener.CLOSE);
             }
         }
--- a/src/main/java/cresschute/node/http/DirectorClient.java
+++ b/src/main/java/cresschute/node/http/DirectorClient.java
@@ -36,9 +36,13 @@
 public final class DirectorClient implements Director {
 
     /** How long the director may wait for news, ms: short, since a silent one shows only after it. */
-    private static final long WAIT_MS = 4_000;
-    /** Time past that after which a call has failed, ms; what was not told counts as told after 2 s. */
-    private static final long ANSWER_MS = 1_900;
+    private static final long WAIT_MS = 2_500;
+    /**
+     * Time past that after which a call has failed, ms. Guards against sending to a backend that drained
+     * while the director's connection was silent: news counts as told after 6 s, and the module asks again
+     * up to 1.5 s after a failure, so all of it and the new call must fit.
+     */
+    private static final long ANSWER_MS = 1_500;
     private static final int CONNECT_MS = 1_000;
     private static final int MOST_BYTES = 4 << 20;
 
--- a/src/test/java/cresschute/node/SocketRulesTest.java
+++ b/src/test/java/cresschute/node/SocketRulesTest.java
@@ -148,6 +148,36 @@
         }
     }
 
+    /** A cut-off machine: its backlog is full here, so that a new connection never comes up. */
+    @Test
+    void boundsTheWaitForAConnection() throws Exception {
+        try (TestNode node = new TestNode()) {
+            for (int i = 0; i <= Peer.BACKLOG; i++) {
+                Peer.connect(node.backend.getLocalSocketAddress());
+            }
+            node.client().write(req("r1", "", ""));
+            node.event();
+            assertThat(node.event()).startsWith("ended 1 0 CONNECT_FAILED closed false");
+        }
+    }
+
+    @Test
+    void answersReqsReadAheadInOrderAlsoAtAStop() throws Exception {
+        try (TestNode node = new TestNode(); Peer client = node.client()) {
+            client.write(req("r1", "", "") + req("r2", "", ""));
+            final Peer first = node.backend();
+            final Peer second = node.backend();
+            assertThat(first.read() + second.read()).contains("r1", "r2");
+            final CompletableFuture<Void> stopped = node.server.stop();
+            assertThat(node.client().isClosedByOther()).isTrue();
+            second.write(answer("200 OK", "", DONE.replace("r1", "r2").replace("yes", "two")));
+            first.write(answer("200 OK", "", DONE));
+            assertThat(client.read()).endsWith("yes").doesNotContain("connection: close");
+            assertThat(client.read()).endsWith("two").contains("connection: close");
+            stopped.get(8, TimeUnit.SECONDS);
+        }
+    }
+
     @Test
     void givesUpOnSilenceAndCloses() throws Exception {
         try (TestNode node = new TestNode(200_000); Peer client = node.client()) {
