Keep no body on a client connection that waits, and drop two unused methods

A body is handed over instead of copied where its array is full, and the connection forgets it (ClientConnection.finish).

--- a/src/main/java/cresschute/node/Core.java
+++ b/src/main/java/cresschute/node/Core.java
@@ -50,7 +50,6 @@
     private int owed;
     private Backends backends;
     private Director director;
-    private Runnable whenNothingOwed = () -> { };
 
     /** A core without its ways out; {@code module} builds the decision module around its actions. */
     public Core(NodeConfig config, ScheduledExecutorService loop, Clock clock, RateLimitedLog troubles,
@@ -117,9 +116,6 @@
         req.overdue.cancel(false);
         forgetIfDone(req);
         owed--;
-        if (owed == 0) {
-            whenNothingOwed.run();
-        }
     }
 
     private void forgetIfDone(Req req) {
@@ -129,14 +125,6 @@
         }
     }
 
-    /** Runs this each time when no req is left that is owed an answer, and at once if there is none. */
-    public void whenNothingOwed(Runnable then) {
-        whenNothingOwed = then;
-        if (owed == 0) {
-            then.run();
-        }
-    }
-
     /** Reqs that are owed an answer. */
     public int owed() {
         return owed;
--- a/src/main/java/cresschute/node/RateLimitedLog.java
+++ b/src/main/java/cresschute/node/RateLimitedLog.java
@@ -31,11 +31,6 @@
         }
     }
 
-    /** Troubles of a kind so far. */
-    public long count(String kind) {
-        return kinds.containsKey(kind) ? kinds.get(kind).count : 0;
-    }
-
     private static final class Kind {
         private long count;
         private long loggedUs;
--- a/src/main/java/cresschute/node/http/ClientConnection.java
+++ b/src/main/java/cresschute/node/http/ClientConnection.java
@@ -36,6 +36,7 @@
     private static final int MOST_AHEAD = 16;
     /** How long an unwanted body's rest is read away, ms: an early reset could eat the answer. */
     private static final long LINGER_MS = 1_000;
+    private static final byte[] NO_BODY = new byte[0];
     private static final String READY = "/health/ready";
 
     private final ClientFront front;
@@ -43,7 +44,7 @@
     private ChannelHandlerContext context;
     private Answer reading;
     private ReqHead head;
-    private byte[] body = new byte[0];
+    private byte[] body = NO_BODY;
     private int bodyBytes;
     private boolean deaf;
     private long sinceNs = System.nanoTime();
@@ -150,7 +151,9 @@
         reading = null;
         if (head != null && !answer.isComplete()) {
             final ReqContent content = new ReqContent(head.requestId(), head.target(), head.idempotencyKey(),
-                Arrays.copyOf(body, bodyBytes));
+                body.length == bodyBytes ? body : Arrays.copyOf(body, bodyBytes));
+            // Guards the heap: a connection that waits keeps no body.
+            body = NO_BODY;
             answer.req = front.core().take(content, head.job(), head.waitUs(), answer);
         }
     }
