Make room for new clients by the connection that was quiet longest, never the new one

Found by reading: at the bound of client connections the first idle one in order of opening was closed, which could be the new connection itself, about to send (ClientFront.opened). Tested by makesRoomForNewClientsByTheLongestIdle.

--- a/src/main/java/cresschute/node/Core.java
+++ b/src/main/java/cresschute/node/Core.java
@@ -303,7 +303,7 @@
 
         @Override
         public void refuse(int requestId, long retryAfterUs) {
-            actions.add(() -> answerOpen(requestId, client -> client.refused(retryAfterUs)));
+            actions.add(() -> answerOpen(requestId, client -> client.syntheticAnswer(retryAfterUs)));
         }
 
         @Override
--- a/src/main/java/cresschute/node/ReqClient.java
+++ b/src/main/java/cresschute/node/ReqClient.java
@@ -7,7 +7,7 @@
     void served(String result);
 
     /** A synthetic answer: refused, a retry does no harm. Advice of 0 is none. */
-    void refused(long retryAfterUs);
+    void syntheticAnswer(long retryAfterUs);
 
     /** Failed: it may or may not have run. */
     void failed();
--- a/src/main/java/cresschute/node/http/ClientConnection.java
+++ b/src/main/java/cresschute/node/http/ClientConnection.java
@@ -126,7 +126,7 @@
                 context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                     HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
-        } catch (ReqHead.RefusedHead e) {
+        } catch (ReqHead.UnusableHead e) {
             reading.complete(e.status(), e.getMessage() + "\n", 0);
         }
     }
@@ -269,7 +269,7 @@
         }
 
         @Override
-        public void refused(long retryAfterUs) {
+        public void syntheticAnswer(long retryAfterUs) {
             complete(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused\n", retryAfterUs);
         }
 
--- a/src/main/java/cresschute/node/http/ClientFront.java
+++ b/src/main/java/cresschute/node/http/ClientFront.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -97,8 +98,10 @@
     void opened(ClientConnection connection) {
         connections.add(connection);
         if (connections.size() >= most) {
-            // Guards the descriptors: the longest idle one makes room, else new ones wait to be accepted.
-            connections.stream().filter(ClientConnection::isIdle).findFirst()
+            // Guards the descriptors: the longest idle one makes room, but never the new one, which is about
+            // to send; if there is none, further ones wait to be accepted.
+            connections.stream().filter(other -> other != connection && other.isIdle())
+                .max(Comparator.comparingLong(ClientConnection::quietNs))
                 .ifPresentOrElse(ClientConnection::close, () -> server.config().setAutoRead(false));
         }
     }
--- a/src/main/java/cresschute/node/http/ReqHead.java
+++ b/src/main/java/cresschute/node/http/ReqHead.java
@@ -21,12 +21,12 @@
 record ReqHead(String requestId, String target, String idempotencyKey, Job job, long waitUs) {
 
     /** A head that is answered by a status and never becomes a req. */
-    static final class RefusedHead extends Exception {
+    static final class UnusableHead extends Exception {
 
         private static final long serialVersionUID = 1L;
         private final transient HttpResponseStatus status;
 
-        RefusedHead(HttpResponseStatus status, String why) {
+        UnusableHead(HttpResponseStatus status, String why) {
             super(why, null, false, false);
             this.status = status;
         }
@@ -47,15 +47,15 @@
             this.classes = classes;
         }
 
-        ReqHead parse(HttpRequest request) throws RefusedHead {
+        ReqHead parse(HttpRequest request) throws UnusableHead {
             final String target = originForm(request.uri());
             final QueryStringDecoder query = query(target);
             final Integer requestClass = numbers.get(firstPart(query.path()));
             if (requestClass == null) {
-                throw new RefusedHead(HttpResponseStatus.NOT_FOUND, "no such class");
+                throw new UnusableHead(HttpResponseStatus.NOT_FOUND, "no such class");
             }
             if (!request.method().equals(HttpMethod.POST)) {
-                throw new RefusedHead(HttpResponseStatus.METHOD_NOT_ALLOWED, "jobs come by POST");
+                throw new UnusableHead(HttpResponseStatus.METHOD_NOT_ALLOWED, "jobs come by POST");
             }
             final HttpHeaders headers = request.headers();
             final String requestId = headers.get(Headers.REQUEST_ID, "").strip();
@@ -80,7 +80,7 @@
         }
 
         /** Also takes the form with scheme and host, as every HTTP server must. */
-        private static String originForm(String uri) throws RefusedHead {
+        private static String originForm(String uri) throws UnusableHead {
             final int host = uri.startsWith("http://") ? "http://".length() : 0;
             final int path = uri.indexOf('/', host);
             if (path < 0 || host == 0 && path > 0) {
@@ -89,7 +89,7 @@
             return uri.substring(path);
         }
 
-        private static QueryStringDecoder query(String target) throws RefusedHead {
+        private static QueryStringDecoder query(String target) throws UnusableHead {
             try {
                 final QueryStringDecoder query = new QueryStringDecoder(target, StandardCharsets.UTF_8);
                 query.parameters();
@@ -105,7 +105,7 @@
             return path.substring(1, end < 0 ? path.length() : end);
         }
 
-        private static Map<String, Double> extras(String header) throws RefusedHead {
+        private static Map<String, Double> extras(String header) throws UnusableHead {
             final Map<String, Double> extras = new HashMap<>();
             for (final String pair : header.isBlank() ? new String[0] : header.split(",")) {
                 final int split = pair.indexOf('=');
@@ -131,8 +131,8 @@
             }
         }
 
-        private static RefusedHead bad(String why) {
-            return new RefusedHead(HttpResponseStatus.BAD_REQUEST, why);
+        private static UnusableHead bad(String why) {
+            return new UnusableHead(HttpResponseStatus.BAD_REQUEST, why);
         }
     }
 }
--- a/src/test/java/cresschute/node/CoreTest.java
+++ b/src/test/java/cresschute/node/CoreTest.java
@@ -107,7 +107,7 @@
     }
 
     @Override
-    public void refused(long retryAfterUs) {
+    public void syntheticAnswer(long retryAfterUs) {
         heard.add("refused " + retryAfterUs);
     }
 
--- a/src/test/java/cresschute/node/SocketRulesTest.java
+++ b/src/test/java/cresschute/node/SocketRulesTest.java
@@ -161,6 +161,22 @@
         }
     }
 
+    /** Of 200 descriptors 68 are for clients: the one quiet longest goes, not the oldest or the new one. */
+    @Test
+    void makesRoomForNewClientsByTheLongestIdle() throws Exception {
+        try (TestNode node = new TestNode((actions, req) -> actions.refuse(req, 0));
+             Peer oldest = node.client(); Peer quiet = node.client()) {
+            assertThat(oldest.write(req("r1", "", "")).read()).startsWith("HTTP/1.1 503");
+            Peer last = oldest;
+            for (int i = 3; i <= 68; i++) {
+                last = node.client();
+            }
+            assertThat(quiet.isClosedByOther()).isTrue();
+            assertThat(last.write(req("r2", "", "")).read()).startsWith("HTTP/1.1 503");
+            assertThat(oldest.write(req("r3", "", "")).read()).startsWith("HTTP/1.1 503");
+        }
+    }
+
     @Test
     void answersReqsReadAheadInOrderAlsoAtAStop() throws Exception {
         try (TestNode node = new TestNode(); Peer client = node.client()) {
