End a fetch that throws at its start, so that the module can go on with the req

Found by reading: if the connections threw, the fetch had no call, its timer failed on that, and the module waited for an end that never came; the client was answered only when overdue (Core.send). Tested by endsFetchThatCannotBeStarted. mvn -B verify passes.

--- a/src/main/java/cresschute/node/Core.java
+++ b/src/main/java/cresschute/node/Core.java
@@ -150,17 +150,28 @@
         req.fetchesOut++;
         final long waitUs = Math.max(0, Math.min(giveUpUs, req.giveUpUs) - nowUs);
         fetch.giveUp = after(waitUs, () -> end(fetch, fetch.call.giveUp(), LoadReport.NONE, null));
-        fetch.call = backends.fetch(addr, req.content, waitUs, new Backends.FetchListener() {
+        try {
+            fetch.call = backends.fetch(addr, req.content, waitUs, listenerOf(fetch));
+        } catch (RuntimeException e) {
+            // Guards against a fetch without an end: what threw before it went out never ran.
+            LOG.log(Level.ERROR, "a fetch could not be started", e);
+            end(fetch, Outcome.CONNECT_FAILED, LoadReport.NONE, null);
+        }
+    }
+
+    private Backends.FetchListener listenerOf(Fetch fetch) {
+        return new Backends.FetchListener() {
             @Override
             public void progressed(double shareDone) {
-                gather(req, now -> module.jobProgressed(now, reqId, fetch.number, backend, shareDone));
+                gather(fetch.req, now -> module.jobProgressed(now, fetch.req.id, fetch.number, fetch.backend,
+                    shareDone));
             }
 
             @Override
             public void ended(Outcome outcome, LoadReport report, String result) {
                 end(fetch, outcome, report, result);
             }
-        });
+        };
     }
 
     private void end(Fetch fetch, Outcome outcome, LoadReport report, String result) {
--- a/src/test/java/cresschute/node/CoreTest.java
+++ b/src/test/java/cresschute/node/CoreTest.java
@@ -30,6 +30,7 @@
     private final List<Backends.FetchListener> fetches = new ArrayList<>();
     private long nowUs = 1_000_000;
     private boolean moduleThrows;
+    private boolean connectionsThrow;
     private Actions actions;
     private Core core;
 
@@ -51,6 +52,9 @@
             public Call fetch(InetSocketAddress addr, ReqContent content, long waitUs,
                               FetchListener listener) {
                 fetches.add(listener);
+                if (connectionsThrow) {
+                    throw new IllegalStateException("no connections");
+                }
                 return () -> Outcome.TIMED_OUT;
             }
 
@@ -171,6 +175,14 @@
         assertThat(core.owed()).isZero();
     }
 
+    @Test
+    void endsFetchThatCannotBeStarted() {
+        connectionsThrow = true;
+        take();
+        turn();
+        assertThat(heard).containsExactly("requested", "ended 0 CONNECT_FAILED false");
+    }
+
     @Test
     void countsASecondEndOfAFetch() {
         take();
