Tell the module of queues; leave out a worker whose progress notes stop and copy its jobs

Reports said backlog 5 with no free slot, and the module took that for four jobs: it was told free slots and outstanding only, and here reports hold queue and x0. A report of 4.2 free slots of 4, which noise brings, counted as none. Now a queue counts as load. A worker that has told nothing of a started job for 1.8 progress intervals rests until it does, and its jobs go out a second time where the settings allow copies, the class a repeat, and there is room; a keyed one in its group and window. Lateness there does not narrow the budget.

--- a/src/main/java/cresschute/Attempt.java
+++ b/src/main/java/cresschute/Attempt.java
@@ -7,6 +7,7 @@
     final long sentUs;
     long toldAtUs;
     double toldShare;
+    long heardAtUs;
     boolean late;
     boolean silent;
 
--- a/src/main/java/cresschute/DispatchApi.java
+++ b/src/main/java/cresschute/DispatchApi.java
@@ -40,11 +40,12 @@
      *
      * @param freeSlots slots that no job held
      * @param outstanding requests that it held, waiting ones included
+     * @param waiting requests that waited for a slot
      */
-    public record LoadReport(double freeSlots, double outstanding) {
+    public record LoadReport(double freeSlots, double outstanding, double waiting) {
 
         /** Nothing came along. */
-        public static final LoadReport NONE = new LoadReport(-1, -1);
+        public static final LoadReport NONE = new LoadReport(-1, -1, -1);
     }
 
     /**
@@ -117,8 +118,11 @@
         }
     }
 
-    /** What the host allows. {@code maxRetryAfterUs} is 0 where clients take no advice. */
-    public record Limits(int maxAttempts, long maxRetryAfterUs) {
+    /**
+     * What the host allows. {@code maxRetryAfterUs} is 0 where clients take no advice; {@code secondCopies}
+     * tells whether a request may be out twice at a time.
+     */
+    public record Limits(int maxAttempts, long maxRetryAfterUs, boolean secondCopies) {
         public Limits {
             require(maxAttempts >= 1, "limits maxAttempts");
             require(maxRetryAfterUs >= 0, "limits maxRetryAfterUs");
--- a/src/main/java/cresschute/Kind.java
+++ b/src/main/java/cresschute/Kind.java
@@ -31,7 +31,10 @@
     /** Slots in use or waited for as a report tells, or a negative value where it does not. */
     double inUseBy(LoadReport report, double meanSlots) {
         cores = Math.max(cores, Math.round(report.freeSlots()));
-        final double held = report.freeSlots() < 0 ? -1 : cores - report.freeSlots();
+        // Guards against sending to a long queue as to a worker that is just full, and against taking the
+        // noisy report of an idle one for none.
+        final double held = report.freeSlots() < 0 ? -1
+            : Math.max(0, cores - report.freeSlots()) + Math.max(0, report.waiting()) * meanSlots;
         return Math.max(held, report.outstanding() * meanSlots);
     }
 }
--- a/src/main/java/cresschute/Logic.java
+++ b/src/main/java/cresschute/Logic.java
@@ -78,6 +78,8 @@
     /** Wait that makes a job's class silent there, in mean running times, and the rest that follows, us. */
     private static final double SILENT_RUNS = 4;
     private static final long SILENT_REST_US = 3_000_000;
+    /** Progress notes that must be missing before a worker stands still. */
+    private static final double STILL_NOTES = 1.8;
     /** Errors in a row that make a worker rest: fewer are chance. */
     private static final int ERRORS_BORNE = 3;
     /** Part of the stated cold budget that is used: estimates of work and capacity may be off by this. */
@@ -401,11 +403,8 @@
             if (node == request.last || ready.contains(node) || !coldAllows(node, nowUs, request.work())) {
                 continue;
             }
-            final boolean rests =
-                Math.max(node.restUntilUs, node.silentUntilUs[request.owner.index]) > nowUs;
-            final boolean room = slotsInUse(node, nowUs) + request.slots <= node.kind.slots() + 0.5;
-            withRoom += room && !rests ? 1 : 0;
-            (rests ? resting : ready).add(node);
+            withRoom += hasRoom(node, nowUs, request) ? 1 : 0;
+            (rests(node, nowUs, request) ? resting : ready).add(node);
         }
         // Guards against trouble of all alike: where every worker drawn rests, resting tells nothing.
         final List<Node> drawn = ready.isEmpty() ? resting : ready;
@@ -413,6 +412,16 @@
         return drawn;
     }
 
+    private static boolean rests(Node node, long nowUs, Request request) {
+        return Math.max(node.stillUntilUs,
+            Math.max(node.restUntilUs, node.silentUntilUs[request.owner.index])) > nowUs;
+    }
+
+    private boolean hasRoom(Node node, long nowUs, Request request) {
+        return !rests(node, nowUs, request)
+            && slotsInUse(node, nowUs) + request.slots <= node.kind.slots() + 0.5;
+    }
+
     /** Expected time to the answer, longer by the prices that the choice of this worker brings. */
     private double cost(Node node, long nowUs, Request request) {
         final double price = (node.listed.zone() == settings.zone() ? 0 : settings.crossZonePrice())
@@ -550,6 +559,9 @@
     @Override
     public void jobProgressed(long nowUs, int requestId, int attempt, int workerId, double shareDone) {
         final Attempt told = open.containsKey(requestId) ? open.get(requestId).find(attempt) : null;
+        if (told != null) {
+            told.heardAtUs = nowUs;
+        }
         if (told != null && told.toldAtUs == 0) {
             told.toldAtUs = nowUs;
             told.toldShare = shareDone;
@@ -585,7 +597,8 @@
             learnRun(request, attempt, nowUs, elapsedUs);
         }
         // Guards against closing on errors and breaks: they tell of one worker, not of too much work.
-        if (!attempt.late && (served || full || outcome == Outcome.TIMED_OUT || neverRan(outcome))) {
+        if (!attempt.late && (served || full || neverRan(outcome)
+            || outcome == Outcome.TIMED_OUT && !requestClosed)) {
             judge(node, request.worth, served ? 0 : full ? FULL_WEIGHT : 1);
         }
         if (!neverRan(outcome) && !served && !request.mayHaveRun) {
@@ -637,7 +650,7 @@
             if (request.out.isEmpty()) {
                 attempt(request, nowUs);
             }
-            request.out.forEach(attempt -> watch(request, attempt, nowUs));
+            List.copyOf(request.out).forEach(attempt -> watch(request, attempt, nowUs));
         }
     }
 
@@ -648,7 +661,9 @@
         if (!attempt.late
             && attempt.sentUs - request.arrivedUs + waitedUs > request.inTimeUs() - request.runUs()) {
             attempt.late = true;
-            judge(node, request.worth, 1);
+            if (!request.closed && node.stillUntilUs <= nowUs) {
+                judge(node, request.worth, 1);
+            }
             learnSlowness(node, RATIO_MOST * node.pace());
         }
         // Where slots seem free but no job of the class starts, others need not find out one by one.
@@ -660,5 +675,39 @@
             }
             toldSilent(nowUs, node.listed.id(), request.owner.index);
         }
+        // Guards against a worker that hangs: one that tells of progress and has stopped to stands still.
+        if (attempt.toldAtUs > 0 && settings.progressUs() > 0
+            && nowUs - attempt.heardAtUs > STILL_NOTES * settings.progressUs()) {
+            node.stillUntilUs = nowUs + settings.progressUs();
+        }
+        if (node.stillUntilUs > nowUs && !request.closed && request.out.size() == 1) {
+            copy(request, attempt, nowUs);
+        }
+    }
+
+    /** Sends a second copy to where there is room now, if the class allows it and it can still be in time. */
+    private void copy(Request request, Attempt attempt, long nowUs) {
+        final RequestClass stated = request.owner.stated;
+        final boolean binds = stated.effect() == Effect.KEYED && !request.mayHaveRun;
+        if (!settings.limits().secondCopies() || stated.effect() == Effect.UNSAFE
+            || !mayRepeat(request, nowUs)
+            || binds && nowUs >= attempt.sentUs + stated.repeatWindowUs()
+            || request.sent >= settings.limits().maxAttempts()
+            || nowUs >= Math.min(request.arrivedUs + request.inTimeUs(), request.giveUpUs - 2 * tickUs)) {
+            return;
+        }
+        // Guards against a doubled effect: the first copy may run yet, so a keyed one stays in its group.
+        request.bound = binds ? fleet.groupOf(stated, attempt.node.listed) : request.bound;
+        final List<Node> drawn = draw(request, nowUs, 2);
+        final boolean room = !drawn.isEmpty() && hasRoom(drawn.get(0), nowUs, request);
+        if (binds) {
+            request.bound = null;
+        }
+        if (room) {
+            if (binds) {
+                bind(request, attempt);
+            }
+            send(request, drawn.get(0), nowUs);
+        }
     }
 }
--- a/src/main/java/cresschute/Node.java
+++ b/src/main/java/cresschute/Node.java
@@ -21,6 +21,7 @@
     int failures;
     final long[] silentUntilUs;
     long restUntilUs;
+    long stillUntilUs;
     double coldTokens;
     long coldSinceUs;
     final ArrayDeque<Request> askers = new ArrayDeque<>();
--- a/src/main/java/cresschute/node/http/Loads.java
+++ b/src/main/java/cresschute/node/http/Loads.java
@@ -32,7 +32,8 @@
     /** Reads an object; fields that it lacks count as not told. */
     static LoadReport parse(JsonObject fields) {
         final double outstanding = Json.number(fields, "inflight", Json.number(fields, "outstanding", -1));
-        return new LoadReport(Json.number(fields, "x0", -1), outstanding);
+        final double waiting = Json.number(fields, "queue", Json.number(fields, "backlog", -1));
+        return new LoadReport(Json.number(fields, "x0", -1), outstanding, waiting);
     }
 
     /** Reads the body of an answer to a probe, in either form. */
