--- a/src/main/java/cresschute/DispatchApi.java
+++ b/src/main/java/cresschute/DispatchApi.java
@@ -96,10 +96,21 @@
      * @param deadlineUs when clients give up
      * @param repeatWindowUs keyed: how long repeats are dropped, from the first send that might have run
      * @param placement the only workers that it may be sent to
+     * @param maxAttempts sends for one request at the most, within those that {@link Limits} allow
      */
     public record RequestClass(double worth, long aimUs, double aimStretch, long deadlineUs, Effect effect,
-                               RepeatScope scope, long repeatWindowUs, Placement placement) {
+                               RepeatScope scope, long repeatWindowUs, Placement placement,
+                               int maxAttempts) {
+
+        /** A class with no bound of its own on attempts. */
+        public RequestClass(double worth, long aimUs, double aimStretch, long deadlineUs, Effect effect,
+                            RepeatScope scope, long repeatWindowUs, Placement placement) {
+            this(worth, aimUs, aimStretch, deadlineUs, effect, scope, repeatWindowUs, placement,
+                Integer.MAX_VALUE);
+        }
+
         public RequestClass {
+            require(maxAttempts >= 1, "class maxAttempts");
             require(worth >= 0, "class worth");
             require(aimUs > 0, "class aimUs");
             require(aimStretch >= 0, "class aimStretch");
--- a/src/main/java/cresschute/Logic.java
+++ b/src/main/java/cresschute/Logic.java
@@ -466,7 +466,7 @@
     /** Sends the request's next attempt if it may and can; ends or holds it otherwise. */
     private void attempt(Request request, long nowUs) {
         final double inTimeUs = request.arrivedUs + request.inTimeUs();
-        if (!mayRepeat(request, nowUs) || request.sent >= settings.limits().maxAttempts()
+        if (!mayRepeat(request, nowUs) || attemptsUsed(request)
             || nowUs >= Math.min(inTimeUs, request.giveUpUs - 2 * tickUs)) {
             giveUp(request, nowUs);
             return;
@@ -695,6 +695,10 @@
         }
     }
 
+    private boolean attemptsUsed(Request request) {
+        return request.sent >= Math.min(settings.limits().maxAttempts(), request.owner.stated.maxAttempts());
+    }
+
     /** Sends a second copy to where there is room now, if the class allows it and it can still be in time. */
     private void copy(Request request, Attempt attempt, long nowUs) {
         final RequestClass stated = request.owner.stated;
@@ -702,7 +706,7 @@
         if (!settings.limits().secondCopies() || stated.effect() == Effect.UNSAFE
             || !mayRepeat(request, nowUs)
             || binds && nowUs >= attempt.sentUs + stated.repeatWindowUs()
-            || request.sent >= settings.limits().maxAttempts()
+            || attemptsUsed(request)
             || nowUs >= Math.min(request.arrivedUs + request.inTimeUs(), request.giveUpUs - 2 * tickUs)) {
             return;
         }
--- /dev/null
+++ b/src/main/java/cresschute/cli/Main.java
@@ -0,0 +1,49 @@
+package cresschute.cli;
+
+import cresschute.node.ConfigException;
+import cresschute.node.NodeConfig;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+
+/**
+ * The program's beginning. {@code serve} and {@code benchlink} as the platform starts them go straight to
+ * work:
+ * the parser of the command line and the structured log are not so much as loaded for them.
+ */
+public final class Main {
+
+    private Main() {
+    }
+
+    /** Runs a command line and, unless it started something that goes on, exits with its code. */
+    public static void main(String[] args) {
+        // Guards the small node's memory: by itself Netty would load the structured log that it finds.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        if (args.length == 1 && args[0].equals("serve")) {
+            serveOnPlatform();
+        } else if (args.length == 1 && args[0].equals("benchlink")) {
+            cresschute.benchlink.Main.main(args);
+        } else {
+            final int code = Commands.execute(args);
+            if (code != ServeCommand.GOES_ON) {
+                System.exit(code);
+            }
+        }
+    }
+
+    private static void serveOnPlatform() {
+        try {
+            Serving.start(NodeConfig.load(System.getenv()), () -> NodeConfig.reload(System.getenv()),
+                () -> { });
+        } catch (ConfigException e) {
+            exit(ExitCodes.UNUSABLE, e.getMessage());
+        } catch (RuntimeException e) {
+            exit(ExitCodes.FAILED, "cannot start: " + e.getMessage());
+        }
+    }
+
+    private static void exit(int code, String why) {
+        System.err.println("cresschute: " + why);
+        System.exit(code);
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/cli/ServeCommand.java
@@ -0,0 +1,85 @@
+package cresschute.cli;
+
+import cresschute.logs.LogEvent;
+import cresschute.logs.LogFinder;
+import cresschute.logs.structured.StructuredLog;
+import cresschute.node.ConfigException;
+import cresschute.node.NodeConfig;
+import cresschute.settings.ApplianceSettings;
+import java.io.PrintWriter;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** Runs a node by a settings script. Without one, {@link Main} runs it by the platform's environment. */
+@Command(name = "serve", mixinStandardHelpOptions = true,
+    description = "Runs a node: by a settings script, or without one by the BALANCER_ variables.",
+    footer = {"", "SIGHUP reads the settings again, SIGTERM answers all that was taken and ends.", "",
+        "Example: cresschute serve --settings deploy/appliance.star"})
+final class ServeCommand implements Callable<Integer> {
+
+    /** In place of an exit code: the node goes on when the command has returned. */
+    static final int GOES_ON = -1;
+
+    @Option(names = "--settings", paramLabel = "FILE", description = "the settings script")
+    private Path file;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        if (file == null) {
+            throw new ParameterException(spec.commandLine(), "no --settings FILE is given");
+        }
+        final ApplianceSettings settings;
+        try {
+            settings = SettingsOf.file(file);
+        } catch (SettingsOf.UnusableFile e) {
+            final PrintWriter err = spec.commandLine().getErr();
+            e.lines().forEach(err::println);
+            return ExitCodes.UNUSABLE;
+        }
+        final StructuredLog log = new StructuredLog(settings.logFormat().equals("json"),
+            Level.valueOf(settings.logLevel().toUpperCase(Locale.ROOT)));
+        LogFinder.use(log);
+        notYetUsed(settings);
+        try {
+            Serving.start(SettingsOf.node(settings), () -> reread(file), log::close);
+        } catch (IllegalStateException e) {
+            log.close();
+            spec.commandLine().getErr().println("cresschute: cannot start: " + e.getMessage()
+                + "; see who listens there, or give node another listen address");
+            return ExitCodes.FAILED;
+        }
+        return GOES_ON;
+    }
+
+    private static NodeConfig reread(Path file) throws ConfigException {
+        try {
+            return SettingsOf.node(SettingsOf.file(file));
+        } catch (SettingsOf.UnusableFile e) {
+            throw new ConfigException(String.join(" | ", e.lines()));
+        }
+    }
+
+    /** Told, so that nobody counts on what is only checked so far. */
+    private static void notYetUsed(ApplianceSettings settings) {
+        final Logger logger = System.getLogger("cresschute.settings");
+        if (settings.controlSocket() != null) {
+            LogEvent.of("setting_unused", "control is checked but not used by this version")
+                .with("block", "control").log(logger, Level.WARNING);
+        }
+        if (settings.stateFolder() != null) {
+            LogEvent.of("setting_unused", "state is checked but not used by this version")
+                .with("block", "state").log(logger, Level.WARNING);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/cli/Serving.java
@@ -0,0 +1,30 @@
+package cresschute.cli;
+
+import cresschute.node.Hangup;
+import cresschute.node.NodeConfig;
+import cresschute.node.NodeServer;
+import java.util.concurrent.Callable;
+
+/** A node as the main work of the process: it heeds the process's signals. */
+final class Serving {
+
+    private Serving() {
+    }
+
+    /**
+     * Starts a node and returns once clients can connect.
+     *
+     * @param reload reads the configuration anew, on the thread of the signal
+     * @param stopped run at the very end, once all that the node took is answered
+     */
+    static void start(NodeConfig config, Callable<NodeConfig> reload, Runnable stopped) {
+        final NodeServer node = new NodeServer(config);
+        // Guards against a hang-up that comes as soon as clients can: by default it ends the JVM.
+        Hangup.onEach(() -> node.reload(reload));
+        node.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            node.stop().join();
+            stopped.run();
+        }, "stop"));
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/cli/SettingsOf.java
@@ -0,0 +1,69 @@
+package cresschute.cli;
+
+import cresschute.DispatchApi.WorkerState;
+import cresschute.node.DirectorList;
+import cresschute.node.NodeConfig;
+import cresschute.settings.ApplianceSettings;
+import cresschute.settings.SettingsFile;
+import java.io.IOException;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.List;
+
+/** Brings settings scripts to the commands, and what they state to the node. */
+final class SettingsOf {
+
+    private SettingsOf() {
+    }
+
+    /** A file that cannot be read, or states what cannot be used. */
+    static final class UnusableFile extends Exception {
+
+        private static final long serialVersionUID = 1L;
+        private final transient List<String> lines;
+
+        UnusableFile(List<String> lines) {
+            super(lines.get(0), null, false, false);
+            this.lines = List.copyOf(lines);
+        }
+
+        /** All that is wrong, a line each. */
+        List<String> lines() {
+            return lines;
+        }
+    }
+
+    /** The settings of a file. */
+    static ApplianceSettings file(Path file) throws UnusableFile {
+        final SettingsFile.Result result = read(file);
+        if (result.settings() == null) {
+            throw new UnusableFile(result.problems().stream()
+                .map(each -> each.line(file.toString())).toList());
+        }
+        return result.settings();
+    }
+
+    /** What came of a file; one that cannot be read is an exception. */
+    static SettingsFile.Result read(Path file) throws UnusableFile {
+        try {
+            return SettingsFile.read(file);
+        } catch (IOException e) {
+            final String why = e instanceof NoSuchFileException ? "there is no such file" : e.toString();
+            throw new UnusableFile(List.of("cresschute: cannot read " + file + ": " + why));
+        }
+    }
+
+    /** What the node is told. */
+    static NodeConfig node(ApplianceSettings settings) {
+        final List<DirectorList.Entry> workers = settings.workers().stream().map(each ->
+            new DirectorList.Entry(each.id(), each.address(), each.zone(), each.kind(), each.cell(),
+                WorkerState.READY, each.weight(), 0)).toList();
+        final long seed = settings.seed() == null ? new SecureRandom().nextLong() : settings.seed();
+        // Before the first answer of a director no version is held, so that it is asked for its whole list.
+        return new NodeConfig(settings.name(), settings.listen(), settings.director(), seed,
+            settings.module(),
+            settings.classes(), settings.zones(), settings.kinds(), settings.connectTimeoutUs(),
+            settings.idleTimeoutUs(), settings.sockets(), new DirectorList(-1, true, workers));
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/logs/RoutedLogger.java
@@ -0,0 +1,56 @@
+package cresschute.logs;
+
+import java.lang.System.Logger;
+import java.text.MessageFormat;
+import java.util.MissingResourceException;
+import java.util.ResourceBundle;
+
+/** A logger that writes to whatever back end is in use when a line comes. */
+final class RoutedLogger implements Logger {
+
+    private final String name;
+
+    RoutedLogger(String name) {
+        this.name = name;
+    }
+
+    @Override
+    public String getName() {
+        return name;
+    }
+
+    @Override
+    public boolean isLoggable(Level level) {
+        return LogFinder.backend().isLoggable(name, level);
+    }
+
+    void log(Level level, LogEvent event) {
+        if (isLoggable(level)) {
+            LogFinder.backend().log(name, level, event);
+        }
+    }
+
+    @Override
+    public void log(Level level, ResourceBundle bundle, String text, Throwable thrown) {
+        if (isLoggable(level)) {
+            log(level, LogEvent.of("plain", localized(bundle, text)).because(thrown));
+        }
+    }
+
+    @Override
+    public void log(Level level, ResourceBundle bundle, String format, Object... values) {
+        if (isLoggable(level)) {
+            final String text = localized(bundle, format);
+            log(level, LogEvent.of("plain", values == null || values.length == 0 ? text
+                : MessageFormat.format(text, values)));
+        }
+    }
+
+    private static String localized(ResourceBundle bundle, String text) {
+        try {
+            return bundle == null || text == null ? String.valueOf(text) : bundle.getString(text);
+        } catch (MissingResourceException e) {
+            return text;
+        }
+    }
+}
--- a/src/main/java/cresschute/node/Core.java
+++ b/src/main/java/cresschute/node/Core.java
@@ -8,6 +8,7 @@
 import cresschute.DispatchApi.Outcome;
 import cresschute.DispatchApi.Worker;
 import cresschute.DispatchApi.WorkerState;
+import cresschute.logs.LogEvent;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
@@ -15,6 +16,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Future;
@@ -35,6 +37,7 @@
     static final long ANSWER_MARGIN_US = 15_000;
     /** Past its due time by this, us, a req that the module left unanswered is failed by the node. */
     static final long OVERDUE_US = 10_000;
+    private static final long US_A_MS = 1_000;
     private static final Logger LOG = System.getLogger("cresschute.core");
 
     private final ScheduledExecutorService loop;
@@ -42,6 +45,7 @@
     private final RateLimitedLog troubles;
     private final Invariant invariant = new Invariant();
     private final Roster roster;
+    private final List<String> classes;
     private final Events module;
     private final Map<Integer, Req> open = new HashMap<>();
     private final Set<String> openIds = new HashSet<>();
@@ -61,6 +65,7 @@
         this.clock = clock;
         this.troubles = troubles;
         this.roster = new Roster(config.zones(), config.kinds());
+        this.classes = config.classes();
         this.module = module.apply(new GatheredActions());
     }
 
@@ -82,7 +87,8 @@
     public Req take(ReqContent content, Job job, long waitUs, ReqClient client) {
         final long nowUs = clock.nowUs();
         final long giveUpUs = nowUs + Math.max(0, waitUs - ANSWER_MARGIN_US);
-        final Req req = new Req(++lastReqId, content, nowUs + waitUs, giveUpUs, client);
+        final Req req = new Req(++lastReqId, content, classes.get(job.requestClass()), nowUs, nowUs + waitUs,
+            giveUpUs, client);
         open.put(req.id, req);
         openIds.add(content.requestId());
         owed++;
@@ -104,7 +110,7 @@
     }
 
     /** The one place where a client gets its answer. */
-    private void answer(Req req, Runnable answer) {
+    private void answer(Req req, String outcome, Runnable answer) {
         if (req.closed) {
             // The client may have left in the same turn; a second answer may not happen.
             invariant.holds(!req.answered, "second answer");
@@ -116,6 +122,12 @@
         } finally {
             close(req);
         }
+        if (LOG.isLoggable(Level.DEBUG)) {
+            LogEvent.of("req_answered", "req " + req.content.requestId() + " answered: " + outcome)
+                .with("req", req.content.requestId()).with("class", req.className).with("outcome", outcome)
+                .with("fetches", req.fetchesStarted).with("ms", (clock.nowUs() - req.takenUs) / US_A_MS)
+                .log(LOG, Level.DEBUG);
+        }
         // Checked once it is written: late is still better than never.
         invariant.holds(clock.nowUs() <= req.dueUs, "late answer");
     }
@@ -164,7 +176,9 @@
             fetch.call = backends.fetch(addr, req.content, waitUs, listenerOf(fetch));
         } catch (RuntimeException e) {
             // Guards against a fetch without an end: what threw before it went out never ran.
-            LOG.log(Level.ERROR, "a fetch could not be started", e);
+            LogEvent.of("fetch_not_started", "a fetch could not be started")
+                .with("req", req.content.requestId()).with("backend", roster.name(backend)).because(e)
+                .log(LOG, Level.ERROR);
             end(fetch, Outcome.CONNECT_FAILED, LoadReport.NONE, null);
         }
     }
@@ -191,8 +205,16 @@
         fetch.ended = true;
         fetch.giveUp.cancel(false);
         final Req req = fetch.req;
+        if (LOG.isLoggable(Level.DEBUG)) {
+            LogEvent.of("fetch_ended", "fetch " + fetch.number + " of " + req.content.requestId() + " ended: "
+                + outcome)
+                .with("req", req.content.requestId()).with("class", req.className)
+                .with("backend", roster.name(fetch.backend)).with("fetch", fetch.number)
+                .with("outcome", word(outcome)).with("ms", (clock.nowUs() - fetch.sentUs) / US_A_MS)
+                .log(LOG, Level.DEBUG);
+        }
         if (outcome == Outcome.SERVED && !req.closed) {
-            answer(req, () -> req.client.served(result));
+            answer(req, "served", () -> req.client.served(result));
         }
         req.fetchesOut--;
         forgetIfDone(req);
@@ -201,6 +223,10 @@
             req.closed, report));
     }
 
+    private static String word(Outcome outcome) {
+        return outcome.name().toLowerCase(Locale.ROOT);
+    }
+
     private void probe(int backend) {
         final InetSocketAddress addr = roster.address(backend);
         if (!invariant.holds(addr != null, "probe of nobody")) {
@@ -273,7 +299,8 @@
             try {
                 action.run();
             } catch (RuntimeException e) {
-                LOG.log(Level.ERROR, "an action of the module failed", e);
+                LogEvent.of("action_failed", "an action of the module failed").because(e).log(LOG,
+                    Level.ERROR);
                 invariant.holds(false, "action failed");
             }
         }
@@ -287,7 +314,7 @@
 
     /** Guards against a req left unanswered because the module threw while it was told of it. */
     private void moduleFailed(Req req, RuntimeException e) {
-        LOG.log(Level.ERROR, "the module failed on an event", e);
+        LogEvent.of("module_failed", "the module failed on an event").because(e).log(LOG, Level.ERROR);
         if (req != null && !req.closed) {
             failUnasked(req);
         }
@@ -297,7 +324,7 @@
     /** Fails a req that the module did not answer, and tells the module that nothing is owed any more. */
     private void failUnasked(Req req) {
         gather(req, now -> module.clientLeft(now, req.id));
-        answer(req, req.client::failed);
+        answer(req, "failed", req.client::failed);
     }
 
     private Future<?> after(long delayUs, Runnable then) {
@@ -324,18 +351,19 @@
 
         @Override
         public void refuse(int requestId, long retryAfterUs) {
-            actions.add(() -> answerOpen(requestId, client -> client.syntheticAnswer(retryAfterUs)));
+            actions.add(() -> answerOpen(requestId, "refused",
+                client -> client.syntheticAnswer(retryAfterUs)));
         }
 
         @Override
         public void fail(int requestId) {
-            actions.add(() -> answerOpen(requestId, ReqClient::failed));
+            actions.add(() -> answerOpen(requestId, "failed", ReqClient::failed));
         }
 
-        private void answerOpen(int requestId, Consumer<ReqClient> answer) {
+        private void answerOpen(int requestId, String outcome, Consumer<ReqClient> answer) {
             final Req req = open.get(requestId);
             if (req != null) {
-                answer(req, () -> answer.accept(req.client));
+                answer(req, outcome, () -> answer.accept(req.client));
             }
         }
 
--- a/src/main/java/cresschute/node/Hangup.java
+++ b/src/main/java/cresschute/node/Hangup.java
@@ -7,13 +7,13 @@
  * SIGHUP, heard through the JVM's own signal handling. That is reached by reflection, for javac warns of its
  * direct use in a way that cannot be suppressed, and here a warning ends the build.
  */
-final class Hangup {
+public final class Hangup {
 
     private Hangup() {
     }
 
     /** Calls this, on a thread of the JVM, whenever the signal comes; unheard, it would end the process. */
-    static void onEach(Runnable call) {
+    public static void onEach(Runnable call) {
         try {
             final Class<?> signal = Class.forName("sun.misc.Signal");
             final Class<?> handler = Class.forName("sun.misc.SignalHandler");
--- a/src/main/java/cresschute/node/NodeConfig.java
+++ b/src/main/java/cresschute/node/NodeConfig.java
@@ -25,6 +25,7 @@
  * @param connectTimeoutUs the longest that a connection to a backend may take to come up
  * @param connIdleUs when a backend closes an idle connection
  * @param sockets file descriptors that the process may hold
+ * @param director where the director listens, or null where the known list is fixed
  * @param known the list as this node last had it; it may be old
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress director, long seed,
@@ -49,7 +50,7 @@
     }
 
     /** Reads it all anew: the file has changed since the environment was set, so its director counts. */
-    static NodeConfig reload(Map<String, String> environment) throws ConfigException {
+    public static NodeConfig reload(Map<String, String> environment) throws ConfigException {
         final Map<String, String> kept = new HashMap<>(environment);
         kept.remove(DISCOVERY);
         return load(kept);
@@ -83,6 +84,26 @@
         }
     }
 
+    /** The parts in which another configuration differs and that a running node cannot take over. */
+    List<String> changedFor(NodeConfig next) {
+        final List<String> changed = new ArrayList<>();
+        note(changed, "name", name.equals(next.name));
+        note(changed, "listen", listen.equals(next.listen));
+        note(changed, "classes", classes.equals(next.classes)
+            && settings.classes().equals(next.settings.classes()));
+        note(changed, "limits", connectTimeoutUs == next.connectTimeoutUs && connIdleUs == next.connIdleUs
+            && sockets == next.sockets && settings.limits().equals(next.settings.limits()));
+        note(changed, "workers", (director == null) == (next.director == null)
+            && (director != null || known.entries().equals(next.known.entries())));
+        return changed;
+    }
+
+    private static void note(List<String> changed, String part, boolean same) {
+        if (!same) {
+            changed.add(part);
+        }
+    }
+
     private static JsonObject optional(JsonObject object, String name) {
         return object.has(name) ? Json.child(object, name) : new JsonObject();
     }
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -3,6 +3,7 @@
 import cresschute.DispatchApi.Actions;
 import cresschute.DispatchApi.Events;
 import cresschute.Logic;
+import cresschute.logs.LogEvent;
 import cresschute.node.http.BackendConnections;
 import cresschute.node.http.ClientFront;
 import cresschute.node.http.DirectorClient;
@@ -11,9 +12,12 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.NetUtil;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -58,34 +62,58 @@
         front = new ClientFront(loop, core, config, forClients);
         backends = new BackendConnections(loop, troubles, config.connectTimeoutUs(), config.connIdleUs(),
             sockets - forClients);
-        director = new DirectorClient(loop, config.director(), core, troubles);
+        director = config.director() == null ? null
+            : new DirectorClient(loop, config.director(), core, troubles);
     }
 
     /** Starts all of it; returns, with the address, once clients can connect. */
     public SocketAddress start() {
-        loop.execute(() -> core.start(backends, director, config.known()));
+        loop.execute(() -> core.start(backends, director == null ? () -> { } : director, config.known()));
         final ChannelFuture bound = front.listen(group, config.listen()).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             halt();
-            throw new IllegalStateException("cannot listen on " + config.listen(), bound.cause());
+            throw new IllegalStateException("cannot listen on " + text(config.listen()) + ": "
+                + bound.cause().getMessage(), bound.cause());
         }
         loop.scheduleWithFixedDelay(this::logStatus, STATUS_S, STATUS_S, TimeUnit.SECONDS);
-        LOG.log(Level.INFO, "node " + config.name() + " listens on " + bound.channel().localAddress());
+        LogEvent.of("listening", "node " + config.name() + " listens on " + bound.channel().localAddress())
+            .with("node", config.name()).with("address", text(bound.channel().localAddress()))
+            .log(LOG, Level.INFO);
         return bound.channel().localAddress();
     }
 
-    /** Reads a configuration anew and follows its director; one that cannot be used changes nothing. */
-    public void reload(Callable<NodeConfig> source) {
-        loop.execute(() -> {
-            try {
-                final NodeConfig next = source.call();
-                director.moveTo(next.director());
-                LOG.log(Level.INFO, "reloaded: the director is at " + next.director());
-            } catch (Exception e) {
-                // Guards against a file that is half written or wrong: what is in force goes on.
-                LOG.log(Level.ERROR, "not reloaded, the old configuration stays: " + e.getMessage());
-            }
-        });
+    /**
+     * Reads a configuration anew and follows its director; one that cannot be used changes nothing. The
+     * reading
+     * is done on the caller's thread, for it may take a while; the loop is handed what was read.
+     */
+    public synchronized void reload(Callable<NodeConfig> source) {
+        try {
+            final NodeConfig next = source.call();
+            loop.execute(() -> follow(next));
+        } catch (Exception e) {
+            // Guards against a file that is half written or wrong: what is in force goes on.
+            LogEvent.of("reload_refused", "not reloaded, the old configuration stays: " + e.getMessage())
+                .with("detail", e.getMessage()).log(LOG, Level.ERROR);
+        }
+    }
+
+    private void follow(NodeConfig next) {
+        if (director != null && next.director() != null) {
+            director.moveTo(next.director());
+        }
+        final String where = director == null ? "the list of workers is fixed"
+            : "the director is at " + text(next.director() == null ? config.director() : next.director());
+        // Told so that nobody takes a change for made that only the next start makes.
+        final List<String> held = config.changedFor(next);
+        LogEvent.of("reloaded", "reloaded: " + where + (held.isEmpty() ? ""
+            : "; changed, but in force from the next start only: " + String.join(", ", held)))
+            .with("held", String.join(",", held)).log(LOG, Level.INFO);
+    }
+
+    private static String text(SocketAddress address) {
+        return address instanceof InetSocketAddress ip && !ip.isUnresolved()
+            ? NetUtil.toSocketAddressString(ip) : String.valueOf(address);
     }
 
     /** Stops: serves on for a while, then answers all that was taken; done when all of it is answered. */
@@ -93,7 +121,8 @@
         loop.execute(() -> {
             if (!stopping) {
                 stopping = true;
-                LOG.log(Level.INFO, "stopping: " + core.owed() + " reqs are owed an answer");
+                LogEvent.of("stopping", "stopping: " + core.owed() + " reqs are owed an answer")
+                    .with("count", core.owed()).log(LOG, Level.INFO);
                 front.stopReady();
                 loop.schedule(this::stopAccepting, STILL_ACCEPTING_MS, TimeUnit.MILLISECONDS);
             }
@@ -103,7 +132,8 @@
 
     private void stopAccepting() {
         front.stopAccepting();
-        LOG.log(Level.INFO, "no longer accepting: " + core.owed() + " reqs are owed an answer");
+        LogEvent.of("not_accepting", "no longer accepting: " + core.owed() + " reqs are owed an answer")
+            .with("count", core.owed()).log(LOG, Level.INFO);
         loop.scheduleWithFixedDelay(this::exitIfDone, 0, 20, TimeUnit.MILLISECONDS);
     }
 
@@ -111,7 +141,7 @@
     private void exitIfDone() {
         if (front.open() == 0 && !stopped.isDone()) {
             logStatus();
-            LOG.log(Level.INFO, "stopped: everything taken is answered");
+            LogEvent.of("stopped", "stopped: everything taken is answered").log(LOG, Level.INFO);
             halt();
             stopped.complete(null);
         }
@@ -131,11 +161,15 @@
     }
 
     private void logStatus() {
-        LOG.log(Level.INFO, "status: " + core.owed() + " reqs open, " + front.open() + " client and "
-            + backends.opened() + " backend connections, list version " + core.listVersion());
+        LogEvent.of("status", "status: " + core.owed() + " reqs open, " + front.open() + " client and "
+            + backends.opened() + " backend connections, list version " + core.listVersion())
+            .with("reqs", core.owed()).with("client_connections", front.open())
+            .with("backend_connections", backends.opened()).with("list_version", core.listVersion())
+            .log(LOG, Level.INFO);
         if (core.invariant().total() > breachesLogged) {
             breachesLogged = core.invariant().total();
-            LOG.log(Level.ERROR, "invariants broken so far: " + core.invariant());
+            LogEvent.of("invariants_broken", "invariants broken so far: " + core.invariant())
+                .with("count", breachesLogged).with("names", core.invariant()).log(LOG, Level.ERROR);
         }
     }
 }
--- a/src/main/java/cresschute/node/RateLimitedLog.java
+++ b/src/main/java/cresschute/node/RateLimitedLog.java
@@ -1,8 +1,9 @@
 package cresschute.node;
 
+import cresschute.logs.LogEvent;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.util.HashMap;
+import java.util.EnumMap;
 import java.util.Map;
 
 /** Counts troubles by kind and logs the first of each kind in an interval, with the count so far. */
@@ -12,7 +13,7 @@
 
     private final Logger log;
     private final Clock clock;
-    private final Map<String, Kind> kinds = new HashMap<>();
+    private final Map<Trouble, Kind> kinds = new EnumMap<>(Trouble.class);
 
     /** Writes to this logger. */
     public RateLimitedLog(Logger log, Clock clock) {
@@ -20,14 +21,21 @@
         this.clock = clock;
     }
 
-    /** Counts one trouble; its detail is logged unless its kind was logged a short while ago. */
-    public void trouble(String kind, String detail) {
+    /**
+     * Counts one trouble; its detail is logged unless its kind was logged a short while ago. On the loop.
+     *
+     * @param peer the address of the other side, or null where there is none
+     */
+    public void trouble(Trouble kind, String peer, String detail) {
         final Kind counted = kinds.computeIfAbsent(kind, unseen -> new Kind());
         counted.count++;
         final long nowUs = clock.nowUs();
         if (counted.count == 1 || nowUs - counted.loggedUs >= INTERVAL_US) {
             counted.loggedUs = nowUs;
-            log.log(Level.WARNING, kind + " (" + counted.count + " so far): " + detail);
+            final LogEvent event = LogEvent.of(kind.event(), kind.text() + " (" + counted.count + " so far): "
+                + (peer == null ? "" : peer + ": ") + detail).with("count", counted.count).with("detail",
+                    detail);
+            (peer == null ? event : event.with("peer", peer)).log(log, Level.WARNING);
         }
     }
 
--- a/src/main/java/cresschute/node/Req.java
+++ b/src/main/java/cresschute/node/Req.java
@@ -6,6 +6,8 @@
 public final class Req {
     final int id;
     final ReqContent content;
+    final String className;
+    final long takenUs;
     final long dueUs;
     final long giveUpUs;
     final ReqClient client;
@@ -16,9 +18,12 @@
     boolean closed;
     boolean answered;
 
-    Req(int id, ReqContent content, long dueUs, long giveUpUs, ReqClient client) {
+    Req(int id, ReqContent content, String className, long takenUs, long dueUs, long giveUpUs,
+        ReqClient client) {
         this.id = id;
         this.content = content;
+        this.className = className;
+        this.takenUs = takenUs;
         this.dueUs = dueUs;
         this.giveUpUs = giveUpUs;
         this.client = client;
--- a/src/main/java/cresschute/node/Roster.java
+++ b/src/main/java/cresschute/node/Roster.java
@@ -12,6 +12,7 @@
 
     private final Map<String, Integer> idNumbers = new HashMap<>();
     private final List<InetSocketAddress> addresses = new ArrayList<>();
+    private final List<String> ids = new ArrayList<>();
     private final Map<String, Integer> zones = new HashMap<>();
     private final Map<String, Integer> kinds = new HashMap<>();
     private long version = -1;
@@ -29,6 +30,7 @@
             final int id = number(idNumbers, entry.id());
             if (id == addresses.size()) {
                 addresses.add(entry.addr());
+                ids.add(entry.id());
             } else {
                 addresses.set(id, entry.addr());
             }
@@ -48,6 +50,11 @@
         return id >= 0 && id < addresses.size() ? addresses.get(id) : null;
     }
 
+    /** The director's name of a backend, or its number where no list has named it. */
+    String name(int id) {
+        return id >= 0 && id < ids.size() ? ids.get(id) : Integer.toString(id);
+    }
+
     /** Version of the newest list, or -1 before the first. */
     long version() {
         return version;
--- /dev/null
+++ b/src/main/java/cresschute/node/Trouble.java
@@ -0,0 +1,34 @@
+package cresschute.node;
+
+import java.util.Locale;
+
+/** Troubles with peers, which come in numbers: each kind is counted, and logged once in a while. */
+public enum Trouble {
+
+    /** A call to the director brought no list. */
+    DIRECTOR_CALL_FAILED("director call failed"),
+    /** A backend answered something that cannot be used. */
+    BAD_BACKEND_ANSWER("bad backend answer"),
+    /** A connection to a backend failed otherwise than by breaking. */
+    BACKEND_CONNECTION("backend connection"),
+    /** A connection from a client did. */
+    CLIENT_CONNECTION("client connection"),
+    /** All connections to backends are in use. */
+    NO_CONNECTION_LEFT("no connection left");
+
+    private final String text;
+
+    Trouble(String text) {
+        this.text = text;
+    }
+
+    /** What the log calls it. */
+    String text() {
+        return text;
+    }
+
+    /** The name of its kind of line. */
+    String event() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- a/src/main/java/cresschute/node/http/BackendConnections.java
+++ b/src/main/java/cresschute/node/http/BackendConnections.java
@@ -3,6 +3,7 @@
 import cresschute.node.Backends;
 import cresschute.node.RateLimitedLog;
 import cresschute.node.ReqContent;
+import cresschute.node.Trouble;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -84,7 +85,7 @@
             }
         }
         if (opened >= most && !closeOneIdle()) {
-            troubles.trouble("no connection left", "for " + host(addr));
+            troubles.trouble(Trouble.NO_CONNECTION_LEFT, host(addr), "all are in use");
             loop.execute(exchange::broken);
             return;
         }
@@ -166,7 +167,7 @@
     /** A connection breaking is an outcome and no news; anything else is worth a line. */
     void troubled(InetSocketAddress addr, Throwable cause) {
         if (!(cause instanceof IOException)) {
-            troubles.trouble("backend connection", host(addr) + ": " + cause);
+            troubles.trouble(Trouble.BACKEND_CONNECTION, host(addr), String.valueOf(cause));
         }
     }
 
--- a/src/main/java/cresschute/node/http/ClientConnection.java
+++ b/src/main/java/cresschute/node/http/ClientConnection.java
@@ -3,6 +3,7 @@
 import cresschute.node.Req;
 import cresschute.node.ReqClient;
 import cresschute.node.ReqContent;
+import cresschute.node.Trouble;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
@@ -122,6 +123,12 @@
         if (answers.size() >= MOST_AHEAD) {
             context.channel().config().setAutoRead(false);
         }
+        // Guards against reading on by rules that are not those of the client's version.
+        if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)
+            && !request.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
+            deafWith(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "HTTP/1.1 and HTTP/1.0 alone");
+            return;
+        }
         // Guards against a second req hidden in a body: where its length is told twice, or by a coding that
         // nobody here knows, servers may differ about its end. The codec lets some of these through.
         final String coding = String.join(",", request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING));
@@ -271,7 +278,7 @@
             ctx.close();
             return;
         }
-        front.core().troubles().trouble("client connection", cause.toString());
+        front.core().troubles().trouble(Trouble.CLIENT_CONNECTION, null, cause.toString());
         // Guards against an error of our own that leaves reqs of this connection without an answer.
         deaf = true;
         for (final Answer answer : List.copyOf(answers)) {
--- a/src/main/java/cresschute/node/http/DirectorClient.java
+++ b/src/main/java/cresschute/node/http/DirectorClient.java
@@ -6,6 +6,7 @@
 import cresschute.node.DirectorList;
 import cresschute.node.Json;
 import cresschute.node.RateLimitedLog;
+import cresschute.node.Trouble;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -159,7 +160,7 @@
             return;
         }
         hangUp();
-        troubles.trouble("director call failed", why);
+        troubles.trouble(Trouble.DIRECTOR_CALL_FAILED, null, why);
         core.directorFailed();
     }
 
--- a/src/main/java/cresschute/node/http/HttpFetch.java
+++ b/src/main/java/cresschute/node/http/HttpFetch.java
@@ -7,6 +7,7 @@
 import cresschute.node.Backends.FetchListener;
 import cresschute.node.RateLimitedLog;
 import cresschute.node.ReqContent;
+import cresschute.node.Trouble;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -116,7 +117,7 @@
     }
 
     private void bad(JsonParseException e) {
-        troubles.trouble("bad backend answer", host + ": " + e.getMessage());
+        troubles.trouble(Trouble.BAD_BACKEND_ANSWER, host, e.getMessage());
         end(Outcome.ERROR, LoadReport.NONE, null);
         drop();
     }
--- a/src/main/java/cresschute/node/http/HttpProbe.java
+++ b/src/main/java/cresschute/node/http/HttpProbe.java
@@ -5,6 +5,7 @@
 import cresschute.DispatchApi.Outcome;
 import cresschute.node.Backends.ProbeListener;
 import cresschute.node.RateLimitedLog;
+import cresschute.node.Trouble;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -74,7 +75,7 @@
                 : alive ? Loads.parseBody(body.toString()) : LoadReport.NONE;
             end(alive ? Outcome.SERVED : Outcome.ERROR, load);
         } catch (JsonParseException e) {
-            troubles.trouble("bad backend answer", host + " to a probe: " + e.getMessage());
+            troubles.trouble(Trouble.BAD_BACKEND_ANSWER, host, "to a probe: " + e.getMessage());
             end(Outcome.ERROR, LoadReport.NONE);
         }
     }
--- a/src/main/java/cresschute/node/http/ReqHead.java
+++ b/src/main/java/cresschute/node/http/ReqHead.java
@@ -3,13 +3,16 @@
 import cresschute.DispatchApi.Effect;
 import cresschute.DispatchApi.Job;
 import cresschute.DispatchApi.RequestClass;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.util.AsciiString;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 
@@ -39,6 +42,9 @@
     /** Reads heads by the classes of the settings. */
     static final class Parser {
 
+        private static final List<AsciiString> SAID_ONCE = List.of(HttpHeaderNames.HOST, Headers.REQUEST_ID,
+            Headers.IDEMPOTENCY_KEY, Headers.DEADLINE, Headers.EXTRAS, Headers.RETRY);
+
         private final Map<String, Integer> numbers = new HashMap<>();
         private final List<RequestClass> classes;
 
@@ -58,6 +64,7 @@
                 throw new UnusableHead(HttpResponseStatus.METHOD_NOT_ALLOWED, "jobs come by POST");
             }
             final HttpHeaders headers = request.headers();
+            once(headers);
             final String requestId = headers.get(Headers.REQUEST_ID, "").strip();
             if (requestId.isEmpty()) {
                 throw bad("X-Request-Id is missing");
@@ -76,11 +83,31 @@
             }
             final Map<String, Double> extras = extras(headers.get(Headers.EXTRAS, ""));
             final List<String> objects = query.parameters().getOrDefault("obj", List.of());
+            if (objects.size() > 1) {
+                throw bad("obj is given twice");
+            }
             final Job job = new Job(requestClass, 0, extras.getOrDefault("slots", 1.0), 0,
                 objects.isEmpty() ? 0 : keyNumber(objects.get(0)), "1".equals(headers.get(Headers.RETRY)));
             return new ReqHead(requestId, target, key, job, waitUs);
         }
 
+        /**
+         * Guards against a head that says one thing twice: whoever reads it next might take the other one,
+         * and
+         * the node would count one deadline, key or id while the backend goes by another.
+         */
+        private static void once(HttpHeaders headers) throws UnusableHead {
+            for (final AsciiString name : SAID_ONCE) {
+                final Iterator<String> values = headers.valueStringIterator(name);
+                if (values.hasNext()) {
+                    values.next();
+                    if (values.hasNext()) {
+                        throw bad(name + " is given twice");
+                    }
+                }
+            }
+        }
+
         /** Also takes the form with scheme and host, as every HTTP server must. */
         private static String originForm(String uri) throws UnusableHead {
             final int host = uri.startsWith("http://") ? "http://".length() : 0;
--- /dev/null
+++ b/src/main/java/cresschute/settings/ApplianceSettings.java
@@ -0,0 +1,34 @@
+package cresschute.settings;
+
+import cresschute.DispatchApi.Settings;
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/**
+ * What a settings script states, checked: nothing in it contradicts another part.
+ *
+ * @param seed for random choices, or null for a new one at each start
+ * @param module what the decision module is told; its zones, kinds and classes are numbered as the names here
+ * @param classes the classes' names
+ * @param zones the zones' names
+ * @param kinds the names of the kinds of worker
+ * @param workers the fixed list, or with a director the list to begin with
+ * @param director where the director listens, or null where the list is fixed
+ * @param sockets file descriptors that the process may hold
+ * @param logFormat {@code text} or {@code json}
+ * @param logLevel {@code debug}, {@code info}, {@code warning} or {@code error}
+ * @param controlSocket the control socket's file, or null
+ * @param stateFolder the folder for state, or null
+ * @param shown the settings in force as a script of their own, with all that holds without being stated
+ */
+public record ApplianceSettings(String name, InetSocketAddress listen, Long seed, Settings module,
+                                List<String> classes, List<String> zones, List<String> kinds,
+                                List<WorkerEntry> workers, InetSocketAddress director, long connectTimeoutUs,
+                                long idleTimeoutUs, int sockets, String logFormat, String logLevel,
+                                String controlSocket, String stateFolder, String shown) {
+
+    /** A worker of the list. */
+    public record WorkerEntry(String id, InetSocketAddress address, String zone, String kind, int cell,
+                              double weight) {
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/settings/Field.java
@@ -0,0 +1,34 @@
+package cresschute.settings;
+
+/**
+ * One setting of a block.
+ *
+ * @param otherwise what holds where a script does not give it; null where there is no such value
+ * @param required whether it must be given
+ * @param meaning one line for the reference
+ */
+record Field<T>(String name, Kind<T> kind, T otherwise, boolean required, String meaning) {
+
+    static <T> Field<T> required(String name, Kind<T> kind, String meaning) {
+        return new Field<>(name, kind, null, true, meaning);
+    }
+
+    static <T> Field<T> optional(String name, Kind<T> kind, T otherwise, String meaning) {
+        return new Field<>(name, kind, otherwise, false, meaning);
+    }
+
+    /** The value that a script gave, or null where it is not allowed; {@code None} is not given. */
+    T read(Object given) {
+        return kind.read().apply(given);
+    }
+
+    /** What holds where it is not given, as a script would write it. */
+    String shownDefault() {
+        return otherwise == null ? "" : kind.show().apply(otherwise);
+    }
+
+    @SuppressWarnings("unchecked")
+    String show(Object value) {
+        return kind.show().apply((T) value);
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/settings/Kind.java
@@ -0,0 +1,117 @@
+package cresschute.settings;
+
+import cresschute.settings.script.Values;
+import cresschute.settings.script.Values.Dimension;
+import cresschute.settings.script.Values.ListValue;
+import cresschute.settings.script.Values.Quantity;
+import java.math.BigDecimal;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+
+/**
+ * A kind of setting: what a script may give for it, how that is held, and how it is written again.
+ *
+ * @param allowed what may be given, as errors and the reference say it
+ * @param read the value held for one of a script, or null where it is not allowed
+ * @param show the script's form of a value held
+ */
+record Kind<T>(String allowed, Function<Object, T> read, Function<T, String> show) {
+
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
+    private static final long US_A_MS = 1_000;
+    private static final long US_A_S = 1_000_000;
+
+    /** A name of up to 64 letters, digits, dots, dashes and underscores. */
+    static Kind<String> name() {
+        return new Kind<>("a name of 1 to 64 letters, digits, '.', '-' and '_', the first a letter or digit",
+            value -> value instanceof String text && NAME.matcher(text).matches() ? text : null,
+            Values::quoted);
+    }
+
+    /** One of these words. */
+    static Kind<String> choice(String... words) {
+        final List<String> known = List.of(words);
+        final List<String> quoted = known.stream().map(Values::quoted).toList();
+        return new Kind<>(String.join(" or ", quoted),
+            value -> value instanceof String text && known.contains(text) ? text : null, Values::quoted);
+    }
+
+    /** A whole number within bounds. */
+    static Kind<Long> whole(long least, long most) {
+        return new Kind<>("a whole number from " + least + " to " + most,
+            value -> value instanceof Long number && number >= least && number <= most ? number : null,
+            Object::toString);
+    }
+
+    /** A number within bounds. */
+    static Kind<Double> number(double least, double most) {
+        return new Kind<>("a number from " + Values.number(least) + " to " + Values.number(most),
+            value -> value instanceof Number number && number.doubleValue() >= least
+                && number.doubleValue() <= most ? (Double) number.doubleValue() : null,
+            value -> BigDecimal.valueOf(value).stripTrailingZeros().toPlainString());
+    }
+
+    /** True or False. */
+    static Kind<Boolean> truth() {
+        return new Kind<>("True or False", value -> value instanceof Boolean truth ? truth : null,
+            value -> value ? "True" : "False");
+    }
+
+    /** A time within bounds in microseconds, held in microseconds. */
+    static Kind<Long> time(long leastUs, long mostUs) {
+        return new Kind<>("a time from " + time(leastUs) + " to " + time(mostUs) + ", such as "
+            + (mostUs >= US_A_S ? "2 * s" : "20 * ms"),
+            value -> value instanceof Quantity quantity && quantity.dimension() == Dimension.TIME
+                && quantity.amount() >= leastUs && quantity.amount() <= mostUs
+                ? (Long) Math.round(quantity.amount()) : null,
+            Kind::time);
+    }
+
+    private static String time(long us) {
+        return us == 0 ? "0 * ms" : Values.text(new Quantity(Dimension.TIME, us));
+    }
+
+    /** An IP address with a port, held as both. */
+    static Kind<InetSocketAddress> address() {
+        return new Kind<>("an IP address with a port, such as \"127.0.0.1:9000\"",
+            value -> value instanceof String text ? IpAddress.parse(text) : null,
+            value -> Values.quoted(IpAddress.format(value)));
+    }
+
+    /** A path from the root. */
+    static Kind<String> path() {
+        return new Kind<>("a path that begins with '/'",
+            value -> value instanceof String text && text.startsWith("/") && text.indexOf('\0') < 0
+                ? text : null, Values::quoted);
+    }
+
+    /** A list of names, none of them twice. */
+    static Kind<List<String>> names() {
+        final Kind<String> name = name();
+        return new Kind<>("a list of names, each once", value -> {
+            if (!(value instanceof ListValue list)) {
+                return null;
+            }
+            final List<String> names = new ArrayList<>();
+            for (final Object element : list.elements()) {
+                final String read = name.read().apply(element);
+                if (read == null || names.contains(read)) {
+                    return null;
+                }
+                names.add(read);
+            }
+            return List.copyOf(names);
+        }, value -> "[" + String.join(", ", value.stream().map(Values::quoted).toList()) + "]");
+    }
+
+    static long ms(long count) {
+        return count * US_A_MS;
+    }
+
+    static long seconds(long count) {
+        return count * US_A_S;
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/settings/SettingsChecks.java
@@ -0,0 +1,222 @@
+package cresschute.settings;
+
+import cresschute.DispatchApi.ColdStart;
+import cresschute.DispatchApi.Effect;
+import cresschute.DispatchApi.Goal;
+import cresschute.DispatchApi.Limits;
+import cresschute.DispatchApi.Placement;
+import cresschute.DispatchApi.RepeatScope;
+import cresschute.DispatchApi.RequestClass;
+import cresschute.DispatchApi.Settings;
+import cresschute.DispatchApi.WeightSource;
+import cresschute.settings.ApplianceSettings.WorkerEntry;
+import cresschute.settings.script.Position;
+import cresschute.settings.script.Values;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/** What must hold between the parts of a script, and the settings that it makes where all of that holds. */
+final class SettingsChecks {
+
+    private final Map<String, List<Statement>> stated;
+    private final List<Problem> problems;
+
+    SettingsChecks(Map<String, List<Statement>> stated, List<Problem> problems) {
+        this.stated = stated;
+        this.problems = problems;
+    }
+
+    /** Adds to the problems; {@code complete} where the script ran to its end. */
+    void check(boolean complete) {
+        if (complete) {
+            for (final Block block : Schema.BLOCKS) {
+                if (all(block).size() < block.least()) {
+                    problem(Position.START, "no " + block.name() + " is stated; "
+                        + (block.most() == 1 ? "exactly one" : "at least one") + " is required");
+                }
+            }
+            if (all(Schema.WORKER).isEmpty() && all(Schema.DIRECTOR).isEmpty()) {
+                problem(Position.START,
+                    "neither a worker nor a director is stated; jobs would have nowhere to go");
+            }
+        }
+        unique(all(Schema.JOB_CLASS), Schema.CLASS_NAME);
+        unique(all(Schema.WORKER), Schema.WORKER_ID);
+        unique(all(Schema.WORKER), Schema.WORKER_ADDRESS);
+        all(Schema.JOB_CLASS).stream().filter(Statement::isWhole).forEach(this::jobClass);
+        all(Schema.GOAL).stream().filter(Statement::isWhole).forEach(this::goal);
+    }
+
+    private void unique(List<Statement> statements, Field<?> field) {
+        final Map<Object, Position> seen = new HashMap<>();
+        for (final Statement statement : statements) {
+            final Object value = statement.get(field);
+            final Position first = value == null ? null : seen.putIfAbsent(value, statement.at(field));
+            if (first != null) {
+                problem(statement.at(field), statement.block().name() + ": " + field.name() + " "
+                    + field.show(value) + " is there already, at " + first + "; each must be another");
+            }
+        }
+    }
+
+    private void jobClass(Statement stated) {
+        final String name = "job_class " + Values.quoted(stated.get(Schema.CLASS_NAME));
+        if (stated.get(Schema.DEADLINE) < stated.get(Schema.AIM)) {
+            problem(stated.at(Schema.DEADLINE), name + ": deadline " + Schema.DEADLINE.show(
+                stated.get(Schema.DEADLINE)) + " is below aim " + Schema.AIM.show(stated.get(Schema.AIM))
+                + "; clients would leave before an answer in time");
+        }
+        final boolean keyed = stated.get(Schema.EFFECT).equals("keyed");
+        if (keyed && stated.get(Schema.REPEAT_WINDOW) == 0) {
+            problem(stated.at(Schema.EFFECT), name + ": effect \"keyed\" needs repeat_window; allowed: "
+                + Schema.REPEAT_WINDOW.kind().allowed());
+        }
+        for (final Field<?> field : List.of(Schema.REPEAT_WINDOW, Schema.REPEAT_SCOPE)) {
+            if (!keyed && !stated.get(field).equals(field.otherwise())) {
+                problem(stated.at(field), name + ": " + field.name()
+                    + " is for effect \"keyed\"; here effect is " + Values.quoted(stated.get(Schema.EFFECT)));
+            }
+        }
+        final Statement limits = one(Schema.LIMITS);
+        if (stated.gives(Schema.CLASS_ATTEMPTS)
+            && stated.get(Schema.CLASS_ATTEMPTS) > limits.get(Schema.ATTEMPTS)) {
+            problem(stated.at(Schema.CLASS_ATTEMPTS), name + ": attempts "
+                + stated.get(Schema.CLASS_ATTEMPTS) + " is above the " + limits.get(Schema.ATTEMPTS)
+                + " that limits allows");
+        }
+        if (all(Schema.DIRECTOR).isEmpty()) {
+            held(stated, Schema.CLASS_ZONES, name, Schema.WORKER_ZONE);
+            held(stated, Schema.CLASS_KINDS, name, Schema.WORKER_KIND);
+        }
+    }
+
+    /** With a fixed list, a class that is bound to what no worker is could never be served. */
+    private void held(Statement stated, Field<List<String>> bound, String name, Field<String> ofWorker) {
+        final Set<String> known = new LinkedHashSet<>();
+        all(Schema.WORKER).forEach(worker -> known.add(worker.get(ofWorker)));
+        for (final String wanted : stated.get(bound)) {
+            if (!known.isEmpty() && !known.contains(wanted)) {
+                problem(stated.at(bound), name + ": no worker has " + ofWorker.name() + " "
+                    + Values.quoted(wanted) + "; workers have " + Schema.listed(List.copyOf(known)));
+            }
+        }
+    }
+
+    private void goal(Statement goal) {
+        if (goal.get(Schema.WHOLE) + goal.get(Schema.WORST_WINDOW) + goal.get(Schema.WORST_CLASS) <= 0) {
+            problem(goal.at(), "goal: all weights are 0; at least one must be above 0");
+        }
+    }
+
+    private void problem(Position at, String message) {
+        problems.add(new Problem(at, message));
+    }
+
+    private List<Statement> all(Block block) {
+        return stated.get(block.name());
+    }
+
+    private Statement one(Block block) {
+        return all(block).isEmpty() ? Statement.unstated(block) : all(block).get(0);
+    }
+
+    // ---- The settings ----
+
+    ApplianceSettings settings() {
+        final Statement node = one(Schema.NODE);
+        final Statement limits = one(Schema.LIMITS);
+        final Statement director = all(Schema.DIRECTOR).isEmpty() ? null : one(Schema.DIRECTOR);
+        final List<String> zones = names(node.get(Schema.NODE_ZONE), Schema.WORKER_ZONE, Schema.CLASS_ZONES);
+        final List<String> kinds = names(null, Schema.WORKER_KIND, Schema.CLASS_KINDS);
+        final List<WorkerEntry> workers = all(Schema.WORKER).stream().map(worker -> new WorkerEntry(
+            worker.get(Schema.WORKER_ID), worker.get(Schema.WORKER_ADDRESS), worker.get(Schema.WORKER_ZONE),
+            worker.get(Schema.WORKER_KIND), worker.get(Schema.WORKER_CELL).intValue(),
+            worker.get(Schema.WORKER_WEIGHT))).toList();
+        return new ApplianceSettings(node.get(Schema.NODE_NAME), node.get(Schema.LISTEN),
+            node.get(Schema.SEED),
+            module(zones, kinds, director),
+            all(Schema.JOB_CLASS).stream().map(each -> each.get(Schema.CLASS_NAME)).toList(), zones, kinds,
+                workers,
+            director == null ? null : director.get(Schema.DIRECTOR_ADDRESS),
+                limits.get(Schema.CONNECT_TIMEOUT),
+            limits.get(Schema.IDLE_TIMEOUT), limits.get(Schema.SOCKETS).intValue(),
+            one(Schema.LOGS).get(Schema.LOG_FORMAT), one(Schema.LOGS).get(Schema.LOG_LEVEL),
+            one(Schema.CONTROL).get(Schema.SOCKET), one(Schema.STATE).get(Schema.FOLDER), shown());
+    }
+
+    /** All names that a node, its workers and its classes use, each once, in the order of the script. */
+    private List<String> names(String first, Field<String> ofWorkers, Field<List<String>> ofClasses) {
+        final Collection<String> names = new LinkedHashSet<>();
+        if (first != null) {
+            names.add(first);
+        }
+        all(Schema.WORKER).forEach(worker -> names.add(worker.get(ofWorkers)));
+        all(Schema.JOB_CLASS).forEach(each -> names.addAll(each.get(ofClasses)));
+        return List.copyOf(names);
+    }
+
+    private Settings module(List<String> zones, List<String> kinds, Statement director) {
+        final Statement limits = one(Schema.LIMITS);
+        final Statement reports = one(Schema.REPORTS);
+        final Statement cold = one(Schema.COLD_START);
+        final Statement goal = one(Schema.GOAL);
+        final List<RequestClass> classes = new ArrayList<>();
+        for (final Statement each : all(Schema.JOB_CLASS)) {
+            classes.add(new RequestClass(each.get(Schema.WORTH), each.get(Schema.AIM),
+                each.get(Schema.STRETCH),
+                each.get(Schema.DEADLINE), Effect.valueOf(upper(each.get(Schema.EFFECT))),
+                RepeatScope.valueOf(upper(each.get(Schema.REPEAT_SCOPE))), each.get(Schema.REPEAT_WINDOW),
+                new Placement(numbers(each.get(Schema.CLASS_ZONES), zones),
+                    numbers(each.get(Schema.CLASS_KINDS), kinds)),
+                (int) attempts(each)));
+        }
+        return new Settings(one(Schema.NODE).get(Schema.DISPATCHERS).intValue(),
+            zones.indexOf(one(Schema.NODE).get(Schema.NODE_ZONE)), zones.size(), Math.max(1, kinds.size()),
+                classes,
+            List.of(), 1, false,
+            new Limits(limits.get(Schema.ATTEMPTS).intValue(), limits.get(Schema.RETRY_AFTER),
+                limits.get(Schema.SECOND_COPIES)),
+            new ColdStart(cold.get(Schema.FROM_SHARE), cold.get(Schema.WARM_WITHIN),
+                cold.get(Schema.OVERLOAD),
+                cold.get(Schema.TIP_AFTER)),
+            new Goal(goal.get(Schema.WHOLE), goal.get(Schema.WORST_WINDOW), goal.get(Schema.WORST_CLASS), 0),
+            director != null, director == null ? 0 : director.get(Schema.ASK_WITHIN), WeightSource.NONE,
+            reports.get(Schema.LOAD), reports.get(Schema.STARTS), reports.get(Schema.PROGRESS), 0,
+            limits.get(Schema.PROBES), false, 0, false, Settings.UNLIMITED);
+    }
+
+    /** Of a class's bound and that of all classes the lower one holds. */
+    private long attempts(Statement jobClass) {
+        return Math.min(jobClass.get(Schema.CLASS_ATTEMPTS), one(Schema.LIMITS).get(Schema.ATTEMPTS));
+    }
+
+    private static String upper(String word) {
+        return word.toUpperCase(Locale.ROOT);
+    }
+
+    private static List<Integer> numbers(List<String> names, List<String> all) {
+        return names.isEmpty() ? null : names.stream().map(all::indexOf).toList();
+    }
+
+    private String shown() {
+        final StringBuilder out = new StringBuilder();
+        for (final Block block : Schema.BLOCKS) {
+            final boolean optional = block.most() == 1
+                && block.fields().stream().noneMatch(Field::required);
+            for (final Statement statement : all(block).isEmpty() && optional
+                ? List.of(Statement.unstated(block)) : all(block)) {
+                final Map<String, Object> values = new HashMap<>(statement.values());
+                values.computeIfPresent(Schema.CLASS_ATTEMPTS.name(), (name, own) ->
+                    block == Schema.JOB_CLASS ? attempts(statement) : own);
+                out.append(out.isEmpty() ? "" : "\n").append(Schema.show(block, values));
+            }
+        }
+        return out.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/settings/script/Builtin.java
@@ -0,0 +1,65 @@
+package cresschute.settings.script;
+
+import java.util.List;
+import java.util.Map;
+
+/** A function that the language or its host gives to scripts. */
+@FunctionalInterface
+public interface Builtin {
+
+    /** Calls it. Runs on the thread that runs the script. */
+    Object call(Call call) throws ScriptError;
+
+    /** One argument, and where it stands. */
+    record Argument(Object value, Position at) {
+    }
+
+    /**
+     * A call, its arguments evaluated.
+     *
+     * @param name what the script called
+     * @param at where the call begins
+     */
+    record Call(String name, Position at, List<Argument> positional, Map<String, Argument> named,
+                Meter meter) {
+
+        /** The positional arguments, which must be so many, and no named ones. */
+        List<Argument> exactly(int least, int most) throws ScriptError {
+            if (!named.isEmpty()) {
+                throw new ScriptError(named.values().iterator().next().at(),
+                    name + " takes no argument with a name");
+            }
+            if (positional.size() < least || positional.size() > most) {
+                final String allowed = least == most ? "" + least
+                    : most == Integer.MAX_VALUE ? "at least " + least : least + " to " + most;
+                throw new ScriptError(at, name + " was given " + positional.size()
+                    + (positional.size() == 1 ? " argument" : " arguments") + "; it takes " + allowed);
+            }
+            return positional;
+        }
+
+        Object value(int index) {
+            return positional.get(index).value();
+        }
+
+        ScriptError wrong(int index, String allowed) {
+            final Argument argument = positional.get(index);
+            return new ScriptError(argument.at(), name + " was given " + Values.kind(argument.value())
+                + "; it takes " + allowed);
+        }
+
+        String text(int index) throws ScriptError {
+            if (value(index) instanceof String text) {
+                return text;
+            }
+            throw wrong(index, "a text");
+        }
+
+        long whole(int index) throws ScriptError {
+            if (value(index) instanceof Long number) {
+                return number;
+            }
+            throw wrong(index, "a whole number");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/settings/script/Meter.java
@@ -0,0 +1,52 @@
+package cresschute.settings.script;
+
+/** Counts what a run of a script has taken, and ends it with an error at the first bound that it meets. */
+final class Meter {
+
+    private static final int CHARS_A_CELL = 8;
+
+    private final Bounds bounds;
+    private long steps;
+    private long cells;
+
+    Meter(Bounds bounds) {
+        this.bounds = bounds;
+    }
+
+    Bounds bounds() {
+        return bounds;
+    }
+
+    void step(Position at) throws ScriptError {
+        steps(1, at);
+    }
+
+    void steps(long count, Position at) throws ScriptError {
+        steps += count;
+        if (steps > bounds.steps()) {
+            throw new ScriptError(at, "the script takes too long; at most " + bounds.steps()
+                + " steps are allowed");
+        }
+    }
+
+    /** Called before the memory is taken, so that what is too large is never built. */
+    void cells(long count, Position at) throws ScriptError {
+        // Guards against a sum that wraps round: a single demand may be near the largest long.
+        if (count > bounds.cells() - cells) {
+            throw new ScriptError(at, "the script takes too much memory; at most " + bounds.cells()
+                + " elements are allowed, 8 characters of text counting as one");
+        }
+        cells += count;
+    }
+
+    void text(long chars, Position at) throws ScriptError {
+        cells(1 + chars / CHARS_A_CELL, at);
+    }
+
+    void nesting(int depth, Position at) throws ScriptError {
+        if (depth > bounds.nesting()) {
+            throw new ScriptError(at, "values are nested too deeply; at most " + bounds.nesting()
+                + " levels are allowed");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/settings/script/Nearest.java
@@ -0,0 +1,28 @@
+package cresschute.settings.script;
+
+import java.util.Collection;
+import java.util.Comparator;
+import org.apache.commons.text.similarity.LevenshteinDistance;
+
+/** Finds the known name that a misspelt one was meant to be. */
+public final class Nearest {
+
+    private static final LevenshteinDistance DISTANCE = LevenshteinDistance.getDefaultInstance();
+
+    private Nearest() {
+    }
+
+    /** Words that name the nearest known name, to follow an error; none where nothing is near. */
+    public static String hint(String name, Collection<String> known) {
+        return known.stream()
+            .filter(other -> distance(name, other) <= Math.max(1, (other.length() + 2) / 3))
+            .min(Comparator.comparingInt((String other) -> distance(name, other))
+                .thenComparing(Comparator.naturalOrder()))
+            .map(other -> "; did you mean '" + other + "'?").orElse("");
+    }
+
+    private static int distance(String a, String b) {
+        // Guards against the product of two long texts.
+        return a.length() > 64 ? Integer.MAX_VALUE : DISTANCE.apply(a, b);
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/settings/script/Operators.java
@@ -0,0 +1,229 @@
+package cresschute.settings.script;
+
+import cresschute.settings.script.Values.DictValue;
+import cresschute.settings.script.Values.ListValue;
+import cresschute.settings.script.Values.Quantity;
+import cresschute.settings.script.Values.RangeValue;
+import cresschute.settings.script.Values.TupleValue;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What operators do with each kind of value. Whole numbers are of 64 bits and never wrap. */
+final class Operators {
+
+    private final Meter meter;
+
+    Operators(Meter meter) {
+        this.meter = meter;
+    }
+
+    Object apply(String operator, Object a, Object b, Position at) throws ScriptError {
+        try {
+            final Object result = switch (operator) {
+                case "+" -> plus(a, b, at);
+                case "-" -> minus(a, b);
+                case "*" -> times(a, b, at);
+                case "/" -> divided(a, b, at);
+                case "//" -> floored(a, b, at);
+                default -> a instanceof String format ? Texts.percent(format, b, meter, at) : rest(a, b, at);
+            };
+            if (result == null) {
+                throw new ScriptError(at, "'" + operator + "' cannot join " + Values.kind(a) + " and "
+                    + Values.kind(b));
+            }
+            return result;
+        } catch (ArithmeticException e) {
+            throw new ScriptError(at, "the result is beyond 64 bits");
+        }
+    }
+
+    private Object plus(Object a, Object b, Position at) throws ScriptError {
+        if (a instanceof Long x && b instanceof Long y) {
+            return Math.addExact(x, y);
+        } else if (a instanceof Number x && b instanceof Number y) {
+            return x.doubleValue() + y.doubleValue();
+        } else if (a instanceof Quantity x && b instanceof Quantity y && x.dimension() == y.dimension()) {
+            return new Quantity(x.dimension(), x.amount() + y.amount());
+        } else if (a instanceof String x && b instanceof String y) {
+            meter.text((long) x.length() + y.length(), at);
+            return x + y;
+        } else if (a instanceof ListValue x && b instanceof ListValue y) {
+            return new ListValue(joined(x.elements(), y.elements(), at));
+        } else if (a instanceof TupleValue x && b instanceof TupleValue y) {
+            return new TupleValue(joined(x.elements(), y.elements(), at));
+        }
+        return null;
+    }
+
+    private List<Object> joined(List<Object> a, List<Object> b, Position at) throws ScriptError {
+        meter.cells((long) a.size() + b.size(), at);
+        final List<Object> joined = new ArrayList<>(a);
+        joined.addAll(b);
+        return joined;
+    }
+
+    private static Object minus(Object a, Object b) {
+        if (a instanceof Long x && b instanceof Long y) {
+            return Math.subtractExact(x, y);
+        } else if (a instanceof Number x && b instanceof Number y) {
+            return x.doubleValue() - y.doubleValue();
+        } else if (a instanceof Quantity x && b instanceof Quantity y && x.dimension() == y.dimension()) {
+            return new Quantity(x.dimension(), x.amount() - y.amount());
+        }
+        return null;
+    }
+
+    private Object times(Object a, Object b, Position at) throws ScriptError {
+        if (a instanceof Long x && b instanceof Long y) {
+            return Math.multiplyExact(x, y);
+        } else if (a instanceof Number x && b instanceof Number y) {
+            return x.doubleValue() * y.doubleValue();
+        } else if (a instanceof Quantity x && b instanceof Number y) {
+            return new Quantity(x.dimension(), x.amount() * y.doubleValue());
+        } else if (a instanceof Number x && b instanceof Quantity y) {
+            return new Quantity(y.dimension(), y.amount() * x.doubleValue());
+        } else if (a instanceof Long && !(b instanceof Long) && !(b instanceof Double)) {
+            return repeated(b, (Long) a, at);
+        }
+        return b instanceof Long count ? repeated(a, count, at) : null;
+    }
+
+    private Object repeated(Object value, long count, Position at) throws ScriptError {
+        final long times = Math.max(0, count);
+        if (value instanceof String text) {
+            meter.text(Math.multiplyExact(text.length(), times), at);
+            return text.repeat((int) times);
+        }
+        if (!(value instanceof ListValue) && !(value instanceof TupleValue)) {
+            return null;
+        }
+        final List<Object> elements = value instanceof ListValue list ? list.elements()
+            : ((TupleValue) value).elements();
+        meter.cells(Math.multiplyExact(elements.size(), times), at);
+        final List<Object> repeated = new ArrayList<>();
+        for (long i = 0; i < times && !elements.isEmpty(); i++) {
+            repeated.addAll(elements);
+        }
+        return value instanceof ListValue ? new ListValue(repeated) : new TupleValue(repeated);
+    }
+
+    private static Object divided(Object a, Object b, Position at) throws ScriptError {
+        if (a instanceof Number x && b instanceof Number y) {
+            return x.doubleValue() / divisor(y, at);
+        } else if (a instanceof Quantity x && b instanceof Number y) {
+            return new Quantity(x.dimension(), x.amount() / divisor(y, at));
+        } else if (a instanceof Quantity x && b instanceof Quantity y && x.dimension() == y.dimension()) {
+            return x.amount() / divisor(y.amount(), at);
+        }
+        return null;
+    }
+
+    private static Object floored(Object a, Object b, Position at) throws ScriptError {
+        if (a instanceof Long x && b instanceof Long y) {
+            divisor(y, at);
+            if (x == Long.MIN_VALUE && y == -1) {
+                throw new ArithmeticException();
+            }
+            return Math.floorDiv(x, y);
+        } else if (a instanceof Number x && b instanceof Number y) {
+            return Math.floor(x.doubleValue() / divisor(y, at));
+        }
+        return null;
+    }
+
+    private static Object rest(Object a, Object b, Position at) throws ScriptError {
+        if (a instanceof Long x && b instanceof Long y) {
+            divisor(y, at);
+            return Math.floorMod(x, y);
+        } else if (a instanceof Number x && b instanceof Number y) {
+            final double by = divisor(y, at);
+            return x.doubleValue() - Math.floor(x.doubleValue() / by) * by;
+        }
+        return null;
+    }
+
+    private static double divisor(Number number, Position at) throws ScriptError {
+        if (number.doubleValue() == 0) {
+            throw new ScriptError(at, "a division by zero");
+        }
+        return number.doubleValue();
+    }
+
+    Object negated(Object value, Position at) throws ScriptError {
+        if (value instanceof Long number) {
+            if (number == Long.MIN_VALUE) {
+                throw new ScriptError(at, "the result is beyond 64 bits");
+            }
+            return -number;
+        } else if (value instanceof Double number) {
+            return -number;
+        } else if (value instanceof Quantity quantity) {
+            return new Quantity(quantity.dimension(), -quantity.amount());
+        }
+        throw new ScriptError(at, "'-' cannot stand before " + Values.kind(value));
+    }
+
+    boolean compare(String operator, Object a, Object b, Position at) throws ScriptError {
+        return switch (operator) {
+            case "==" -> Values.equal(a, b, 0, meter, at);
+            case "!=" -> !Values.equal(a, b, 0, meter, at);
+            case "<" -> order(a, b, at) < 0;
+            case "<=" -> order(a, b, at) <= 0;
+            case ">" -> order(a, b, at) > 0;
+            case ">=" -> order(a, b, at) >= 0;
+            case "in" -> contains(b, a, at);
+            default -> !contains(b, a, at);
+        };
+    }
+
+    int order(Object a, Object b, Position at) throws ScriptError {
+        meter.step(at);
+        if (a instanceof Long x && b instanceof Long y) {
+            return Long.compare(x, y);
+        } else if (a instanceof Number x && b instanceof Number y) {
+            return Double.compare(x.doubleValue(), y.doubleValue());
+        } else if (a instanceof String x && b instanceof String y) {
+            return x.compareTo(y);
+        } else if (a instanceof Quantity x && b instanceof Quantity y && x.dimension() == y.dimension()) {
+            return Double.compare(x.amount(), y.amount());
+        }
+        throw new ScriptError(at, Values.kind(a) + " and " + Values.kind(b)
+            + " have no order; numbers, texts, times and sizes have");
+    }
+
+    private boolean contains(Object all, Object one, Position at) throws ScriptError {
+        if (all instanceof String text && one instanceof String part) {
+            meter.steps(text.length(), at);
+            return text.contains(part);
+        } else if (all instanceof DictValue dict) {
+            return dict.entries().containsKey(key(one, at));
+        } else if (all instanceof RangeValue range) {
+            return one instanceof Long number && within(range, number);
+        } else if (all instanceof ListValue || all instanceof TupleValue) {
+            final List<Object> elements = all instanceof ListValue list ? list.elements()
+                : ((TupleValue) all).elements();
+            for (final Object element : elements) {
+                if (Values.equal(element, one, 0, meter, at)) {
+                    return true;
+                }
+            }
+            return false;
+        }
+        throw new ScriptError(at, "'in' cannot look for " + Values.kind(one) + " in " + Values.kind(all));
+    }
+
+    private static boolean within(RangeValue range, long number) {
+        final boolean between = range.step() > 0 ? number >= range.start() && number < range.stop()
+            : number <= range.start() && number > range.stop();
+        return between && (number - range.start()) % range.step() == 0;
+    }
+
+    /** A value as a dict's key. */
+    static Object key(Object value, Position at) throws ScriptError {
+        if (value instanceof String || value instanceof Long || value instanceof Boolean) {
+            return value;
+        }
+        throw new ScriptError(at, Values.kind(value)
+            + " cannot be a key; texts, whole numbers, True and False can");
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/settings/script/Script.java
@@ -0,0 +1,114 @@
+package cresschute.settings.script;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.antlr.v4.runtime.BaseErrorListener;
+import org.antlr.v4.runtime.CharStreams;
+import org.antlr.v4.runtime.CommonTokenStream;
+import org.antlr.v4.runtime.ListTokenSource;
+import org.antlr.v4.runtime.RecognitionException;
+import org.antlr.v4.runtime.Recognizer;
+import org.antlr.v4.runtime.Token;
+import org.antlr.v4.runtime.misc.IntervalSet;
+
+/**
+ * The language of settings scripts: a subset of Starlark without files, clock, chance, recursion and endless
+ * loops. The page {@code docs/settings.md} lists what it has. Every run ends within its {@link Bounds}.
+ */
+public final class Script {
+
+    private static final int MOST_SYNTAX_ERRORS = 20;
+    /** More alternatives than these would not help anybody. */
+    private static final int MOST_EXPECTED = 4;
+
+    private Script() {
+    }
+
+    /**
+     * Runs a script from its first line to its last, or to the first error. It can reach nothing but its
+     * host's functions, which it calls by their names. Runs on the caller's thread.
+     *
+     * @return what is wrong with it, in the order of the text; nothing if it ran through
+     */
+    public static List<ScriptError> run(String text, Map<String, Builtin> host, Bounds bounds) {
+        if (text.length() > bounds.textChars()) {
+            return List.of(new ScriptError(Position.START, "the script is too long; at most "
+                + bounds.textChars() + " characters are allowed"));
+        }
+        final List<ScriptError> errors = new ArrayList<>();
+        try {
+            final ScriptLexer lexer = new ScriptLexer(CharStreams.fromString(text));
+            lexer.removeErrorListeners();
+            final ScriptParser parser = new ScriptParser(
+                new CommonTokenStream(new ListTokenSource(ScriptTokens.of(lexer))));
+            parser.removeErrorListeners();
+            parser.addErrorListener(new SyntaxErrors(errors));
+            final ScriptParser.FileContext file = parser.file();
+            if (errors.isEmpty()) {
+                new Interpreter(host, bounds).run(file);
+            }
+        } catch (ScriptError e) {
+            errors.add(e);
+        } catch (DepthBoundParser.TooDeep e) {
+            errors.add(new ScriptError(e.position(), "the text is nested too deeply"));
+        }
+        return errors;
+    }
+
+    static Position position(Token token) {
+        return new Position(Math.max(1, token.getLine()), token.getCharPositionInLine() + 1);
+    }
+
+    /** Words syntax errors for people: one for a line at the most, as one error brings others after it. */
+    private static final class SyntaxErrors extends BaseErrorListener {
+
+        private final List<ScriptError> errors;
+
+        SyntaxErrors(List<ScriptError> errors) {
+            this.errors = errors;
+        }
+
+        @Override
+        public void syntaxError(Recognizer<?, ?> recognizer, Object offending, int line, int column,
+                                String message, RecognitionException e) {
+            final boolean known = errors.stream().anyMatch(error -> error.position().line() == line);
+            if (!known && errors.size() < MOST_SYNTAX_ERRORS) {
+                errors.add(new ScriptError(position((Token) offending), "unexpected "
+                    + name((Token) offending) + expected((ScriptParser) recognizer)));
+            }
+        }
+
+        private static String name(Token token) {
+            return switch (token.getType()) {
+                case Token.EOF -> "end of the script";
+                case ScriptParser.NEWLINE -> "end of line";
+                case ScriptParser.INDENT, ScriptParser.DEDENT -> token.getText();
+                default -> "'" + token.getText() + "'";
+            };
+        }
+
+        private static String expected(ScriptParser parser) {
+            final IntervalSet expected = parser.getExpectedTokens();
+            if (expected.size() == 0 || expected.size() > MOST_EXPECTED) {
+                return "";
+            }
+            final List<String> names = new ArrayList<>();
+            for (final int type : expected.toList()) {
+                names.add(allowed(type, parser));
+            }
+            return "; expected " + String.join(" or ", names);
+        }
+
+        private static String allowed(int type, ScriptParser parser) {
+            return switch (type) {
+                case Token.EOF -> "the end";
+                case ScriptParser.NEWLINE -> "the end of the line";
+                case ScriptParser.INDENT -> "more indentation";
+                case ScriptParser.DEDENT -> "less indentation";
+                case ScriptParser.NAME -> "a name";
+                default -> parser.getVocabulary().getDisplayName(type);
+            };
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/settings/script/ScriptTokens.java
@@ -0,0 +1,114 @@
+package cresschute.settings.script;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Set;
+import org.antlr.v4.runtime.CommonToken;
+import org.antlr.v4.runtime.Lexer;
+import org.antlr.v4.runtime.Token;
+
+/**
+ * Lays out the lexer's tokens as Python does: a line's end counts only outside brackets and after something,
+ * and a change of a line's indentation becomes INDENT or DEDENT.
+ */
+final class ScriptTokens {
+
+    /** Words of Python that this language leaves out; no name may be one of them. */
+    private static final Set<String> RESERVED = Set.of("as", "assert", "async", "await", "class", "del",
+        "except",
+        "finally", "from", "global", "import", "is", "lambda", "nonlocal", "raise", "try", "while", "with",
+            "yield");
+
+    private final List<Token> laidOut = new ArrayList<>();
+    private final Deque<Integer> indents = new ArrayDeque<>(List.of(0));
+    private final Deque<Token> brackets = new ArrayDeque<>();
+    private boolean lineBegins = true;
+
+    private ScriptTokens() {
+    }
+
+    static List<Token> of(Lexer lexer) throws ScriptError {
+        final ScriptTokens tokens = new ScriptTokens();
+        Token token = lexer.nextToken();
+        while (token.getType() != Token.EOF) {
+            tokens.take(token);
+            token = lexer.nextToken();
+        }
+        tokens.end(token);
+        return tokens.laidOut;
+    }
+
+    private void take(Token token) throws ScriptError {
+        if (token.getType() == ScriptLexer.NEWLINE) {
+            if (brackets.isEmpty() && !lineBegins) {
+                laidOut.add(token);
+                lineBegins = true;
+            }
+            return;
+        }
+        if (token.getType() == ScriptLexer.UNKNOWN) {
+            throw unknown(token);
+        }
+        if (token.getType() == ScriptLexer.NAME && RESERVED.contains(token.getText())) {
+            throw new ScriptError(Script.position(token), "'" + token.getText()
+                + "' is not part of the language; docs/settings.md lists what is");
+        }
+        if (lineBegins && brackets.isEmpty()) {
+            indent(token);
+        }
+        lineBegins = false;
+        switch (token.getText()) {
+            case "(", "[", "{" -> brackets.push(token);
+            case ")", "]", "}" -> brackets.poll();
+            default -> { }
+        }
+        laidOut.add(token);
+    }
+
+    private static ScriptError unknown(Token token) {
+        return new ScriptError(Script.position(token), switch (token.getText()) {
+            case "\"", "'" -> "this text has no end; a text ends on the line on which it begins";
+            case "\t" -> "a tab; use spaces alone";
+            default -> "unexpected character '" + token.getText() + "'";
+        });
+    }
+
+    private void indent(Token token) throws ScriptError {
+        final int column = token.getCharPositionInLine();
+        if (column > indents.peek()) {
+            indents.push(column);
+            add(ScriptParser.INDENT, "more indentation", token);
+        }
+        while (column < indents.peek()) {
+            indents.pop();
+            add(ScriptParser.DEDENT, "less indentation", token);
+        }
+        if (column != indents.peek()) {
+            throw new ScriptError(Script.position(token), "this line's indentation matches no line above");
+        }
+    }
+
+    private void end(Token eof) throws ScriptError {
+        if (!brackets.isEmpty()) {
+            throw new ScriptError(Script.position(brackets.peek()), "this '" + brackets.peek().getText()
+                + "' is never closed");
+        }
+        if (!lineBegins) {
+            add(ScriptParser.NEWLINE, "end of line", eof);
+        }
+        while (indents.peek() > 0) {
+            indents.pop();
+            add(ScriptParser.DEDENT, "less indentation", eof);
+        }
+        laidOut.add(eof);
+    }
+
+    private void add(int type, String text, Token where) {
+        final CommonToken token = new CommonToken(where);
+        token.setType(type);
+        token.setText(text);
+        laidOut.add(token);
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/settings/script/Texts.java
@@ -0,0 +1,120 @@
+package cresschute.settings.script;
+
+import cresschute.settings.script.Values.TupleValue;
+import java.util.List;
+
+/** Literals of texts, and the two ways of formatting them. */
+final class Texts {
+
+    private Texts() {
+    }
+
+    /** What a literal with its quotes stands for. */
+    static String unquoted(String literal, Position at) throws ScriptError {
+        final StringBuilder out = new StringBuilder();
+        for (int i = 1; i < literal.length() - 1; i++) {
+            final char next = literal.charAt(i);
+            if (next != '\\') {
+                out.append(next);
+                continue;
+            }
+            i++;
+            out.append(escaped(literal.charAt(i), new Position(at.line(), at.column() + i - 1)));
+        }
+        return out.toString();
+    }
+
+    private static char escaped(char letter, Position at) throws ScriptError {
+        return switch (letter) {
+            case 'n' -> '\n';
+            case 't' -> '\t';
+            case 'r' -> '\r';
+            case '\\', '"', '\'' -> letter;
+            default -> throw new ScriptError(at, "unknown escape '\\" + letter
+                + "'; \\n, \\t, \\r, \\\\, \\\" and \\' are known");
+        };
+    }
+
+    /** Fills in {@code %s}, {@code %d}, {@code %r} and {@code %%}. */
+    static String percent(String format, Object values, Meter meter, Position at) throws ScriptError {
+        final List<Object> given = values instanceof TupleValue tuple ? tuple.elements() : List.of(values);
+        final StringBuilder out = new StringBuilder();
+        int used = 0;
+        for (int i = 0; i < format.length(); i++) {
+            if (format.charAt(i) != '%') {
+                out.append(format.charAt(i));
+                continue;
+            }
+            i++;
+            final char kind = i < format.length() ? format.charAt(i) : ' ';
+            if (kind == '%') {
+                out.append('%');
+                continue;
+            }
+            if (kind != 's' && kind != 'd' && kind != 'r') {
+                throw new ScriptError(at, "unknown format '%" + (kind == ' ' ? "" : kind)
+                    + "'; %s, %d, %r and %% are known");
+            }
+            if (used == given.size()) {
+                throw new ScriptError(at, "the format asks for more values than the " + used + " given");
+            }
+            final Object value = given.get(used++);
+            if (kind == 'd' && !(value instanceof Long)) {
+                throw new ScriptError(at, "%d takes a whole number, not " + Values.kind(value));
+            }
+            final String text = Values.text(value, meter, at);
+            out.append(kind == 'r' && value instanceof String ? Values.quoted(text) : text);
+            meter.text(text.length(), at);
+        }
+        if (used < given.size()) {
+            throw new ScriptError(at, "the format asks for " + used + " of the " + given.size()
+                + " values given");
+        }
+        meter.text(out.length(), at);
+        return out.toString();
+    }
+
+    /** Fills in {@code {}}, {@code {0}} and {@code {name}}. */
+    static String format(String format, Builtin.Call call) throws ScriptError {
+        final StringBuilder out = new StringBuilder();
+        int next = 0;
+        for (int i = 0; i < format.length(); i++) {
+            final char character = format.charAt(i);
+            final boolean doubled = i + 1 < format.length() && format.charAt(i + 1) == character;
+            if (character == '{' && !doubled) {
+                final int end = format.indexOf('}', i);
+                if (end < 0) {
+                    throw new ScriptError(call.at(), "a '{' without its '}'; '{{' stands for a brace");
+                }
+                final String field = format.substring(i + 1, end);
+                final Object value = field(field.isEmpty() ? Integer.toString(next++) : field, call);
+                final String text = Values.text(value, call.meter(), call.at());
+                call.meter().text(text.length(), call.at());
+                out.append(text);
+                i = end;
+            } else if (character == '}' && !doubled) {
+                throw new ScriptError(call.at(), "a '}' without its '{'; '}}' stands for a brace");
+            } else {
+                out.append(character);
+                i += character == '{' || character == '}' ? 1 : 0;
+            }
+        }
+        call.meter().text(out.length(), call.at());
+        return out.toString();
+    }
+
+    private static Object field(String field, Builtin.Call call) throws ScriptError {
+        if (field.matches("[0-9]{1,6}")) {
+            final int index = Integer.parseInt(field);
+            if (index >= call.positional().size()) {
+                throw new ScriptError(call.at(), "the format asks for value " + index + " of the "
+                    + call.positional().size() + " given, counted from 0");
+            }
+            return call.value(index);
+        }
+        if (!call.named().containsKey(field)) {
+            throw new ScriptError(call.at(), "the format asks for '" + field + "', which is not given");
+        }
+        return call.named().get(field).value();
+    }
+}
--- a/src/test/java/cresschute/node/MainTest.java
+++ b/src/test/java/cresschute/node/MainTest.java
@@ -22,7 +22,7 @@
         final List<String> command = new ArrayList<>(List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
             "-Djava.util.logging.manager=cresschute.node.StayingLogManager",
-            "-cp", System.getProperty("java.class.path"), "cresschute.node.Main", "serve"));
+            "-cp", System.getProperty("java.class.path"), "cresschute.cli.Main", "serve"));
         final ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().put("BALANCER_CONFIG", config);
         builder.environment().put("BALANCER_DISCOVERY", director);
--- a/src/test/java/cresschute/node/SocketRulesTest.java
+++ b/src/test/java/cresschute/node/SocketRulesTest.java
@@ -7,6 +7,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -153,13 +155,19 @@
     /** A cut-off machine: its backlog is full here, so that a new connection never comes up. */
     @Test
     void boundsTheWaitForAConnection() throws Exception {
-        try (TestNode node = new TestNode()) {
+        // All are held: a connection that nobody holds is closed as soon as the garbage collector finds it.
+        final List<Peer> held = new ArrayList<>();
+        try (TestNode node = new TestNode(); Peer client = node.client()) {
             for (int i = 0; i <= Peer.BACKLOG; i++) {
-                Peer.connect(node.backend.getLocalSocketAddress());
+                held.add(Peer.connect(node.backend.getLocalSocketAddress()));
             }
-            node.client().write(req("r1", "", ""));
+            client.write(req("r1", "", ""));
             node.event();
             assertThat(node.event()).startsWith("ended 1 0 CONNECT_FAILED closed false");
+        } finally {
+            for (final Peer peer : held) {
+                peer.close();
+            }
         }
     }
 
@@ -485,4 +493,56 @@
             assertThat(client.read()).startsWith("HTTP/1.1 413");
         }
     }
+
+    /**
+     * A head that says one thing twice, or claims another version of HTTP, was passed on as the node had
+     * read it;
+     * a backend might have read the other value. The client gets an error and no backend hears of it.
+     */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+        POST /check HTTP/1.1        | X-Request-Id: r1~X-Request-Id: r2                 | 400
+        POST /check HTTP/1.1        | X-Request-Id: r1~x-request-id: r1                 | 400
+        POST /check HTTP/1.1        | X-Request-Id: r1~X-Deadline: 1m~X-Deadline: 900m  | 400
+        POST /check HTTP/1.1        | X-Request-Id: r1~X-Deadline: 1m~X-Deadline: 1m    | 400
+        POST /check HTTP/1.1        | X-Request-Id: r1~X-Deadline: 1m, 900m             | 400
+        POST /file HTTP/1.1         | X-Request-Id: r1~Idempotency-Key: a~Idempotency-Key: b | 400
+        POST /check HTTP/1.1        | X-Request-Id: r1~X-Retry: 0~X-Retry: 1            | 400
+        POST /check HTTP/1.1        | X-Request-Id: r1~X-Extras: slots=1~X-Extras: slots=2 | 400
+        POST /check HTTP/1.1        | X-Request-Id: r1~Host: other                      | 400
+        POST /check?obj=1&obj=2 HTTP/1.1 | X-Request-Id: r1                             | 400
+        POST /check HTTP/1.1        | X-Request-Id: r1~Content-Length: 0                | 400
+        POST /check HTTP/1.1        | X-Request-Id: r1~Content-Length: 5                | 400
+        POST /check HTTP/1.1        | X-Request-Id: r1~Transfer-Encoding: chunked       | 400
+        POST /check HTTP/1.2        | X-Request-Id: r1                                  | 505
+        POST /check HTTP/2.0        | X-Request-Id: r1                                  | 505
+        POST /check HTTP/0.9        | X-Request-Id: r1                                  | 505
+        POST /check HTTP/3.7        | X-Request-Id: r1                                  | 505
+        POST /check SPDY/1.1        | X-Request-Id: r1                                  | 400
+        POST /check HTTP/1.1x       | X-Request-Id: r1                                  | 400
+        POST /check HTTP/11         | X-Request-Id: r1                                  | 400
+        POST /check                 | X-Request-Id: r1                                  | 400
+        """)
+    void answersErrorToHeadThatSaysOneThingTwice(String start, String headers,
+        String status) throws Exception {
+        try (TestNode node = new TestNode(); Peer client = node.client()) {
+            client.write(start + "\r\nHost: api\r\n" + headers.replace("~", "\r\n")
+                + "\r\nContent-Length: 0\r\n\r\n");
+            assertThat(client.read()).startsWith("HTTP/1.1 " + status + " ");
+            assertThat(node.events).noneMatch(event -> event.startsWith("requested"));
+        }
+    }
+
+    /** The versions that the node speaks are served. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1", "HTTP/1.0"})
+    void servesTheVersionsItSpeaks(String version) throws Exception {
+        try (TestNode node = new TestNode(); Peer client = node.client()) {
+            client.write(req("r1", "", "").replace("HTTP/1.1", version));
+            final Peer backend = node.backend();
+            backend.read();
+            backend.write(answer("200 OK", "", DONE));
+            assertThat(client.read()).startsWith("HTTP/1.1 200 ");
+        }
+    }
 }
