--- a/src/main/java/cresschute/cli/Commands.java
+++ b/src/main/java/cresschute/cli/Commands.java
@@ -14,7 +14,7 @@
         + "and answers every job exactly once.",
     footer = {"", "Example: cresschute demo --for 10s", "",
         "Exit codes: 0 done, 1 it ran and failed, 2 it could not be used as given."},
-    subcommands = {ServeCommand.class, BenchlinkCommand.class, CheckCommand.class,
+    subcommands = {ServeCommand.class, BenchlinkCommand.class, CheckCommand.class, DemoCommand.class,
         VersionCommand.class, CompletionCommand.class})
 final class Commands implements Runnable {
 
--- /dev/null
+++ b/src/main/java/cresschute/cli/DemoCommand.java
@@ -0,0 +1,209 @@
+package cresschute.cli;
+
+import cresschute.lab.Durations;
+import cresschute.lab.Fleet;
+import cresschute.lab.FleetReport;
+import cresschute.lab.Trouble;
+import cresschute.logs.LogFinder;
+import cresschute.logs.structured.StructuredLog;
+import java.io.PrintWriter;
+import java.lang.System.Logger.Level;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Collectors;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** Shows the node at work between stand-ins, and holds its rules against what these saw. */
+@Command(name = "demo", mixinStandardHelpOptions = true,
+    description = "Runs workers, a director and clients on loopback ports with a node between them, and prints "
+        + "what became of the jobs and whether the rules were kept.",
+    footer = {"", "Troubles: KIND[:WORKER][xFACTOR]@START[+DURATION], with commas between them.", "",
+        "Example: cresschute demo --for 20s --trouble slow@5s,silent:w2@8s+4s", "",
+        "Exit codes: 0 all rules kept, 1 a rule was broken, 2 it could not be used as given, 130 interrupted."})
+final class DemoCommand implements Callable<Integer> {
+
+    private static final long REFRESH_MS = 200;
+    private static final long LONGEST_WAIT_MS = 13_000;
+    private static final long MOST_US = 3_600_000_000L;
+    private static final int MOST_WORKERS = 100;
+    private static final double MOST_RATE = 2_000;
+
+    @Option(names = "--workers", paramLabel = "N", defaultValue = "8",
+        description = "how many workers, 1 to 100 (default: ${DEFAULT-VALUE})")
+    private int workers;
+
+    @Option(names = "--rate", paramLabel = "R", defaultValue = "12",
+        description = "jobs that arrive in a second, up to 2000 (default: ${DEFAULT-VALUE})")
+    private double rate;
+
+    @Option(names = "--for", paramLabel = "TIME", defaultValue = "20s",
+        description = "how long jobs arrive, such as 500ms, 20s, 2m (default: ${DEFAULT-VALUE})")
+    private String duration;
+
+    @Option(names = "--seed", paramLabel = "S", defaultValue = "1",
+        description = "for all chance (default: ${DEFAULT-VALUE})")
+    private long seed;
+
+    @Option(names = "--trouble", paramLabel = "LIST", defaultValue = "",
+        description = "what goes wrong, and when; see --list-troubles")
+    private String trouble;
+
+    @Option(names = "--list-troubles", description = "print the kinds of trouble")
+    private boolean listTroubles;
+
+    @Option(names = "--json", description = "print one JSON object")
+    private boolean json;
+
+    @Option(names = "--verbose", description = "show the node's log")
+    private boolean verbose;
+
+    @Spec
+    private CommandSpec spec;
+
+    private final AtomicBoolean told = new AtomicBoolean();
+
+    @Override
+    public Integer call() throws InterruptedException {
+        final PrintWriter out = spec.commandLine().getOut();
+        if (listTroubles) {
+            Arrays.stream(Trouble.Kind.values()).forEach(kind ->
+                out.println(String.format("%-9s %s", kind.word(), kind.meaning())));
+            out.flush();
+            return ExitCodes.DONE;
+        }
+        final Screen screen = Screen.ofProcess();
+        final long forUs = forUs();
+        // Set before anything of the node's is loaded: its log would run through the picture.
+        final StructuredLog log = new StructuredLog(false, verbose ? Level.INFO : Level.ERROR);
+        LogFinder.use(log);
+        final CountDownLatch interrupted = new CountDownLatch(1);
+        final CountDownLatch ended = new CountDownLatch(1);
+        try (Fleet fleet = fleet()) {
+            final Thread hook = new Thread(() -> {
+                // Guards the table against Ctrl-C: what was asked for and seen so far is still told.
+                interrupted.countDown();
+                try {
+                    ended.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }, "demo-interrupted");
+            Runtime.getRuntime().addShutdownHook(hook);
+            fleet.start();
+            final boolean whole = watch(fleet, forUs, screen, interrupted);
+            final FleetReport report = finish(fleet, screen, whole);
+            ended.countDown();
+            if (whole) {
+                Runtime.getRuntime().removeShutdownHook(hook);
+            }
+            return report.isSound() ? ExitCodes.DONE : ExitCodes.FAILED;
+        } catch (IllegalStateException e) {
+            // The hook can no longer be taken back: the process is on its way out, with its own code.
+            return ExitCodes.FAILED;
+        } finally {
+            ended.countDown();
+            log.close();
+        }
+    }
+
+    private long forUs() {
+        try {
+            final long us = Durations.parseUs(duration);
+            if (us <= 0 || us > MOST_US) {
+                throw unusable("--for: '" + duration + "' is out of range; allowed: up to 60m");
+            }
+            return us;
+        } catch (IllegalArgumentException e) {
+            throw unusable("--for: " + e.getMessage());
+        }
+    }
+
+    private Fleet fleet() {
+        if (workers < 1 || workers > MOST_WORKERS) {
+            throw unusable("--workers: " + workers + " is out of range; allowed: 1 to " + MOST_WORKERS);
+        }
+        if (!(rate > 0 && rate <= MOST_RATE)) {
+            throw unusable("--rate: " + rate + " is out of range; allowed: above 0, up to " + (int) MOST_RATE);
+        }
+        try {
+            return new Fleet(new Fleet.Plan(workers, rate, seed, Trouble.parse(trouble)));
+        } catch (IllegalArgumentException e) {
+            throw unusable("--trouble: " + e.getMessage());
+        }
+    }
+
+    private ParameterException unusable(String why) {
+        return new ParameterException(spec.commandLine(), why);
+    }
+
+    /** Watches it until all is answered; false where it was interrupted before. */
+    private boolean watch(Fleet fleet, long forUs, Screen screen, CountDownLatch interrupted)
+        throws InterruptedException {
+        final long startNs = System.nanoTime();
+        boolean arriving = true;
+        while (true) {
+            if (interrupted.await(REFRESH_MS, TimeUnit.MILLISECONDS)) {
+                return false;
+            }
+            final long ranUs = (System.nanoTime() - startNs) / 1000;
+            if (arriving && ranUs >= forUs) {
+                arriving = false;
+                fleet.stopArriving();
+            }
+            final int waiting = fleet.waiting();
+            if (!arriving && (waiting == 0 || ranUs > forUs + LONGEST_WAIT_MS * 1000)) {
+                return true;
+            }
+            progress(fleet, screen, ranUs, forUs, waiting);
+        }
+    }
+
+    private void progress(Fleet fleet, Screen screen, long ranUs, long forUs, int waiting) {
+        if (!screen.isTerminal() || json) {
+            return;
+        }
+        final FleetReport now = fleet.report();
+        final String line = String.format("%3ds of %ds  %s", ranUs / 1_000_000, forUs / 1_000_000,
+            now.outcomes().asked() + " asked, " + waiting + " waiting, "
+                + (now.isSound() ? "rules kept" : "A RULE IS BROKEN"));
+        final PrintWriter err = spec.commandLine().getErr();
+        // One column is left free: in the last one a terminal would begin a new line.
+        err.print("\r" + (line.length() < screen.columns() ? line + " ".repeat(screen.columns() - 1 - line.length())
+            : line.substring(0, screen.columns() - 1)));
+        err.flush();
+    }
+
+    private FleetReport finish(Fleet fleet, Screen screen, boolean whole) {
+        fleet.close();
+        final FleetReport report = fleet.report();
+        if (told.compareAndSet(false, true)) {
+            final PrintWriter out = spec.commandLine().getOut();
+            if (screen.isTerminal() && !json) {
+                spec.commandLine().getErr().print("\r" + " ".repeat(screen.columns() - 1) + "\r");
+                spec.commandLine().getErr().flush();
+            }
+            if (json) {
+                out.println(report.json());
+            } else {
+                final List<String> lines = report.table(screen.columns());
+                out.println((whole ? "" : "interrupted; so far:\n") + lines.stream()
+                    .map(line -> colored(line, screen)).collect(Collectors.joining("\n")));
+            }
+            out.flush();
+        }
+        return report;
+    }
+
+    private static String colored(String line, Screen screen) {
+        return !screen.hasColor() ? line : line.replace("BROKEN", "\u001b[31mBROKEN\u001b[0m")
+            .replaceFirst(" kept$", " \u001b[32mkept\u001b[0m");
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/cli/Screen.java
@@ -0,0 +1,43 @@
+package cresschute.cli;
+
+import java.io.IOException;
+import java.util.Map;
+import org.jline.terminal.Terminal;
+import org.jline.terminal.TerminalBuilder;
+
+/**
+ * What is known of the place where output goes.
+ *
+ * @param isTerminal whether somebody is watching; without, nothing is drawn over and nothing coloured
+ * @param columns its width
+ * @param hasColor whether colours are wanted
+ */
+record Screen(boolean isTerminal, int columns, boolean hasColor) {
+
+    private static final int USUAL_COLUMNS = 80;
+    private static final int LEAST_COLUMNS = 40;
+
+    /** The screen of this process. */
+    static Screen ofProcess() {
+        return of(System.getenv(), System.console() != null);
+    }
+
+    /** The screen as an environment tells it. */
+    static Screen of(Map<String, String> environment, boolean isTerminal) {
+        final String columns = environment.getOrDefault("COLUMNS", "");
+        final int width = columns.matches("[0-9]{1,4}") ? Integer.parseInt(columns)
+            : isTerminal ? terminalColumns() : USUAL_COLUMNS;
+        // Any value but an empty one, by the convention of no-color.org.
+        final boolean plain = !environment.getOrDefault("NO_COLOR", "").isEmpty()
+            || environment.getOrDefault("TERM", "dumb").equals("dumb");
+        return new Screen(isTerminal, Math.max(LEAST_COLUMNS, width), isTerminal && !plain);
+    }
+
+    private static int terminalColumns() {
+        try (Terminal terminal = TerminalBuilder.builder().system(true).dumb(true).build()) {
+            return terminal.getSize().getColumns() > 0 ? terminal.getSize().getColumns() : USUAL_COLUMNS;
+        } catch (IOException e) {
+            return USUAL_COLUMNS;
+        }
+    }
+}
--- a/src/main/java/cresschute/cli/ServeCommand.java
+++ b/src/main/java/cresschute/cli/ServeCommand.java
@@ -10,6 +10,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.util.Locale;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -52,7 +53,7 @@
         LogFinder.use(log);
         notYetUsed(settings);
         try {
-            Serving.start(SettingsOf.node(settings), () -> reread(file), log::close);
+            Serving.start(node(settings), () -> reread(file), log::close);
         } catch (IllegalStateException e) {
             log.close();
             spec.commandLine().getErr().println("cresschute: cannot start: " + e.getMessage()
@@ -62,9 +63,13 @@
         return GOES_ON;
     }
 
+    private static NodeConfig node(ApplianceSettings settings) {
+        return NodeConfig.of(settings, settings.seed() == null ? new SecureRandom().nextLong() : settings.seed());
+    }
+
     private static NodeConfig reread(Path file) throws ConfigException {
         try {
-            return SettingsOf.node(SettingsOf.file(file));
+            return node(SettingsOf.file(file));
         } catch (SettingsOf.UnusableFile e) {
             throw new ConfigException(String.join(" | ", e.lines()));
         }
--- a/src/main/java/cresschute/cli/SettingsOf.java
+++ b/src/main/java/cresschute/cli/SettingsOf.java
@@ -1,17 +1,13 @@
 package cresschute.cli;
 
-import cresschute.DispatchApi.WorkerState;
-import cresschute.node.DirectorList;
-import cresschute.node.NodeConfig;
 import cresschute.settings.ApplianceSettings;
 import cresschute.settings.SettingsFile;
 import java.io.IOException;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.security.SecureRandom;
 import java.util.List;
 
-/** Brings settings scripts to the commands, and what they state to the node. */
+/** Brings settings scripts to the commands. */
 final class SettingsOf {
 
     private SettingsOf() {
@@ -53,17 +49,4 @@
             throw new UnusableFile(List.of("cresschute: cannot read " + file + ": " + why));
         }
     }
-
-    /** What the node is told. */
-    static NodeConfig node(ApplianceSettings settings) {
-        final List<DirectorList.Entry> workers = settings.workers().stream().map(each ->
-            new DirectorList.Entry(each.id(), each.address(), each.zone(), each.kind(), each.cell(),
-                WorkerState.READY, each.weight(), 0)).toList();
-        final long seed = settings.seed() == null ? new SecureRandom().nextLong() : settings.seed();
-        // Before the first answer of a director no version is held, so that it is asked for its whole list.
-        return new NodeConfig(settings.name(), settings.listen(), settings.director(), seed,
-            settings.module(),
-            settings.classes(), settings.zones(), settings.kinds(), settings.connectTimeoutUs(),
-            settings.idleTimeoutUs(), settings.sockets(), new DirectorList(-1, true, workers));
-    }
 }
--- /dev/null
+++ b/src/main/java/cresschute/lab/DirectorStandIn.java
@@ -0,0 +1,241 @@
+package cresschute.lab;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import cresschute.lab.Observation.WorkerTold;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The service that tells of the workers: the whole list, and watches that wait for changes. What happens to a
+ * worker is told as late as it is set to; it can be down, and its connections reset. All on one loop.
+ */
+final class DirectorStandIn {
+
+    private static final String PATH = "/registry/instances";
+    private static final int MOST_BODY_BYTES = 4096;
+    private static final long MOST_WAIT_MS = 60_000;
+    /** How many changes are kept; a watch from before them is told the whole list. */
+    private static final int MOST_CHANGES = 1_000;
+
+    private record Entry(String id, InetSocketAddress address, String zone, String kind, int cell, String state,
+                         long startedMs) {
+
+        JsonObject json() {
+            final JsonObject json = new JsonObject();
+            json.addProperty("id", id);
+            json.addProperty("addr", address.getAddress().getHostAddress() + ":" + address.getPort());
+            json.addProperty("zone", zone);
+            json.addProperty("kind", kind);
+            json.addProperty("cell", cell);
+            json.addProperty("state", state);
+            json.addProperty("weight", 1.0);
+            json.addProperty("started_ms", startedMs);
+            return json;
+        }
+    }
+
+    private record Change(long version, String id) {
+    }
+
+    private record Watch(ChannelHandlerContext ctx, long since) {
+    }
+
+    private final EventLoop loop;
+    private final Recorder recorder;
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private final List<Change> changes = new ArrayList<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private final Set<Channel> connections = new HashSet<>();
+    private long version = 1;
+    private long lateUs;
+    private boolean down;
+    private Channel server;
+
+    DirectorStandIn(EventLoop loop, Recorder recorder) {
+        this.loop = loop;
+        this.recorder = recorder;
+    }
+
+    /** Listens on a free port of the loopback address; blocks, so not on the loop. */
+    InetSocketAddress start() {
+        server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    connections.add(channel);
+                    channel.closeFuture().addListener(closed -> connections.remove(channel));
+                    channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY_BYTES),
+                        new Handler());
+                }
+            }).bind(InetAddress.getLoopbackAddress(), 0).syncUninterruptibly().channel();
+        return (InetSocketAddress) server.localAddress();
+    }
+
+    // ---- What happens; all on the loop ----
+
+    /** Changes are told so much later than they happen. */
+    void late(long us) {
+        lateUs = us;
+    }
+
+    /** Whether it is down: open connections are reset, and new calls answered 503. */
+    void down(boolean now) {
+        down = now;
+        if (now) {
+            watches.clear();
+            new ArrayList<>(connections).forEach(channel -> {
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                channel.close();
+            });
+        }
+    }
+
+    /** A worker's state, as {@code SERVING}, {@code DRAINING} or {@code DELETED}; told when it is due. */
+    void set(WorkerStandIn worker, String state, long startedMs) {
+        final WorkerStandIn.Make make = worker.make();
+        final Entry entry = new Entry(make.id(), worker.address(), make.zone(), make.kind(), make.cell(), state,
+            startedMs);
+        loop.schedule(() -> publish(entry), lateUs, TimeUnit.MICROSECONDS);
+    }
+
+    private void publish(Entry entry) {
+        version++;
+        if (entry.state().equals("DELETED")) {
+            entries.remove(entry.id());
+        } else {
+            entries.put(entry.id(), entry);
+        }
+        changes.add(new Change(version, entry.id()));
+        if (changes.size() > MOST_CHANGES) {
+            changes.remove(0);
+        }
+        final List<Watch> due = List.copyOf(watches);
+        watches.clear();
+        due.forEach(watch -> changed(watch.ctx(), watch.since()));
+    }
+
+    // ---- Calls ----
+
+    private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            final QueryStringDecoder query = new QueryStringDecoder(request.uri());
+            if (down) {
+                answer(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "");
+            } else if (!query.path().equals(PATH)) {
+                answer(ctx, HttpResponseStatus.NOT_FOUND, "");
+            } else if (!query.parameters().containsKey("since")) {
+                whole(ctx);
+            } else {
+                watch(ctx, number(query, "since"), number(query, "timeout_ms"));
+            }
+        }
+
+        private static long number(QueryStringDecoder query, String name) {
+            final String text = query.parameters().getOrDefault(name, List.of("0")).get(0);
+            return text.matches("[0-9]{1,15}") ? Long.parseLong(text) : 0;
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            watches.removeIf(watch -> watch.ctx() == ctx);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    private void watch(ChannelHandlerContext ctx, long since, long timeoutMs) {
+        if (since < version) {
+            changed(ctx, since);
+            return;
+        }
+        final Watch watch = new Watch(ctx, since);
+        watches.add(watch);
+        loop.schedule(() -> {
+            if (watches.remove(watch)) {
+                changed(ctx, since);
+            }
+        }, Math.min(timeoutMs, MOST_WAIT_MS), TimeUnit.MILLISECONDS);
+    }
+
+    private void whole(ChannelHandlerContext ctx) {
+        final JsonArray servers = new JsonArray();
+        entries.values().forEach(entry -> servers.add(entry.json()));
+        tell(ctx, true, servers);
+    }
+
+    private void changed(ChannelHandlerContext ctx, long since) {
+        if (since < version - changes.size()) {
+            whole(ctx);
+            return;
+        }
+        final Set<String> ids = new HashSet<>();
+        changes.stream().filter(change -> change.version() > since).forEach(change -> ids.add(change.id()));
+        final JsonArray servers = new JsonArray();
+        for (final String id : ids) {
+            final Entry entry = entries.get(id);
+            if (entry != null) {
+                servers.add(entry.json());
+            } else {
+                servers.add(new Entry(id, new InetSocketAddress(InetAddress.getLoopbackAddress(), 1), "a", "gone", 0,
+                    "DELETED", 0).json());
+            }
+        }
+        tell(ctx, false, servers);
+    }
+
+    private void tell(ChannelHandlerContext ctx, boolean full, JsonArray servers) {
+        final JsonObject list = new JsonObject();
+        list.addProperty("version", version);
+        list.addProperty("full", full);
+        list.add("servers", servers);
+        final long us = recorder.nowUs();
+        servers.forEach(each -> recorder.add(new WorkerTold(us, each.getAsJsonObject().get("id").getAsString(),
+            each.getAsJsonObject().get("state").getAsString(),
+            each.getAsJsonObject().get("started_ms").getAsLong())));
+        answer(ctx, HttpResponseStatus.OK, list.toString());
+    }
+
+    private static void answer(ChannelHandlerContext ctx, HttpResponseStatus status, String body) {
+        final DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+            Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+        HttpUtil.setContentLength(response, response.content().readableBytes());
+        ctx.writeAndFlush(response);
+    }
+
+    void close() {
+        server.close();
+        new ArrayList<>(connections).forEach(Channel::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/Fleet.java
@@ -0,0 +1,263 @@
+package cresschute.lab;
+
+import cresschute.DispatchApi.ColdStart;
+import cresschute.lab.JobClass.Demand;
+import cresschute.node.Clock;
+import cresschute.node.NodeConfig;
+import cresschute.node.NodeServer;
+import cresschute.settings.ApplianceSettings;
+import cresschute.settings.Problem;
+import cresschute.settings.SettingsFile;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * A whole site on loopback ports: a director, workers, clients, and between them a node of the program itself, as
+ * {@code serve} runs it, on a loop of its own. The stand-ins share one other loop. All chance comes from a seed;
+ * the times at which sockets are read do not, so that runs are alike and not the same.
+ */
+public final class Fleet implements AutoCloseable {
+
+    private static final int CELLS = 2;
+    private static final double BIG_SHARE = 0.3;
+    private static final long TOLD_LATE_US = 200_000;
+    private static final long STOP_S = 10;
+
+    /**
+     * What a fleet is to be.
+     *
+     * @param ratePerS jobs that arrive in a second on average
+     */
+    public record Plan(int workers, double ratePerS, long seed, List<Trouble> troubles) {
+    }
+
+    private final Plan plan;
+    private final Recorder recorder = new Recorder();
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final UniformRandomProvider chance;
+    private final List<WorkerStandIn> workers = new ArrayList<>();
+    private final DirectorStandIn director;
+    private final ApplianceSettings settings;
+    private final List<JobClass> classes;
+    private final LoadClients clients;
+    private final NodeServer node;
+    private boolean closed;
+
+    /** Starts director and workers, and builds the node; nothing is sent yet. */
+    public Fleet(Plan plan) {
+        this.plan = plan;
+        chance = RandomSource.XO_SHI_RO_256_PP.create(plan.seed());
+        final InetSocketAddress directorAt;
+        director = new DirectorStandIn(loop, recorder);
+        try {
+            directorAt = director.start();
+            final ApplianceSettings bare = settings(directorAt, List.of());
+            for (int i = 0; i < plan.workers(); i++) {
+                workers.add(worker(i, bare));
+            }
+            settings = settings(directorAt, workers);
+            classes = JobClass.of(settings, List.of(new Demand("lookup", 0.49, 400_000),
+                new Demand("report", 0.27, 1_500_000), new Demand("file", 0.24, 2_400_000)));
+            clients = new LoadClients(loop, recorder, RandomSource.XO_SHI_RO_256_PP.create(plan.seed() + 1),
+                classes, plan.ratePerS());
+            node = new NodeServer(NodeConfig.of(settings, plan.seed()));
+            checkTroubles();
+        } catch (RuntimeException e) {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+            throw e;
+        }
+    }
+
+    private WorkerStandIn worker(int number, ApplianceSettings bare) {
+        final boolean big = chance.nextDouble() < BIG_SHARE;
+        final double speed = big ? 1.3 + 0.4 * chance.nextDouble() : 0.85 + 0.25 * chance.nextDouble();
+        final int cell = number % CELLS;
+        final WorkerStandIn worker = new WorkerStandIn(loop, recorder,
+            RandomSource.XO_SHI_RO_256_PP.create(plan.seed() + 100 + number),
+            new WorkerStandIn.Make("w" + (number + 1), cell, "local", big ? "big" : "std", big ? 5 : 4, speed),
+            number < CELLS ? new CellKeys(windowUs(bare)) : workers.get(cell).keys(),
+            bare.module().coldStart());
+        worker.start();
+        onLoop(() -> {
+            director.set(worker, "SERVING", 0);
+            return null;
+        });
+        return worker;
+    }
+
+    private static long windowUs(ApplianceSettings settings) {
+        return settings.module().classes().stream().mapToLong(each -> each.repeatWindowUs()).max().orElse(0);
+    }
+
+    /** The settings come from a script, as a site's do; the addresses are put before it. */
+    private static ApplianceSettings settings(InetSocketAddress director, List<WorkerStandIn> workers) {
+        final String script = "DIRECTOR = \"127.0.0.1:" + director.getPort() + "\"\nWORKERS = ["
+            + workers.stream().map(each -> "(\"" + each.make().id() + "\", \"127.0.0.1:" + each.address().getPort()
+                + "\", \"" + each.make().kind() + "\", " + each.make().cell() + ")")
+                .collect(Collectors.joining(", ")) + "]\n" + demoScript();
+        final SettingsFile.Result result = SettingsFile.parse(script);
+        if (result.settings() == null) {
+            throw new IllegalStateException(result.problems().stream().map(Problem::toString)
+                .collect(Collectors.joining("; ")));
+        }
+        return result.settings();
+    }
+
+    private static String demoScript() {
+        try (InputStream in = Fleet.class.getResourceAsStream("demo.star")) {
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void checkTroubles() {
+        for (final Trouble trouble : plan.troubles()) {
+            if (trouble.worker() != null
+                && workers.stream().noneMatch(each -> each.make().id().equals(trouble.worker()))) {
+                throw new IllegalArgumentException("no worker is called '" + trouble.worker() + "'; there are w1 to w"
+                    + workers.size());
+            }
+        }
+    }
+
+    /** Starts the node, then the clients, then the clock of the troubles. */
+    public void start() {
+        final SocketAddress at = node.start();
+        onLoop(() -> {
+            director.late(TOLD_LATE_US);
+            clients.start(at);
+            plan.troubles().forEach(this::plan);
+            return null;
+        });
+    }
+
+    // ---- Troubles ----
+
+    private void plan(Trouble trouble) {
+        final WorkerStandIn worker = !trouble.kind().isOfWorker() ? null
+            : workers.stream().filter(each -> each.make().id().equals(trouble.worker())).findFirst()
+                .orElseGet(() -> workers.get(chance.nextInt(workers.size())));
+        loop.schedule(() -> begin(trouble, worker), trouble.atUs(), TimeUnit.MICROSECONDS);
+        loop.schedule(() -> end(trouble, worker), trouble.atUs() + trouble.forUs(), TimeUnit.MICROSECONDS);
+    }
+
+    private void begin(Trouble trouble, WorkerStandIn worker) {
+        switch (trouble.kind()) {
+            case SLOW -> worker.slow(trouble.factor());
+            case SILENT -> worker.silent(true);
+            case RESET -> worker.resets(trouble.factor());
+            case GARBAGE -> worker.garbage(trouble.factor());
+            case LATE -> worker.lateReports((long) (trouble.factor() * 1e6));
+            case CRASH -> {
+                worker.crash();
+                director.set(worker, "DELETED", 0);
+            }
+            case DRAIN -> director.set(worker, "DRAINING", 0);
+            case BURST -> clients.burst(trouble.factor());
+            case TAIL -> clients.tail(trouble.factor());
+            case DIRECTOR -> director.down(true);
+        }
+    }
+
+    private void end(Trouble trouble, WorkerStandIn worker) {
+        switch (trouble.kind()) {
+            case SLOW -> worker.slow(1);
+            case SILENT -> worker.silent(false);
+            case RESET -> worker.resets(0);
+            case GARBAGE -> worker.garbage(0);
+            case LATE -> worker.lateReports(0);
+            case CRASH -> {
+                worker.boot();
+                director.set(worker, "SERVING", recorder.nowUs() / 1000);
+            }
+            case DRAIN -> director.set(worker, "SERVING", 0);
+            case BURST -> clients.burst(1);
+            case TAIL -> clients.tail(1);
+            case DIRECTOR -> director.down(false);
+        }
+    }
+
+    // ---- The run ----
+
+    /** No new jobs come from now on. */
+    public void stopArriving() {
+        onLoop(() -> {
+            clients.stopArriving();
+            return null;
+        });
+    }
+
+    /** Jobs that wait for their answer now. */
+    public int waiting() {
+        return onLoop(clients::waiting);
+    }
+
+    /** What was seen so far, and what it comes to. */
+    public FleetReport report() {
+        final List<Observation> seen = recorder.seen();
+        return new FleetReport(Outcomes.of(seen, classes), RuleChecker.check(seen, classes, coldStart()),
+            node.invariantBreaches());
+    }
+
+    /** The observations so far. */
+    List<Observation> seen() {
+        return recorder.seen();
+    }
+
+    private ColdStart coldStart() {
+        return settings.module().coldStart();
+    }
+
+    private <T> T onLoop(Supplier<T> call) {
+        return CompletableFuture.supplyAsync(call, loop).join();
+    }
+
+    /** Ends it all: clients leave, the node stops as by SIGTERM, then workers and director go. */
+    @Override
+    public synchronized void close() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        onLoop(() -> {
+            clients.abandon();
+            return null;
+        });
+        try {
+            node.stop().get(STOP_S, TimeUnit.SECONDS);
+        } catch (InterruptedException | ExecutionException | TimeoutException e) {
+            node.halt();
+        }
+        onLoop(() -> {
+            workers.forEach(WorkerStandIn::close);
+            director.close();
+            return null;
+        });
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    /** The fleet's clock, for tests. */
+    Clock clock() {
+        return recorder::nowUs;
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/JobClass.java
@@ -0,0 +1,44 @@
+package cresschute.lab;
+
+import cresschute.DispatchApi.Effect;
+import cresschute.DispatchApi.RepeatScope;
+import cresschute.DispatchApi.RequestClass;
+import cresschute.settings.ApplianceSettings;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A class of jobs as the fleet's clients send them and as its rules bind it.
+ *
+ * @param share of all jobs, as a weight
+ * @param meanWorkUs running time at speed 1 on average
+ * @param mostSends how often one req may be sent to workers
+ */
+public record JobClass(String name, double worth, long aimUs, double aimStretch, long deadlineUs, Effect effect,
+                       RepeatScope scope, long repeatWindowUs, int mostSends, double share, long meanWorkUs) {
+
+    /** The classes of settings; a job takes a fifth of its aim on average, and all are sent as often. */
+    static List<JobClass> of(ApplianceSettings settings, List<Demand> demands) {
+        final List<JobClass> classes = new ArrayList<>();
+        for (int i = 0; i < settings.classes().size(); i++) {
+            final String name = settings.classes().get(i);
+            final RequestClass stated = settings.module().classes().get(i);
+            final Demand demand = demands.stream().filter(each -> each.className().equals(name)).findFirst()
+                .orElse(new Demand(name, 1, stated.aimUs() / 5));
+            classes.add(new JobClass(name, stated.worth(), stated.aimUs(), stated.aimStretch(),
+                stated.deadlineUs(), stated.effect(), stated.scope(), stated.repeatWindowUs(),
+                Math.min(stated.maxAttempts(), settings.module().limits().maxAttempts()), demand.share(),
+                demand.meanWorkUs()));
+        }
+        return List.copyOf(classes);
+    }
+
+    /** How much of a class is asked for. */
+    record Demand(String className, double share, long meanWorkUs) {
+    }
+
+    /** Whether an answer this long after the first try was sent is in time. */
+    boolean isInTime(long tookUs, long workUs) {
+        return tookUs <= aimUs + aimStretch * workUs;
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/LoadClients.java
@@ -0,0 +1,335 @@
+package cresschute.lab;
+
+import com.google.gson.JsonObject;
+import cresschute.DispatchApi.Effect;
+import cresschute.lab.Observation.AnswerTooMany;
+import cresschute.lab.Observation.ReqAnswered;
+import cresschute.lab.Observation.ReqLost;
+import cresschute.lab.Observation.ReqSent;
+import cresschute.lab.Observation.ReqUnanswered;
+import cresschute.lab.Observation.ReqUnfinished;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.ContinuousSampler;
+import org.apache.commons.rng.sampling.distribution.LogNormalSampler;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+
+/**
+ * Clients of a node. Jobs come in an open loop, whether earlier ones are answered or not. Clients keep their
+ * connections, send one req at a time on each, try again after a refusal up to two times as it advises, and
+ * after a failure where a repeat is safe. All of it happens on one loop.
+ */
+final class LoadClients {
+
+    static final int OK = 200;
+    private static final int REFUSED = 503;
+    private static final int TOO_MANY = 429;
+    private static final int MOST_TRIES = 3;
+    private static final int MOST_ANSWER_BYTES = 1 << 20;
+    /** How long after its deadline a req is still listened for: an answer so late is late, but it is one. */
+    private static final long LATE_BEYOND_US = 2_000_000;
+    private static final double SPREAD = 0.45;
+    private static final double TAIL_SHARE = 0.02;
+    private static final double WIDE_SHARE = 0.25;
+
+    private final EventLoop loop;
+    private final Recorder recorder;
+    private final UniformRandomProvider chance;
+    private final List<JobClass> classes;
+    private final double ratePerS;
+    private final ContinuousSampler spread;
+    private final Deque<Connection> idle = new ArrayDeque<>();
+    private final Set<Try> open = new HashSet<>();
+    private final Set<Connection> connections = new HashSet<>();
+    private SocketAddress node;
+    private boolean arriving;
+    private double burst = 1;
+    private double tail = 1;
+    private int lastOrigin;
+
+    LoadClients(EventLoop loop, Recorder recorder, UniformRandomProvider chance, List<JobClass> classes,
+                double ratePerS) {
+        this.loop = loop;
+        this.recorder = recorder;
+        this.chance = chance;
+        this.classes = classes;
+        this.ratePerS = ratePerS;
+        // A mean of 1: work varies by about half, as jobs of one class do.
+        this.spread = LogNormalSampler.of(ZigguratSampler.NormalizedGaussian.of(chance), -SPREAD * SPREAD / 2,
+            SPREAD);
+    }
+
+    // ---- Arrivals ----
+
+    /** Begins to send to a node. On the loop. */
+    void start(SocketAddress to) {
+        node = to;
+        arriving = true;
+        next();
+    }
+
+    /** No new jobs come; those under way go on. On the loop. */
+    void stopArriving() {
+        arriving = false;
+    }
+
+    /** So many times the usual come from now on. */
+    void burst(double factor) {
+        burst = factor;
+    }
+
+    /** One job in fifty takes so many times the usual work from now on. */
+    void tail(double factor) {
+        tail = factor;
+    }
+
+    private void next() {
+        final double meanUs = 1e6 / (ratePerS * burst);
+        final long delayUs = (long) ZigguratSampler.Exponential.of(chance, meanUs).sample();
+        loop.schedule(() -> {
+            if (arriving) {
+                arrive();
+                next();
+            }
+        }, delayUs, TimeUnit.MICROSECONDS);
+    }
+
+    private void arrive() {
+        final JobClass stated = draw();
+        final double heavy = chance.nextDouble() < TAIL_SHARE ? tail : 1;
+        final long workUs = Math.max(1, (long) (stated.meanWorkUs() * spread.sample() * heavy));
+        final double slots = chance.nextDouble() < WIDE_SHARE ? 2 : 1;
+        final String origin = "job-" + ++lastOrigin + "-" + Long.toHexString(chance.nextLong());
+        final String key = stated.effect() == Effect.KEYED ? "key-" + origin : null;
+        new Try(stated, origin, origin, key, workUs, slots, 1).send();
+    }
+
+    private JobClass draw() {
+        double left = chance.nextDouble() * classes.stream().mapToDouble(JobClass::share).sum();
+        for (final JobClass stated : classes) {
+            left -= stated.share();
+            if (left < 0) {
+                return stated;
+            }
+        }
+        return classes.get(classes.size() - 1);
+    }
+
+    /** Tries that wait for an answer. */
+    int waiting() {
+        return open.size();
+    }
+
+    /** Ends all at once: what still waits is unfinished. On the loop. */
+    void abandon() {
+        arriving = false;
+        for (final Try each : new ArrayList<>(open)) {
+            each.over();
+            recorder.add(new ReqUnfinished(recorder.nowUs(), each.id));
+        }
+        new ArrayList<>(connections).forEach(connection -> connection.channel.close());
+    }
+
+    // ---- Tries ----
+
+    /** One try of a job. */
+    private final class Try {
+        private final JobClass stated;
+        private final String origin;
+        private final String id;
+        private final String key;
+        private final long workUs;
+        private final double slots;
+        private final int number;
+        private Future<?> unanswered;
+
+        Try(JobClass stated, String origin, String id, String key, long workUs, double slots, int number) {
+            this.stated = stated;
+            this.origin = origin;
+            this.id = id;
+            this.key = key;
+            this.workUs = workUs;
+            this.slots = slots;
+            this.number = number;
+        }
+
+        void send() {
+            open.add(this);
+            final Connection kept = idle.pollLast();
+            if (kept != null) {
+                kept.send(this);
+                return;
+            }
+            new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpClientCodec(),
+                            new HttpObjectAggregator(MOST_ANSWER_BYTES), new Connection(channel));
+                    }
+                }).connect(node).addListener((ChannelFutureListener) connected -> {
+                    if (!connected.isSuccess()) {
+                        open.remove(this);
+                        // Nothing was sent: the node is not there, and another try does no harm.
+                        retry(0);
+                    } else if (open.contains(this)) {
+                        connected.channel().pipeline().get(Connection.class).send(this);
+                    }
+                });
+        }
+
+        void written() {
+            recorder.add(new ReqSent(recorder.nowUs(), id, origin, stated.name(), key, workUs, slots,
+                stated.deadlineUs()));
+            unanswered = loop.schedule(() -> {
+                if (open.remove(this)) {
+                    recorder.add(new ReqUnanswered(recorder.nowUs(), id));
+                }
+            }, stated.deadlineUs() + LATE_BEYOND_US, TimeUnit.MICROSECONDS);
+        }
+
+        /** Whether it was open until now. */
+        boolean over() {
+            if (unanswered != null) {
+                unanswered.cancel(false);
+            }
+            return open.remove(this);
+        }
+
+        void answered(FullHttpResponse response) {
+            if (!over()) {
+                recorder.add(new AnswerTooMany(recorder.nowUs(), id));
+                return;
+            }
+            final int status = response.status().code();
+            recorder.add(new ReqAnswered(recorder.nowUs(), id, status,
+                response.content().toString(StandardCharsets.UTF_8)));
+            final boolean refused = status == REFUSED || status == TOO_MANY;
+            if (refused || status != OK && stated.effect() == Effect.SAFE) {
+                retry(retryAfterUs(response.headers().get(HttpHeaderNames.RETRY_AFTER, "0")));
+            }
+        }
+
+        private static long retryAfterUs(String text) {
+            try {
+                return (long) (Double.parseDouble(text) * 1e6);
+            } catch (NumberFormatException e) {
+                return 0;
+            }
+        }
+
+        private void retry(long adviceUs) {
+            if (number < MOST_TRIES && arriving) {
+                final long delayUs = Math.max(adviceUs, (long) (200_000 * (0.5 + chance.nextDouble())));
+                final Try next = new Try(stated, origin, "again-" + number + "-" + origin, key, workUs, slots,
+                    number + 1);
+                loop.schedule(() -> {
+                    if (arriving) {
+                        next.send();
+                    }
+                }, delayUs, TimeUnit.MICROSECONDS);
+            }
+        }
+
+        DefaultFullHttpRequest request() {
+            final JsonObject body = new JsonObject();
+            body.addProperty("work_us", workUs);
+            body.addProperty("slots", slots);
+            final DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
+                HttpMethod.POST, "/" + stated.name() + "?obj=" + Integer.toHexString(origin.hashCode()),
+                Unpooled.copiedBuffer(body.toString(), StandardCharsets.UTF_8));
+            request.headers().set(HttpHeaderNames.HOST, "lab").set("X-Request-Id", id)
+                .set("X-Deadline", stated.deadlineUs() / 1000 + "m").set("X-Extras", "slots=" + slots);
+            if (key != null) {
+                request.headers().set("Idempotency-Key", key);
+            }
+            if (number > 1) {
+                request.headers().set("X-Retry", "1");
+            }
+            HttpUtil.setContentLength(request, request.content().readableBytes());
+            return request;
+        }
+    }
+
+    /** A connection to the node; one try at a time. */
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+        private final Channel channel;
+        private Try current;
+
+        Connection(Channel channel) {
+            this.channel = channel;
+            connections.add(this);
+        }
+
+        void send(Try next) {
+            current = next;
+            channel.writeAndFlush(next.request()).addListener(written -> {
+                if (written.isSuccess() && open.contains(next)) {
+                    next.written();
+                }
+            });
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            final Try answered = current;
+            current = null;
+            if (answered == null) {
+                recorder.add(new AnswerTooMany(recorder.nowUs(), "a connection without a req"));
+                return;
+            }
+            // Kept before the answer is acted on, so that a try that follows at once may use it.
+            if (HttpUtil.isKeepAlive(response)) {
+                idle.addLast(this);
+            } else {
+                ctx.close();
+            }
+            answered.answered(response);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            connections.remove(this);
+            idle.remove(this);
+            if (current != null && current.unanswered != null && current.over()) {
+                recorder.add(new ReqLost(recorder.nowUs(), current.id));
+            } else if (current != null && current.over()) {
+                current.retry(0);
+            }
+            current = null;
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/Outcomes.java
@@ -0,0 +1,154 @@
+package cresschute.lab;
+
+import cresschute.lab.Observation.ReqAnswered;
+import cresschute.lab.Observation.ReqLost;
+import cresschute.lab.Observation.ReqSent;
+import cresschute.lab.Observation.ReqUnanswered;
+import cresschute.lab.Observation.ReqUnfinished;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+
+/**
+ * What became of the jobs that clients asked for, a client's retries counted as part of its first try. Pure:
+ * it reads the observations alone.
+ */
+public final class Outcomes {
+
+    private static final long LONGEST_US = 3_600_000_000L;
+    private static final int DIGITS = 3;
+    private static final int REFUSED = 503;
+    private static final int TOO_MANY = 429;
+
+    /** How a job ended, as its last try did. */
+    public enum End { SERVED, REFUSED, FAILED, UNANSWERED, UNFINISHED }
+
+    /** What became of one class. */
+    public static final class OfClass {
+
+        private final Map<End, Integer> ends = new HashMap<>();
+        private final Histogram servedUs = new Histogram(LONGEST_US, DIGITS);
+        private int inTime;
+        private int asked;
+        private double worthAsked;
+        private double worthKept;
+
+        /** Jobs asked for. */
+        public int asked() {
+            return asked;
+        }
+
+        /** Jobs that ended so. */
+        public int ended(End end) {
+            return ends.getOrDefault(end, 0);
+        }
+
+        /** Jobs served in time. */
+        public int inTime() {
+            return inTime;
+        }
+
+        /** A percentile of the time from the first try to the result, of jobs that were served, ms. */
+        public double servedMs(double percentile) {
+            return servedUs.getTotalCount() == 0 ? 0 : servedUs.getValueAtPercentile(percentile) / 1000.0;
+        }
+
+        /** Worth of the jobs asked for. */
+        public double worthAsked() {
+            return worthAsked;
+        }
+
+        /** Worth of those that were served in time. */
+        public double worthKept() {
+            return worthKept;
+        }
+    }
+
+    private final Map<String, OfClass> classes = new LinkedHashMap<>();
+
+    private Outcomes() {
+    }
+
+    private record Job(ReqSent first, ReqSent last) {
+    }
+
+    /** Reads what was seen. */
+    public static Outcomes of(List<Observation> seen, List<JobClass> jobClasses) {
+        final Map<String, Job> jobs = new LinkedHashMap<>();
+        final Map<String, Observation> ends = new HashMap<>();
+        for (final Observation each : seen) {
+            if (each instanceof ReqSent sent) {
+                jobs.merge(sent.origin(), new Job(sent, sent), (old, now) -> new Job(old.first(), sent));
+            } else if (each instanceof ReqAnswered answer) {
+                ends.putIfAbsent(answer.id(), answer);
+            } else if (each instanceof ReqLost lost) {
+                ends.putIfAbsent(lost.id(), lost);
+            } else if (each instanceof ReqUnanswered none) {
+                ends.putIfAbsent(none.id(), none);
+            } else if (each instanceof ReqUnfinished cut) {
+                ends.putIfAbsent(cut.id(), cut);
+            }
+        }
+        final Outcomes outcomes = new Outcomes();
+        jobClasses.forEach(each -> outcomes.classes.put(each.name(), new OfClass()));
+        for (final Job job : jobs.values()) {
+            jobClasses.stream().filter(each -> each.name().equals(job.first().className())).findFirst()
+                .ifPresent(stated -> outcomes.count(job, stated, ends.get(job.last().id())));
+        }
+        return outcomes;
+    }
+
+    private void count(Job job, JobClass stated, Observation end) {
+        final OfClass ofClass = classes.get(stated.name());
+        final End how = end(end);
+        ofClass.asked++;
+        ofClass.ends.merge(how, 1, Integer::sum);
+        if (how != End.UNFINISHED) {
+            ofClass.worthAsked += stated.worth();
+        }
+        if (how == End.SERVED) {
+            final long tookUs = end.us() - job.first().us();
+            ofClass.servedUs.recordValue(Math.max(0, Math.min(LONGEST_US, tookUs)));
+            if (stated.isInTime(tookUs, job.first().workUs())) {
+                ofClass.inTime++;
+                ofClass.worthKept += stated.worth();
+            }
+        }
+    }
+
+    private static End end(Observation end) {
+        if (end instanceof ReqAnswered answer) {
+            return answer.status() == LoadClients.OK ? End.SERVED
+                : answer.status() == REFUSED || answer.status() == TOO_MANY ? End.REFUSED : End.FAILED;
+        }
+        return end instanceof ReqUnfinished || end == null ? End.UNFINISHED : End.UNANSWERED;
+    }
+
+    /** By class, in the order of the classes. */
+    public Map<String, OfClass> classes() {
+        return classes;
+    }
+
+    /** Jobs asked for. */
+    public int asked() {
+        return classes.values().stream().mapToInt(OfClass::asked).sum();
+    }
+
+    /** Jobs that ended so. */
+    public int ended(End end) {
+        return classes.values().stream().mapToInt(each -> each.ended(end)).sum();
+    }
+
+    /** Jobs served in time. */
+    public int inTime() {
+        return classes.values().stream().mapToInt(OfClass::inTime).sum();
+    }
+
+    /** Worth served in time over worth asked for; 1 where nothing was asked for. */
+    public double worthKept() {
+        final double asked = classes.values().stream().mapToDouble(OfClass::worthAsked).sum();
+        return asked == 0 ? 1 : classes.values().stream().mapToDouble(OfClass::worthKept).sum() / asked;
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/RuleChecker.java
@@ -0,0 +1,238 @@
+package cresschute.lab;
+
+import cresschute.DispatchApi.ColdStart;
+import cresschute.DispatchApi.Effect;
+import cresschute.DispatchApi.RepeatScope;
+import cresschute.lab.Observation.AnswerTooMany;
+import cresschute.lab.Observation.EffectMade;
+import cresschute.lab.Observation.ReqAnswered;
+import cresschute.lab.Observation.ReqLost;
+import cresschute.lab.Observation.ReqSent;
+import cresschute.lab.Observation.ReqUnanswered;
+import cresschute.lab.Observation.RunDone;
+import cresschute.lab.Observation.SendCame;
+import cresschute.lab.Observation.SendTurnedAway;
+import cresschute.lab.Observation.WorkerBooted;
+import cresschute.lab.Observation.WorkerFell;
+import cresschute.lab.Observation.WorkerTold;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Holds the four rules of a dispatcher against what the sides around it saw: one answer for each req, no effect
+ * twice, drains kept, cold starts kept. It knows nothing of the node, and is pure: the same observations always
+ * give the same breaches.
+ */
+public final class RuleChecker {
+
+    /** Nothing new goes to a worker later than this after the node was told, us; plus what sockets add. */
+    static final long DRAIN_WITHIN_US = 400_000 + 50_000;
+    /** What a cold worker may be sent beyond its budget, as a factor: chance makes short spans uneven. */
+    static final double COLD_SLACK = 1.1;
+
+    /** A rule. */
+    public enum Rule { ONE_ANSWER, NO_EFFECT_TWICE, DRAINS_KEPT, COLD_STARTS_KEPT }
+
+    /** A rule that was broken, and how. */
+    public record Breach(Rule rule, long us, String what) {
+    }
+
+    private final Map<String, JobClass> classes = new HashMap<>();
+    private final ColdStart coldStart;
+    private final List<Breach> breaches = new ArrayList<>();
+
+    private RuleChecker(List<JobClass> classes, ColdStart coldStart) {
+        classes.forEach(each -> this.classes.put(each.name(), each));
+        this.coldStart = coldStart;
+    }
+
+    /** All breaches in what was seen, in the order of the rules. */
+    public static List<Breach> check(List<Observation> seen, List<JobClass> classes, ColdStart coldStart) {
+        final RuleChecker checker = new RuleChecker(classes, coldStart);
+        checker.answers(seen);
+        checker.repeats(seen);
+        checker.effects(seen);
+        checker.drains(seen);
+        checker.coldStarts(seen);
+        return List.copyOf(checker.breaches);
+    }
+
+    private void breach(Rule rule, long us, String what) {
+        breaches.add(new Breach(rule, us, what));
+    }
+
+    // ---- One answer for each req ----
+
+    private void answers(List<Observation> seen) {
+        final Set<String> sent = new HashSet<>();
+        final Set<String> answered = new HashSet<>();
+        final Map<String, Set<String>> results = new HashMap<>();
+        for (final Observation each : seen) {
+            if (each instanceof ReqSent req) {
+                sent.add(req.id());
+            } else if (each instanceof RunDone done) {
+                results.computeIfAbsent(done.id(), unseen -> new HashSet<>()).add(done.result());
+            } else if (each instanceof ReqAnswered answer) {
+                if (!sent.contains(answer.id())) {
+                    breach(Rule.ONE_ANSWER, answer.us(), "an answer to " + answer.id() + ", which nobody sent");
+                } else if (!answered.add(answer.id())) {
+                    breach(Rule.ONE_ANSWER, answer.us(), "a second answer to " + answer.id());
+                } else if (answer.status() == LoadClients.OK
+                    && !results.getOrDefault(answer.id(), Set.of()).contains(answer.body())) {
+                    breach(Rule.ONE_ANSWER, answer.us(), answer.id() + " was served with what no worker made");
+                }
+            } else if (each instanceof AnswerTooMany answer) {
+                breach(Rule.ONE_ANSWER, answer.us(), "an answer where none was owed: " + answer.what());
+            } else if (each instanceof ReqLost lost) {
+                breach(Rule.ONE_ANSWER, lost.us(), "the connection of " + lost.id() + " ended without an answer");
+            } else if (each instanceof ReqUnanswered none) {
+                breach(Rule.ONE_ANSWER, none.us(), "no answer to " + none.id());
+            }
+        }
+    }
+
+    // ---- No effect twice ----
+
+    /** How often, and where to, a req was sent: as its class permits, whether harm came of it or not. */
+    private void repeats(List<Observation> seen) {
+        final Map<String, JobClass> classOf = new HashMap<>();
+        final Map<String, List<SendCame>> sends = new LinkedHashMap<>();
+        final Set<String> turnedAway = new HashSet<>();
+        for (final Observation each : seen) {
+            if (each instanceof ReqSent req && classes.containsKey(req.className())) {
+                classOf.put(req.id(), classes.get(req.className()));
+            } else if (each instanceof SendCame send) {
+                sends.computeIfAbsent(send.id(), unseen -> new ArrayList<>()).add(send);
+            } else if (each instanceof SendTurnedAway away) {
+                turnedAway.add(away.worker() + " " + away.id());
+            }
+        }
+        sends.forEach((id, all) -> {
+            final JobClass stated = classOf.get(id);
+            final SendCame last = all.get(all.size() - 1);
+            if (stated == null) {
+                breach(Rule.NO_EFFECT_TWICE, last.us(), "workers were sent " + id + ", which no client sent");
+                return;
+            }
+            if (all.size() > stated.mostSends()) {
+                breach(Rule.NO_EFFECT_TWICE, last.us(), id + " was sent " + all.size() + " times; "
+                    + stated.mostSends() + " are allowed");
+            }
+            final List<SendCame> mayRun = all.stream()
+                .filter(send -> !turnedAway.contains(send.worker() + " " + send.id())).toList();
+            if (stated.effect() != Effect.SAFE && mayRun.size() > 1) {
+                harmful(id, stated, mayRun);
+            }
+        });
+    }
+
+    private void harmful(String id, JobClass stated, List<SendCame> mayRun) {
+        final SendCame first = mayRun.get(0);
+        for (final SendCame again : mayRun.subList(1, mayRun.size())) {
+            if (stated.effect() == Effect.UNSAFE) {
+                breach(Rule.NO_EFFECT_TWICE, again.us(), id + " is unsafe to repeat and was sent again");
+            } else if (stated.scope() == RepeatScope.CELL && again.cell() != first.cell()) {
+                breach(Rule.NO_EFFECT_TWICE, again.us(), id + " was sent to cell " + first.cell()
+                    + " and again to cell " + again.cell());
+            } else if (again.us() > first.us() + stated.repeatWindowUs()) {
+                breach(Rule.NO_EFFECT_TWICE, again.us(), id + " was sent again after its window");
+            }
+        }
+    }
+
+    /** What came of it: one effect a key, whichever retry of a client's brought it. */
+    private void effects(List<Observation> seen) {
+        final Map<String, EffectMade> first = new HashMap<>();
+        for (final Observation each : seen) {
+            if (each instanceof EffectMade effect && effect.key() != null) {
+                final EffectMade before = first.putIfAbsent(effect.key(), effect);
+                if (before != null) {
+                    breach(Rule.NO_EFFECT_TWICE, effect.us(), "key " + effect.key() + " took effect at "
+                        + before.worker() + " and again at " + effect.worker());
+                }
+            }
+        }
+    }
+
+    // ---- Drains ----
+
+    private void drains(List<Observation> seen) {
+        final Map<String, WorkerTold> leaving = new HashMap<>();
+        // Sends are noted at their last byte, after what was told since their first: so that all is in order.
+        final List<Observation> ordered = new ArrayList<>(seen);
+        ordered.sort((a, b) -> Long.compare(drainTime(a), drainTime(b)));
+        for (final Observation each : ordered) {
+            if (each instanceof WorkerTold told) {
+                if (told.state().equals("SERVING")) {
+                    leaving.remove(told.worker());
+                } else {
+                    leaving.putIfAbsent(told.worker(), told);
+                }
+            } else if (each instanceof SendCame send && leaving.containsKey(send.worker())) {
+                final WorkerTold told = leaving.get(send.worker());
+                if (send.firstByteUs() > told.us() + DRAIN_WITHIN_US) {
+                    breach(Rule.DRAINS_KEPT, send.us(), send.worker() + " was sent " + send.id() + " "
+                        + (send.firstByteUs() - told.us()) / 1000 + " ms after it was told as " + told.state());
+                }
+            }
+        }
+    }
+
+    private static long drainTime(Observation seen) {
+        return seen instanceof SendCame send ? send.firstByteUs() : seen.us();
+    }
+
+    // ---- Cold starts ----
+
+    private void coldStarts(List<Observation> seen) {
+        final Map<String, WorkerBooted> boots = new HashMap<>();
+        final Map<String, List<SendCame>> recent = new HashMap<>();
+        final Set<String> told = new HashSet<>();
+        for (final Observation each : seen) {
+            if (each instanceof WorkerBooted boot) {
+                boots.put(boot.worker(), boot);
+                recent.put(boot.worker(), new ArrayList<>());
+                told.remove(boot.worker());
+            } else if (each instanceof WorkerTold notice && notice.startedMs() > 0) {
+                told.add(notice.worker());
+            } else if (each instanceof WorkerFell fell) {
+                breach(Rule.COLD_STARTS_KEPT, fell.us(), fell.worker() + " fell over");
+            } else if (each instanceof SendCame send && boots.containsKey(send.worker())
+                && told.contains(send.worker())) {
+                cold(send, boots.get(send.worker()), recent.get(send.worker()));
+            }
+        }
+    }
+
+    private void cold(SendCame send, WorkerBooted boot, List<SendCame> recent) {
+        final long age = send.us() - boot.us();
+        if (age >= coldStart.warmWithinUs()) {
+            return;
+        }
+        recent.add(send);
+        recent.removeIf(old -> old.us() <= send.us() - coldStart.tipAfterUs());
+        final double sent = recent.stream().mapToDouble(SendCame::work).sum();
+        final double bound = coldBudget(coldStart, boot.capacity(), age);
+        if (sent > bound * COLD_SLACK) {
+            breach(Rule.COLD_STARTS_KEPT, send.us(), send.worker() + " was sent " + Math.round(sent / 1000)
+                + " ms of work within " + coldStart.tipAfterUs() / 1000 + " ms, " + age / 1000
+                + " ms after its start; it can take " + Math.round(bound / 1000));
+        }
+    }
+
+    /** Work that a worker may be sent within the time of tipping over, at an age: slots times microseconds. */
+    static double coldBudget(ColdStart coldStart, double capacity, long ageUs) {
+        return coldStart.overloadFactor() * capacity * shareAt(coldStart, ageUs) * coldStart.tipAfterUs();
+    }
+
+    /** The share of its capacity that a worker has at an age; it grows evenly until it is warm. */
+    static double shareAt(ColdStart coldStart, long ageUs) {
+        return ageUs >= coldStart.warmWithinUs() ? 1 : coldStart.fromShare()
+            + (1 - coldStart.fromShare()) * Math.max(0, ageUs) / coldStart.warmWithinUs();
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/WorkerStandIn.java
@@ -0,0 +1,537 @@
+package cresschute.lab;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import cresschute.DispatchApi.ColdStart;
+import cresschute.lab.Observation.EffectMade;
+import cresschute.lab.Observation.RunDone;
+import cresschute.lab.Observation.RunStarted;
+import cresschute.lab.Observation.SendCame;
+import cresschute.lab.Observation.SendTurnedAway;
+import cresschute.lab.Observation.WorkerBooted;
+import cresschute.lab.Observation.WorkerFell;
+import cresschute.node.Json;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * A worker as the protocol has it: slots, a queue in order of arrival, lines that tell of start, progress and
+ * end, load reports, keys that its cell drops, a cold start under which it falls over if it is sent too much. How
+ * long a job takes is told by its body, {@code {"work_us":..., "slots":...}}. It has scripted troubles, and all of
+ * it happens on one loop.
+ */
+final class WorkerStandIn {
+
+    private static final int MOST_BODY_BYTES = 128 * 1024;
+    private static final long DEFAULT_WORK_US = 100_000;
+    private static final long PROGRESS_US = 1_000_000;
+    private static final long REPORT_US = 1_000_000;
+    private static final long WARMING_STEP_US = 100_000;
+    private static final int MOST_WAITING_A_SLOT = 8;
+
+    /** What a worker is. */
+    record Make(String id, int cell, String zone, String kind, int slots, double speed) {
+
+        double capacity() {
+            return slots * speed;
+        }
+    }
+
+    private final EventLoop loop;
+    private final Recorder recorder;
+    private final UniformRandomProvider chance;
+    private final Make make;
+    private final CellKeys keys;
+    private final ColdStart coldStart;
+    private final Set<Channel> connections = new HashSet<>();
+    private final Deque<Job> waiting = new ArrayDeque<>();
+    private final List<Job> running = new ArrayList<>();
+    private final Deque<SendCame> sentCold = new ArrayDeque<>();
+    private final Deque<Report> reports = new ArrayDeque<>();
+    private Channel server;
+    private InetSocketAddress address;
+    private double slowness = 1;
+    private boolean silent;
+    private double resetShare;
+    private double garbageShare;
+    private long reportsLateUs;
+    private long bootedUs = Long.MIN_VALUE / 2;
+    private boolean dead;
+    /** Told apart from what was planned before a crash. */
+    private int life;
+
+    private record Report(long us, double freeSlots, int queue) {
+    }
+
+    WorkerStandIn(EventLoop loop, Recorder recorder, UniformRandomProvider chance, Make make, CellKeys keys,
+                  ColdStart coldStart) {
+        this.loop = loop;
+        this.recorder = recorder;
+        this.chance = chance;
+        this.make = make;
+        this.keys = keys;
+        this.coldStart = coldStart;
+    }
+
+    Make make() {
+        return make;
+    }
+
+    CellKeys keys() {
+        return keys;
+    }
+
+    /** Where it listens; the same after a crash. */
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** Jobs that run. */
+    int running() {
+        return running.size();
+    }
+
+    /** Listens on a free port of the loopback address, warm; blocks, so not on the loop. */
+    void start() {
+        listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        loop.execute(this::report);
+    }
+
+    private void listen(InetSocketAddress at) {
+        server = bootstrap().bind(at).syncUninterruptibly().channel();
+        address = (InetSocketAddress) server.localAddress();
+    }
+
+    private ServerBootstrap bootstrap() {
+        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    connections.add(channel);
+                    channel.closeFuture().addListener(closed -> connections.remove(channel));
+                    channel.pipeline().addLast(new FirstBytes(), new HttpServerCodec(),
+                        new HttpObjectAggregator(MOST_BODY_BYTES), new Handler());
+                }
+            });
+    }
+
+    // ---- Troubles; all on the loop ----
+
+    void slow(double factor) {
+        replan(() -> slowness = factor);
+    }
+
+    void silent(boolean now) {
+        replan(() -> silent = now);
+    }
+
+    void resets(double share) {
+        resetShare = share;
+    }
+
+    void garbage(double share) {
+        garbageShare = share;
+    }
+
+    void lateReports(long lateUs) {
+        reportsLateUs = lateUs;
+    }
+
+    /** The process dies: its connections are reset, new ones refused, its jobs lost. */
+    void crash() {
+        dead = true;
+        life++;
+        server.close();
+        for (final Channel connection : new ArrayList<>(connections)) {
+            reset(connection);
+        }
+        final List<Job> lost = new ArrayList<>(running);
+        lost.addAll(waiting);
+        running.clear();
+        waiting.clear();
+        lost.forEach(Job::lose);
+    }
+
+    /** The process is there again, cold, at the same address. Completes when it listens. */
+    void boot() {
+        if (!dead) {
+            return;
+        }
+        bootstrap().bind(address).addListener((ChannelFutureListener) bound -> {
+                if (bound.isSuccess()) {
+                    server = bound.channel();
+                }
+            });
+        dead = false;
+        bootedUs = recorder.nowUs();
+        sentCold.clear();
+        reports.clear();
+        recorder.add(new WorkerBooted(bootedUs, make.id(), make.capacity()));
+        report();
+        warm();
+    }
+
+    /** While it warms, what runs gets faster step by step. */
+    private void warm() {
+        final int now = life;
+        if (recorder.nowUs() - bootedUs < coldStart.warmWithinUs()) {
+            loop.schedule(() -> {
+                if (life == now) {
+                    replan(() -> { });
+                    warm();
+                }
+            }, WARMING_STEP_US, TimeUnit.MICROSECONDS);
+        }
+    }
+
+    void close() {
+        dead = true;
+        life++;
+        server.close();
+        new ArrayList<>(connections).forEach(Channel::close);
+    }
+
+    private static void reset(Channel channel) {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        channel.close();
+    }
+
+    // ---- Jobs ----
+
+    /** How fast a slot runs now, where 1 is the yardstick. */
+    private double speed() {
+        return silent ? 0 : make.speed() / slowness
+            * RuleChecker.shareAt(coldStart, recorder.nowUs() - bootedUs);
+    }
+
+    /** Changes the speed of what runs: what is done so far was done at the old one. */
+    private void replan(Runnable change) {
+        running.forEach(Job::settle);
+        change.run();
+        running.forEach(Job::plan);
+        startWaiting();
+    }
+
+    private double freeSlots() {
+        return make.slots() - running.stream().mapToDouble(job -> job.slots).sum();
+    }
+
+    /** The first one waits until it fits, and all others behind it. */
+    private void startWaiting() {
+        while (!silent && !waiting.isEmpty() && waiting.peek().slots <= freeSlots()) {
+            final Job job = waiting.poll();
+            running.add(job);
+            job.start();
+        }
+    }
+
+    private void report() {
+        final long nowUs = recorder.nowUs();
+        reports.addLast(new Report(nowUs, Math.max(0, freeSlots()), waiting.size()));
+        while (reports.size() > 1 && nowUs - reports.peekFirst().us() > 60_000_000L) {
+            reports.pollFirst();
+        }
+        final int now = life;
+        loop.schedule(() -> {
+            if (life == now && !dead) {
+                report();
+            }
+        }, (long) (REPORT_US * (1 + chance.nextDouble() / 2)), TimeUnit.MICROSECONDS);
+    }
+
+    /** The report that it tells now: the newest that is old enough. */
+    private Report told() {
+        Report told = reports.peekFirst();
+        for (final Report each : reports) {
+            told = each.us() <= recorder.nowUs() - reportsLateUs ? each : told;
+        }
+        return told;
+    }
+
+    private JsonObject load() {
+        final JsonObject load = new JsonObject();
+        load.addProperty("x0", told().freeSlots());
+        load.addProperty("queue", told().queue());
+        return load;
+    }
+
+    /** One req that was sent to it. */
+    private final class Job {
+        private final String id;
+        private final String key;
+        private final long workUs;
+        private final double slots;
+        private final Channel channel;
+        private final boolean garbled;
+        private double leftUs;
+        private long settledUs;
+        private double rate;
+        private Future<?> end;
+        private Future<?> progress;
+        private boolean headWritten;
+
+        Job(String id, String key, long workUs, double slots, Channel channel, boolean garbled) {
+            this.id = id;
+            this.key = key;
+            this.workUs = workUs;
+            this.slots = slots;
+            this.channel = channel;
+            this.garbled = garbled;
+            this.leftUs = workUs;
+        }
+
+        /** Says that it is taken; a silent worker does so once it speaks again. */
+        void head() {
+            if (!silent && !headWritten) {
+                headWritten = true;
+                final DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+                HttpUtil.setTransferEncodingChunked(head, true);
+                channel.writeAndFlush(head);
+            }
+        }
+
+        void start() {
+            recorder.add(new RunStarted(recorder.nowUs(), make.id(), id));
+            line("started", null, null);
+            settledUs = recorder.nowUs();
+            plan();
+            tick();
+        }
+
+        /** Guards the queue: progress is told while it runs, and not while the worker is silent. */
+        private void tick() {
+            progress = loop.schedule(() -> {
+                settle();
+                line("running", 1 - Math.max(0, leftUs) / workUs, null);
+                tick();
+            }, PROGRESS_US, TimeUnit.MICROSECONDS);
+        }
+
+        void settle() {
+            final long nowUs = recorder.nowUs();
+            leftUs -= (nowUs - settledUs) * rate;
+            settledUs = nowUs;
+        }
+
+        void plan() {
+            rate = speed();
+            if (end != null) {
+                end.cancel(false);
+            }
+            end = rate <= 0 ? null : loop.schedule(this::done, (long) Math.max(0, leftUs / rate),
+                TimeUnit.MICROSECONDS);
+        }
+
+        private void done() {
+            running.remove(this);
+            progress.cancel(false);
+            final String result = make.id() + " did " + id;
+            recorder.add(new RunDone(recorder.nowUs(), make.id(), id, result));
+            if (key != null) {
+                recorder.add(new EffectMade(recorder.nowUs(), make.id(), id, key));
+                keys.done(key, result);
+            }
+            line("done", null, result);
+            startWaiting();
+        }
+
+        void lose() {
+            if (end != null) {
+                end.cancel(false);
+            }
+            if (progress != null) {
+                progress.cancel(false);
+            }
+            if (key != null) {
+                keys.lost(key);
+            }
+        }
+
+        /** The result of another run under the same key. */
+        void repeat(String result) {
+            if (result == null) {
+                line("lost", null, null);
+                return;
+            }
+            recorder.add(new RunDone(recorder.nowUs(), make.id(), id, result));
+            line("done", null, result);
+        }
+
+        private void line(String state, Double share, String result) {
+            if (silent || !channel.isActive()) {
+                return;
+            }
+            head();
+            final JsonObject line = new JsonObject();
+            line.addProperty("id", id);
+            line.addProperty("from", make.id());
+            line.addProperty("state", state);
+            if (share != null) {
+                line.addProperty("share", Math.max(0, Math.min(1, share)));
+            }
+            if (result != null) {
+                line.addProperty("result", result);
+            }
+            final boolean last = state.equals("done") || state.equals("lost");
+            if (last) {
+                line.add("load", load());
+            }
+            final String text = garbled && !last ? "\u0000\ufffd{]" + line + "\n" : line + "\n";
+            final ByteBuf bytes = Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+            channel.writeAndFlush(last ? new DefaultLastHttpContent(bytes) : new DefaultHttpContent(bytes));
+        }
+    }
+
+    // ---- Requests ----
+
+    /** Notes when the first byte of each req came. */
+    private static final class FirstBytes extends ChannelInboundHandlerAdapter {
+        private long us;
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+            final Handler handler = ctx.pipeline().get(Handler.class);
+            if (us == 0) {
+                us = handler.nowUs();
+            }
+            super.channelRead(ctx, message);
+        }
+
+        long take() {
+            final long taken = us;
+            us = 0;
+            return taken;
+        }
+    }
+
+    private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+        long nowUs() {
+            return recorder.nowUs();
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            final long firstByteUs = ctx.pipeline().get(FirstBytes.class).take();
+            final String path = request.uri();
+            if (path.equals("/stats") || path.equals("/health/live")) {
+                if (!silent) {
+                    answer(ctx, HttpResponseStatus.OK, path.equals("/stats") ? load().toString() : "");
+                }
+                return;
+            }
+            final String id = request.headers().get("X-Request-Id");
+            if (id == null) {
+                answer(ctx, HttpResponseStatus.NOT_FOUND, "");
+                return;
+            }
+            take(ctx, request, id, firstByteUs);
+        }
+
+        private void take(ChannelHandlerContext ctx, FullHttpRequest request, String id, long firstByteUs) {
+            final String key = request.headers().get("Idempotency-Key");
+            long workUs = DEFAULT_WORK_US;
+            double slots = 1;
+            try {
+                final JsonObject body = Json.object(request.content().toString(StandardCharsets.UTF_8));
+                workUs = Math.max(1, (long) Json.number(body, "work_us", DEFAULT_WORK_US));
+                slots = Math.max(1, Math.min(make.slots(), Json.number(body, "slots", 1)));
+            } catch (JsonParseException e) {
+                // Other clients' bodies are their own matter: such a job takes the usual time.
+                workUs = DEFAULT_WORK_US;
+            }
+            final SendCame send = new SendCame(recorder.nowUs(), firstByteUs, make.id(), make.cell(), id, key,
+                workUs * slots);
+            recorder.add(send);
+            if (falls(send)) {
+                return;
+            }
+            if (chance.nextDouble() < resetShare) {
+                reset(ctx.channel());
+                return;
+            }
+            if (waiting.size() >= MOST_WAITING_A_SLOT * make.slots()) {
+                recorder.add(new SendTurnedAway(recorder.nowUs(), make.id(), id));
+                final DefaultFullHttpResponse full = response(HttpResponseStatus.SERVICE_UNAVAILABLE, "");
+                full.headers().set("X-Not-Run", "1").set("X-Load", "x0=" + told().freeSlots() + ",queue="
+                    + told().queue());
+                ctx.writeAndFlush(full);
+                return;
+            }
+            final Job job = new Job(id, key, workUs, slots, ctx.channel(), chance.nextDouble() < garbageShare);
+            job.head();
+            if (key == null || keys.begins(key, recorder.nowUs(), job::repeat)) {
+                waiting.add(job);
+                startWaiting();
+            }
+        }
+
+        /** Whether it falls over by this: more within the time of tipping than it can take while it is cold. */
+        private boolean falls(SendCame send) {
+            final long age = send.us() - bootedUs;
+            if (age >= coldStart.warmWithinUs()) {
+                return false;
+            }
+            sentCold.add(send);
+            while (sentCold.peek().us() <= send.us() - coldStart.tipAfterUs()) {
+                sentCold.poll();
+            }
+            final double sent = sentCold.stream().mapToDouble(SendCame::work).sum();
+            if (sent <= RuleChecker.coldBudget(coldStart, make.capacity(), age) * RuleChecker.COLD_SLACK) {
+                return false;
+            }
+            recorder.add(new WorkerFell(recorder.nowUs(), make.id()));
+            crash();
+            return true;
+        }
+
+        private DefaultFullHttpResponse response(HttpResponseStatus status, String body) {
+            final DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+            HttpUtil.setContentLength(response, response.content().readableBytes());
+            return response;
+        }
+
+        private void answer(ChannelHandlerContext ctx, HttpResponseStatus status, String body) {
+            ctx.writeAndFlush(response(status, body));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- a/src/main/java/cresschute/node/Invariant.java
+++ b/src/main/java/cresschute/node/Invariant.java
@@ -7,12 +7,13 @@
 public final class Invariant {
 
     private final Map<String, Long> breaches = new TreeMap<>();
-    private long total;
+    /** Written on the loop alone; read from other threads as well. */
+    private volatile long total;
 
     /** Tells whether it holds; otherwise the breach is counted under this name. */
     public boolean holds(boolean condition, String name) {
         if (!condition) {
-            total++;
+            total = total + 1;
             breaches.merge(name, 1L, Long::sum);
             assert false : "invariant broken: " + name;
         }
--- a/src/main/java/cresschute/node/NodeConfig.java
+++ b/src/main/java/cresschute/node/NodeConfig.java
@@ -4,7 +4,9 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import cresschute.DispatchApi.Settings;
+import cresschute.DispatchApi.WorkerState;
 import cresschute.benchlink.SettingsParser;
+import cresschute.settings.ApplianceSettings;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -37,6 +39,17 @@
     private static final long DEFAULT_CONN_IDLE_US = 10_000_000;
     private static final int DEFAULT_SOCKETS = 1024;
 
+    /** What a settings script states, with the seed to use. */
+    public static NodeConfig of(ApplianceSettings settings, long seed) {
+        final List<DirectorList.Entry> workers = settings.workers().stream().map(each ->
+            new DirectorList.Entry(each.id(), each.address(), each.zone(), each.kind(), each.cell(),
+                WorkerState.READY, each.weight(), 0)).toList();
+        // Before the first answer of a director no version is held, so that it is asked for its whole list.
+        return new NodeConfig(settings.name(), settings.listen(), settings.director(), seed, settings.module(),
+            settings.classes(), settings.zones(), settings.kinds(), settings.connectTimeoutUs(),
+            settings.idleTimeoutUs(), settings.sockets(), new DirectorList(-1, true, workers));
+    }
+
     /** Reads the environment and the file that it names. */
     public static NodeConfig load(Map<String, String> environment) throws ConfigException {
         final String file = variable(environment, "BALANCER_CONFIG");
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -147,8 +147,13 @@
         }
     }
 
-    /** Ends all work at once. */
-    void halt() {
+    /** How often something did not hold that must; any thread, and a moment old. */
+    public long invariantBreaches() {
+        return core.invariant().total();
+    }
+
+    /** Ends all work at once: what is owed an answer gets none. */
+    public void halt() {
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
 
