Test the demo fleet, the checker, the command line and the layout; show each trouble's effect

Cause found on the way: the structured log lost every line, because a Logback context of its own has no MDC adapter; a test now reads its lines in both forms. Interrupts are ignored in a shell's background jobs, so that the test of Ctrl-C sets them anew, and no test waits for a process without an end.

--- a/src/main/java/cresschute/cli/DemoCommand.java
+++ b/src/main/java/cresschute/cli/DemoCommand.java
@@ -23,11 +23,12 @@
 
 /** Shows the node at work between stand-ins, and holds its rules against what these saw. */
 @Command(name = "demo", mixinStandardHelpOptions = true,
-    description = "Runs workers, a director and clients on loopback ports with a node between them, and prints "
-        + "what became of the jobs and whether the rules were kept.",
+    description = "Runs workers, a director and clients on loopback ports with a node between them, and "
+        + "prints what became of the jobs and whether the rules were kept.",
     footer = {"", "Troubles: KIND[:WORKER][xFACTOR]@START[+DURATION], with commas between them.", "",
         "Example: cresschute demo --for 20s --trouble slow@5s,silent:w2@8s+4s", "",
-        "Exit codes: 0 all rules kept, 1 a rule was broken, 2 it could not be used as given, 130 interrupted."})
+        "Exit codes: 0 all rules kept, 1 a rule was broken, 2 it could not be used as given, "
+            + "130 interrupted."})
 final class DemoCommand implements Callable<Integer> {
 
     private static final long REFRESH_MS = 200;
@@ -131,7 +132,8 @@
             throw unusable("--workers: " + workers + " is out of range; allowed: 1 to " + MOST_WORKERS);
         }
         if (!(rate > 0 && rate <= MOST_RATE)) {
-            throw unusable("--rate: " + rate + " is out of range; allowed: above 0, up to " + (int) MOST_RATE);
+            throw unusable("--rate: " + rate + " is out of range; allowed: above 0, up to "
+                + (int) MOST_RATE);
         }
         try {
             return new Fleet(new Fleet.Plan(workers, rate, seed, Trouble.parse(trouble)));
@@ -176,13 +178,14 @@
                 + (now.isSound() ? "rules kept" : "A RULE IS BROKEN"));
         final PrintWriter err = spec.commandLine().getErr();
         // One column is left free: in the last one a terminal would begin a new line.
-        err.print("\r" + (line.length() < screen.columns() ? line + " ".repeat(screen.columns() - 1 - line.length())
+        err.print("\r" + (line.length() < screen.columns() ? line
+            + " ".repeat(screen.columns() - 1 - line.length())
             : line.substring(0, screen.columns() - 1)));
         err.flush();
     }
 
     private FleetReport finish(Fleet fleet, Screen screen, boolean whole) {
-        fleet.close();
+        fleet.stop();
         final FleetReport report = fleet.report();
         if (told.compareAndSet(false, true)) {
             final PrintWriter out = spec.commandLine().getOut();
--- a/src/main/java/cresschute/cli/ServeCommand.java
+++ b/src/main/java/cresschute/cli/ServeCommand.java
@@ -64,7 +64,8 @@
     }
 
     private static NodeConfig node(ApplianceSettings settings) {
-        return NodeConfig.of(settings, settings.seed() == null ? new SecureRandom().nextLong() : settings.seed());
+        return NodeConfig.of(settings, settings.seed() == null ? new SecureRandom().nextLong()
+            : settings.seed());
     }
 
     private static NodeConfig reread(Path file) throws ConfigException {
--- a/src/main/java/cresschute/lab/JobClass.java
+++ b/src/main/java/cresschute/lab/JobClass.java
@@ -14,7 +14,8 @@
  * @param meanWorkUs running time at speed 1 on average
  * @param mostSends how often one req may be sent to workers
  */
-public record JobClass(String name, double worth, long aimUs, double aimStretch, long deadlineUs, Effect effect,
+public record JobClass(String name, double worth, long aimUs, double aimStretch, long deadlineUs,
+    Effect effect,
                        RepeatScope scope, long repeatWindowUs, int mostSends, double share, long meanWorkUs) {
 
     /** The classes of settings; a job takes a fifth of its aim on average, and all are sent as often. */
--- a/src/main/java/cresschute/logs/LogFinder.java
+++ b/src/main/java/cresschute/logs/LogFinder.java
@@ -6,7 +6,8 @@
  */
 public final class LogFinder extends System.LoggerFinder {
 
-    private static volatile LogBackend backend = new PlainBackend();
+    private static final LogBackend PLAIN = new PlainBackend();
+    private static volatile LogBackend backend = PLAIN;
 
     /** Called by the JDK. */
     public LogFinder() {
@@ -26,4 +27,9 @@
     public static void use(LogBackend next) {
         backend = next;
     }
+
+    /** Puts the JDK's own back end in place again. Any thread. */
+    public static void usePlain() {
+        backend = PLAIN;
+    }
 }
--- a/src/main/java/cresschute/logs/structured/StructuredLog.java
+++ b/src/main/java/cresschute/logs/structured/StructuredLog.java
@@ -5,6 +5,7 @@
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
 import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.util.LogbackMDCAdapter;
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.OutputStreamAppender;
 import ch.qos.logback.core.encoder.Encoder;
@@ -43,6 +44,8 @@
     /** Writes to a stream, or to standard error where it is null. */
     StructuredLog(boolean json, Level level, OutputStream out) {
         context.setName("cresschute");
+        // Guards against losing every line: a context of its own has none, and each line asks for it.
+        context.setMDCAdapter(new LogbackMDCAdapter());
         final Encoder<ILoggingEvent> encoder = json ? json() : text();
         encoder.setContext(context);
         encoder.start();
--- a/src/main/java/cresschute/node/NodeConfig.java
+++ b/src/main/java/cresschute/node/NodeConfig.java
@@ -45,7 +45,8 @@
             new DirectorList.Entry(each.id(), each.address(), each.zone(), each.kind(), each.cell(),
                 WorkerState.READY, each.weight(), 0)).toList();
         // Before the first answer of a director no version is held, so that it is asked for its whole list.
-        return new NodeConfig(settings.name(), settings.listen(), settings.director(), seed, settings.module(),
+        return new NodeConfig(settings.name(), settings.listen(), settings.director(), seed,
+            settings.module(),
             settings.classes(), settings.zones(), settings.kinds(), settings.connectTimeoutUs(),
             settings.idleTimeoutUs(), settings.sockets(), new DirectorList(-1, true, workers));
     }
--- a/src/main/java/cresschute/settings/Schema.java
+++ b/src/main/java/cresschute/settings/Schema.java
@@ -158,7 +158,8 @@
                     : block.most() > 1 ? "Any number of times" : "At most once").append(".\n\n")
                 .append("| field | allowed | without it | meaning |\n| --- | --- | --- | --- |\n");
             for (final Field<?> field : block.fields()) {
-                out.append("| `").append(field.name()).append("` | ").append(field.kind().allowed()).append(" | ")
+                out.append("| `").append(field.name()).append("` | ")
+                    .append(field.kind().allowed()).append(" | ")
                     .append(field.required() ? "required" : field.otherwise() == null ? ""
                         : "`" + field.shownDefault() + "`")
                     .append(" | ").append(field.meaning()).append(" |\n");
--- /dev/null
+++ b/src/test/java/cresschute/LayoutTest.java
@@ -0,0 +1,99 @@
+package cresschute;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Who may use whom: the doors between the packages, as the architecture page lists them. */
+class LayoutTest {
+
+    private static final JavaClasses CLASSES = new ClassFileImporter()
+        .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("cresschute");
+    private static final String ALL = "cresschute..";
+
+    /** Classes of these packages use nothing of the program's but what is in the others. */
+    private static void mayUse(String[] packages, String... others) {
+        final String[] all = new String[packages.length + others.length];
+        System.arraycopy(packages, 0, all, 0, packages.length);
+        System.arraycopy(others, 0, all, packages.length, others.length);
+        final DescribedPredicate<JavaClass> foreign = JavaClass.Predicates.resideInAPackage(ALL)
+            .and(JavaClass.Predicates.resideOutsideOfPackages(all));
+        noClasses().that().resideInAnyPackage(packages).should().dependOnClassesThat(foreign).check(CLASSES);
+    }
+
+    private static String[] of(String... packages) {
+        return packages;
+    }
+
+    @Test
+    void moduleUsesTheJdkAlone() {
+        noClasses().that().resideInAPackage("cresschute").should().dependOnClassesThat()
+            .resideOutsideOfPackages("cresschute", "java..").check(CLASSES);
+    }
+
+    @Test
+    void everyPackageUsesOnlyWhatItMay() {
+        mayUse(of("cresschute.benchlink.."), "cresschute");
+        mayUse(of("cresschute.logs"));
+        mayUse(of("cresschute.logs.structured.."), "cresschute.logs");
+        mayUse(of("cresschute.settings.script.."));
+        mayUse(of("cresschute.settings"), "cresschute", "cresschute.settings.script");
+        mayUse(of("cresschute.node", "cresschute.node.http"), "cresschute", "cresschute.benchlink",
+            "cresschute.settings", "cresschute.logs");
+        mayUse(of("cresschute.lab.."), "cresschute", "cresschute.node", "cresschute.settings",
+            "cresschute.logs");
+    }
+
+    /** The core has no protocol's types; the class that puts a node together names its HTTP parts. */
+    @Test
+    void coreKnowsNoProtocol() {
+        noClasses().that().resideInAPackage("cresschute.node")
+            .and().haveSimpleNameNotStartingWith("NodeServer")
+            .should().dependOnClassesThat().resideInAnyPackage("cresschute.node.http", "io.netty.handler..")
+            .check(CLASSES);
+    }
+
+    @Test
+    void nothingKnowsTheCommandLine() {
+        noClasses().that().resideOutsideOfPackage("cresschute.cli..").should().dependOnClassesThat()
+            .resideInAnyPackage("cresschute.cli..", "picocli..").check(CLASSES);
+    }
+
+    @Test
+    void onlyTheCommandLineKnowsTheLab() {
+        noClasses().that().resideOutsideOfPackages("cresschute.lab..", "cresschute.cli..").should()
+            .dependOnClassesThat().resideInAPackage("cresschute.lab..").check(CLASSES);
+    }
+
+    /** Pure packages: no sockets,
+        files or threads. The settings read one file; the checker and reports none. */
+    @Test
+    void pureClassesDoNoInputOrOutput() {
+        noClasses().that().resideInAPackage("cresschute.settings..").and().doNotHaveSimpleName("SettingsFile")
+            .should().dependOnClassesThat().resideInAnyPackage("java.io", "java.nio.file", "io.netty..")
+            .check(CLASSES);
+        noClasses().that().haveSimpleName("RuleChecker").or().haveSimpleName("Outcomes").should()
+            .dependOnClassesThat().resideInAnyPackage("java.io", "java.nio..", "java.net", "io.netty..")
+            .check(CLASSES);
+    }
+
+    /** The structured log and its library are put in place by the command line alone. */
+    @Test
+    void structuredLogIsTheCommandLinesMatter() {
+        noClasses().that().resideOutsideOfPackages("cresschute.logs.structured..",
+            "cresschute.cli..").should()
+            .dependOnClassesThat().resideInAnyPackage("cresschute.logs.structured..", "ch.qos.logback..",
+                "org.slf4j..").check(CLASSES);
+    }
+
+    @Test
+    void packagesHaveNoCycles() {
+        slices().matching("cresschute.(*)..").should().beFreeOfCycles().check(CLASSES);
+    }
+}
--- /dev/null
+++ b/src/test/java/cresschute/cli/ProgramTest.java
@@ -0,0 +1,202 @@
+package cresschute.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonObject;
+import cresschute.node.Json;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The program as a process: what only a whole process can show. */
+@Timeout(60)
+class ProgramTest {
+
+    private static final long MOST_S = 40;
+
+    /** Interrupts are heard whatever the test runs under: a shell's background jobs have them ignored. */
+    private static ProcessBuilder program(String... args) {
+        final List<String> command = new ArrayList<>(List.of("env", "--default-signal=INT",
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-ea",
+            "-cp", System.getProperty("java.class.path"), "cresschute.cli.Main"));
+        command.addAll(List.of(args));
+        return new ProcessBuilder(command);
+    }
+
+    /** Guards the build against a process that does not end: a blocked read heeds no time limit. */
+    private static Process start(ProcessBuilder builder) throws IOException {
+        final Process process = builder.start();
+        CompletableFuture.delayedExecutor(MOST_S, TimeUnit.SECONDS).execute(process::destroyForcibly);
+        return process;
+    }
+
+    private static void signal(Process process, String name) throws Exception {
+        new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
+    }
+
+    private static ServerSocket listen() throws IOException {
+        return new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+    }
+
+    private static String script(int port, int worker, String logs) {
+        return """
+            node(name = "n", listen = "127.0.0.1:%d", seed = 3)
+            worker(id = "w1", address = "127.0.0.1:%d")
+            job_class(name = "check", worth = 1, aim = 1 * s, deadline = 5 * s, effect = "safe")
+            logs(%s)
+            """.formatted(port, worker, logs);
+    }
+
+    private static String lineWith(BufferedReader log, String part) throws IOException {
+        String line = log.readLine();
+        while (line != null && !line.contains(part)) {
+            line = log.readLine();
+        }
+        return line;
+    }
+
+    /** The verdict of a seed is the same every time, and a program can read it. */
+    @Test
+    void demoKeepsAllRulesWithSeedOne() throws Exception {
+        final Process demo = start(program("demo", "--for", "3s", "--seed", "1", "--json", "--trouble",
+            "slow@500ms,reset@1s").redirectError(ProcessBuilder.Redirect.DISCARD));
+        final String out = new String(demo.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertThat(demo.waitFor()).isZero();
+        final JsonObject json = Json.object(out);
+        assertThat(json.getAsJsonArray("rules_broken")).isEmpty();
+        assertThat(json.get("unanswered").getAsInt()).isZero();
+        assertThat(json.get("asked").getAsInt()).isPositive();
+    }
+
+    /** Ctrl-C: all of it ends, and the table of what was seen so far is printed. */
+    @Test
+    void interruptedDemoPrintsItsTable() throws Exception {
+        final ProcessBuilder builder = program("demo", "--for", "10m", "--rate", "50", "--verbose");
+        builder.environment().putAll(Map.of("COLUMNS", "40", "NO_COLOR", "1"));
+        final Process demo = start(builder);
+        try (BufferedReader log = demo.errorReader(); BufferedReader out = demo.inputReader()) {
+            assertThat(lineWith(log, "listens on")).isNotNull();
+            signal(demo, "INT");
+            final List<String> lines = out.lines().toList();
+            assertThat(lines).first().isEqualTo("interrupted; so far:");
+            assertThat(lines).contains("one answer         kept", "cold starts kept   kept");
+            assertThat(lines).allMatch(line -> line.length() <= 40 && line.indexOf('\u001b') < 0);
+            assertThat(demo.waitFor(20, TimeUnit.SECONDS)).isTrue();
+            assertThat(demo.exitValue()).isEqualTo(130);
+        } finally {
+            demo.destroyForcibly();
+        }
+    }
+
+    @Test
+    void servesByAScriptAndRereadsIt(@TempDir Path folder) throws Exception {
+        final Path file = folder.resolve("site.star");
+        try (ServerSocket worker = listen()) {
+            Files.writeString(file, script(0, worker.getLocalPort(), "format = \"json\", level = \"debug\""));
+            final Process node = start(program("serve", "--settings", file.toString()));
+            try (BufferedReader log = node.errorReader()) {
+                final JsonObject listening = Json.object(lineWith(log, "\"listening\""));
+                assertThat(listening.keySet()).containsExactly("time", "message", "logger", "level", "event",
+                    "node",
+                    "address");
+                final String address = listening.get("address").getAsString();
+                serveOne(address, worker);
+                final JsonObject fetch = Json.object(lineWith(log, "\"fetch_ended\""));
+                assertThat(fetch.get("backend").getAsString()).isEqualTo("w1");
+                final JsonObject answered = Json.object(lineWith(log, "\"req_answered\""));
+                assertThat(answered.get("req").getAsString()).isEqualTo("r1");
+                assertThat(answered.get("class").getAsString()).isEqualTo("check");
+                assertThat(answered.get("outcome").getAsString()).isEqualTo("served");
+                assertThat(answered.get("fetches").getAsInt()).isEqualTo(1);
+                // Half written: it is refused whole, with the place of what is wrong, and all goes on.
+                Files.writeString(file, "node(name = \"n\", listen = \"127.0.0.1:0\"\nworker(");
+                signal(node, "HUP");
+                assertThat(Json.object(lineWith(log, "\"reload_refused\"")).get("detail").getAsString())
+                    .isEqualTo(file + ":2:7: this '(' is never closed");
+                Files.writeString(file, script(0, worker.getLocalPort(), "").replace("5 * s", "6 * s"));
+                signal(node, "HUP");
+                assertThat(Json.object(lineWith(log, "\"reloaded\"")).get("held").getAsString())
+                    .isEqualTo("classes");
+                serveOne(address, worker);
+                signal(node, "TERM");
+                assertThat(lineWith(log, "\"stopped\"")).isNotNull();
+                assertThat(node.waitFor()).isEqualTo(143);
+            } finally {
+                node.destroyForcibly();
+            }
+        }
+    }
+
+    private static void serveOne(String address, ServerSocket worker) throws IOException {
+        final int colon = address.lastIndexOf(':');
+        try (Socket client = new Socket()) {
+            client.connect(new InetSocketAddress(address.substring(0, colon),
+                Integer.parseInt(address.substring(colon + 1))));
+            client.getOutputStream().write(("POST /check HTTP/1.1\r\nHost: n\r\nX-Request-Id: r1\r\n"
+                + "Connection: close\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            try (Socket backend = worker.accept()) {
+                final StringBuilder head = new StringBuilder();
+                while (head.indexOf("\r\n\r\n") < 0) {
+                    head.append((char) backend.getInputStream().read());
+                }
+                final String line = "{\"id\":\"r1\",\"state\":\"done\",\"result\":\"yes\"}\n";
+                backend.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + line.length()
+                    + "\r\nConnection: close\r\n\r\n" + line).getBytes(StandardCharsets.US_ASCII));
+                assertThat(new String(client.getInputStream().readAllBytes(), StandardCharsets.UTF_8))
+                    .startsWith("HTTP/1.1 200").endsWith("yes");
+            }
+        }
+    }
+
+    @Test
+    void portInUseIsToldInOneLine(@TempDir Path folder) throws Exception {
+        final Path file = folder.resolve("site.star");
+        try (ServerSocket taken = listen()) {
+            Files.writeString(file, script(taken.getLocalPort(), 1, ""));
+            final Process node = start(program("serve", "--settings", file.toString()));
+            assertThat(node.errorReader().lines()).containsExactly(
+                "cresschute: cannot start: cannot listen on 127.0.0.1:" + taken.getLocalPort()
+                + ": Address already in use; see who listens there, or give node another listen address");
+            assertThat(node.waitFor()).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void unusableScriptTellsAllThatIsWrong(@TempDir Path folder) throws Exception {
+        final Path file = folder.resolve("site.star");
+        Files.writeString(file, script(0, 0, "format = 1, level = 2"));
+        final Process node = start(program("serve", "--settings", file.toString()));
+        assertThat(node.errorReader().lines()).containsExactly(
+            file + ":4:15: logs: format is 1; allowed: \"text\" or \"json\"",
+            file + ":4:26: logs: level is 2; allowed: \"debug\" or \"info\" or \"warning\" or \"error\"");
+        assertThat(node.waitFor()).isEqualTo(2);
+    }
+
+    /** What the platform's start must not load. */
+    @Test
+    void platformStartLoadsNeitherParserNorStructuredLog() throws Exception {
+        final ProcessBuilder builder = program("serve");
+        builder.command().add(3, "-Xlog:class+load:stdout");
+        builder.environment().remove("BALANCER_CONFIG");
+        final Process node = start(builder.redirectErrorStream(true));
+        final List<String> lines = node.inputReader().lines().toList();
+        assertThat(lines).anyMatch(line -> line.contains("BALANCER_CONFIG is not set"));
+        assertThat(lines).anyMatch(line -> line.contains("cresschute.cli.Main "));
+        assertThat(lines).noneMatch(line -> line.contains(" picocli.") || line.contains(" ch.qos.logback")
+            || line.contains(" org.slf4j") || line.contains(" org.antlr") || line.contains(" org.jline"));
+    }
+}
--- /dev/null
+++ b/src/test/java/cresschute/lab/FleetTest.java
@@ -0,0 +1,217 @@
+package cresschute.lab;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import cresschute.lab.Observation.ReqAnswered;
+import cresschute.lab.Observation.ReqSent;
+import cresschute.lab.Observation.RunDone;
+import cresschute.lab.Observation.RunStarted;
+import cresschute.lab.Observation.SendCame;
+import cresschute.lab.Observation.WorkerBooted;
+import cresschute.lab.Observation.WorkerTold;
+import cresschute.lab.Outcomes.End;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The stand-ins round a real node, seed 1: each trouble has its effect,
+    and the rules hold in all of them. */
+@Timeout(60)
+@Execution(ExecutionMode.CONCURRENT)
+class FleetTest {
+
+    private static final long SEED = 1;
+
+    private static Fleet fleet(String troubles) {
+        final Fleet fleet = new Fleet(new Fleet.Plan(4, 20, SEED, Trouble.parse(troubles)));
+        fleet.start();
+        return fleet;
+    }
+
+    private static void await(Fleet fleet, Predicate<Observation> wanted) {
+        Awaitility.await().atMost(Duration.ofSeconds(30)).until(() -> fleet.seen().stream().anyMatch(wanted));
+    }
+
+    /** Lets the run end: what was asked for is answered. */
+    private static FleetReport end(Fleet fleet) {
+        fleet.stopArriving();
+        Awaitility.await().atMost(Duration.ofSeconds(30)).until(() -> fleet.waiting() == 0);
+        fleet.stop();
+        return fleet.report();
+    }
+
+    /** Cuts the run off: what waits is unfinished, and that is nobody's fault. */
+    private static FleetReport cut(Fleet fleet) {
+        fleet.stop();
+        return fleet.report();
+    }
+
+    private static void sound(FleetReport report) {
+        assertThat(report.breaches()).isEmpty();
+        assertThat(report.invariantBreaches()).isZero();
+        assertThat(report.outcomes().ended(End.UNANSWERED)).isZero();
+    }
+
+    private static long count(Fleet fleet, Class<? extends Observation> kind) {
+        return fleet.seen().stream().filter(kind::isInstance).count();
+    }
+
+    private static boolean serves(Observation seen) {
+        return seen instanceof ReqAnswered answer && answer.status() == LoadClients.OK;
+    }
+
+    @Test
+    void calmSiteServesAll() {
+        try (Fleet fleet = fleet("")) {
+            Awaitility.await().until(() -> count(fleet, ReqSent.class) >= 30);
+            final FleetReport report = end(fleet);
+            sound(report);
+            assertThat(report.outcomes().ended(End.SERVED)).isEqualTo(report.outcomes().asked());
+            assertThat(report.json().keySet()).contains("asked", "served", "refused", "failed", "unanswered",
+                "rules_broken", "worth_kept");
+            assertThat(report.json().getAsJsonObject("classes").getAsJsonObject("lookup").keySet())
+                .contains("p50_ms", "p99_ms");
+        }
+    }
+
+    /** Whatever goes wrong, every req has its one answer and nothing takes effect twice. */
+    @ParameterizedTest
+    @ValueSource(strings = {"reset:w1x1@0s", "garbage:w1x1@0s"})
+    void failedFetchesAreMadeGoodElsewhere(String trouble) {
+        try (Fleet fleet = fleet(trouble)) {
+            final Set<String> troubled = new HashSet<>();
+            await(fleet, seen -> {
+                if (seen instanceof SendCame send && send.worker().equals("w1")) {
+                    troubled.add(send.id());
+                }
+                return seen instanceof ReqAnswered answer && answer.status() == LoadClients.OK
+                    && troubled.contains(answer.id());
+            });
+            sound(cut(fleet));
+        }
+    }
+
+    @Test
+    void slowWorkerTakesLonger() {
+        try (Fleet fleet = fleet("slow:w1x20@0s+30s")) {
+            await(fleet, seen -> seen instanceof RunStarted run && run.worker().equals("w1"));
+            final RunStarted run = fleet.seen().stream().filter(seen -> seen instanceof RunStarted start
+                && start.worker().equals("w1")).map(RunStarted.class::cast).findFirst().orElseThrow();
+            final long workUs = fleet.seen().stream().filter(seen -> seen instanceof ReqSent req
+                && req.id().equals(run.id())).map(seen -> ((ReqSent) seen).workUs()).findFirst()
+                .orElseThrow();
+            Awaitility.await().until(() -> fleet.nowUs() > run.us() + 3 * workUs);
+            assertThat(fleet.seen()).noneMatch(seen -> seen instanceof RunDone done
+                && done.worker().equals("w1")
+                && done.id().equals(run.id()));
+            sound(cut(fleet));
+        }
+    }
+
+    @Test
+    void silentWorkerRunsNothingUntilItSpeaksAgain() {
+        try (Fleet fleet = fleet("silent:w1@0s+4s")) {
+            await(fleet, seen -> seen instanceof SendCame send && send.worker().equals("w1"));
+            await(fleet, seen -> seen instanceof RunDone done && !done.worker().equals("w1"));
+            assertThat(fleet.seen()).noneMatch(seen -> seen instanceof RunDone done
+                && done.worker().equals("w1"));
+            await(fleet, seen -> seen instanceof RunDone done && done.worker().equals("w1"));
+            sound(cut(fleet));
+        }
+    }
+
+    /** It is back cold and told as such; the node spares it. */
+    @Test
+    void crashedWorkerComesBackCold() {
+        try (Fleet fleet = fleet("crash:w1@1s+1s")) {
+            await(fleet, seen -> seen instanceof WorkerTold told && told.worker().equals("w1")
+                && told.state().equals("DELETED"));
+            await(fleet, seen -> seen instanceof WorkerBooted);
+            await(fleet, seen -> seen instanceof WorkerTold told && told.worker().equals("w1")
+                && told.startedMs() > 0);
+            final int before = fleet.seen().size();
+            Awaitility.await().atMost(Duration.ofSeconds(20)).until(() -> {
+                final List<Observation> seen = fleet.seen();
+                return seen.subList(before, seen.size()).stream().anyMatch(each ->
+                    each instanceof SendCame send && send.worker().equals("w1"));
+            });
+            sound(cut(fleet));
+        }
+    }
+
+    @Test
+    void drainedWorkerGetsNothingNew() {
+        try (Fleet fleet = fleet("drain:w1@500ms+30s")) {
+            await(fleet, seen -> seen instanceof WorkerTold told && told.state().equals("DRAINING"));
+            final int before = fleet.seen().size();
+            Awaitility.await().until(() -> count(fleet, ReqSent.class) > 60);
+            final long toldUs = fleet.seen().stream().filter(seen -> seen instanceof WorkerTold told
+                && told.state().equals("DRAINING")).findFirst().orElseThrow().us();
+            sound(cut(fleet));
+            assertThat(fleet.seen().subList(before,
+                fleet.seen().size())).noneMatch(seen -> seen instanceof SendCame send
+                && send.worker().equals("w1") && send.firstByteUs() > toldUs + RuleChecker.DRAIN_WITHIN_US);
+        }
+    }
+
+    /** The list that the settings name is enough to serve by until the director answers. */
+    @Test
+    void servesByTheKnownListWhileTheDirectorIsDown() {
+        try (Fleet fleet = fleet("director@0s+3s")) {
+            await(fleet, FleetTest::serves);
+            assertThat(fleet.seen()).noneMatch(WorkerTold.class::isInstance);
+            await(fleet, WorkerTold.class::isInstance);
+            sound(cut(fleet));
+        }
+    }
+
+    @Test
+    void burstBringsMore() {
+        try (Fleet calm = new Fleet(new Fleet.Plan(2, 20, SEED, List.of()));
+             Fleet burst = new Fleet(new Fleet.Plan(2, 20, SEED, Trouble.parse("burstx10@0s+30s")))) {
+            calm.start();
+            burst.start();
+            Awaitility.await().until(() -> count(calm, ReqSent.class) >= 15);
+            assertThat(count(burst, ReqSent.class)).isGreaterThan(2 * count(calm, ReqSent.class));
+            final FleetReport report = cut(burst);
+            sound(report);
+            assertThat(report.outcomes().ended(End.UNFINISHED)).isPositive();
+        }
+    }
+
+    @Test
+    void tailMakesSomeJobsHeavy() {
+        try (Fleet fleet = new Fleet(new Fleet.Plan(8, 100, SEED, Trouble.parse("tailx30@0s+30s")))) {
+            fleet.start();
+            await(fleet, seen -> seen instanceof ReqSent req && req.workUs() > 6 * 2_400_000);
+            sound(cut(fleet));
+        }
+    }
+
+    @Test
+    void troubleOfNoWorkerIsToldAtOnce() {
+        assertThatThrownBy(() -> new Fleet(new Fleet.Plan(2, 1, SEED, Trouble.parse("slow:w9@1s"))))
+            .hasMessage("no worker is called 'w9'; there are w1 to w2");
+    }
+
+    @Test
+    void tableFitsNarrowScreens() {
+        try (Fleet fleet = fleet("")) {
+            await(fleet, FleetTest::serves);
+            final FleetReport report = cut(fleet);
+            assertThat(report.table(40)).allMatch(line -> line.length() <= 40).anyMatch(line ->
+                line.equals("one answer         kept"));
+            assertThat(report.table(80)).allMatch(line -> line.length() <= 80);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cresschute/lab/RuleCheckerTest.java
@@ -0,0 +1,227 @@
+package cresschute.lab;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import cresschute.DispatchApi.ColdStart;
+import cresschute.DispatchApi.Effect;
+import cresschute.DispatchApi.RepeatScope;
+import cresschute.lab.Observation.AnswerTooMany;
+import cresschute.lab.Observation.EffectMade;
+import cresschute.lab.Observation.ReqAnswered;
+import cresschute.lab.Observation.ReqLost;
+import cresschute.lab.Observation.ReqSent;
+import cresschute.lab.Observation.ReqUnanswered;
+import cresschute.lab.Observation.ReqUnfinished;
+import cresschute.lab.Observation.RunDone;
+import cresschute.lab.Observation.SendCame;
+import cresschute.lab.Observation.SendTurnedAway;
+import cresschute.lab.Observation.WorkerBooted;
+import cresschute.lab.Observation.WorkerFell;
+import cresschute.lab.Observation.WorkerTold;
+import cresschute.lab.Outcomes.End;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The checker is fed each way of breaking each rule, and what comes near to it without breaking it. */
+class RuleCheckerTest {
+
+    private static final long S = 1_000_000;
+    private static final ColdStart COLD = new ColdStart(0.5, 10 * S, 2, S);
+    private static final List<JobClass> CLASSES = List.of(
+        jobClass("safe", Effect.SAFE, RepeatScope.ALL, 3), jobClass("keyed", Effect.KEYED, RepeatScope.CELL,
+            3),
+        jobClass("wide", Effect.KEYED, RepeatScope.ALL, 3), jobClass("unsafe", Effect.UNSAFE, RepeatScope.ALL,
+            3));
+
+    private final List<Observation> seen = new ArrayList<>();
+
+    private static JobClass jobClass(String name, Effect effect, RepeatScope scope, int sends) {
+        return new JobClass(name, 2, S, 1, 5 * S, effect, scope, 4 * S, sends, 1, S);
+    }
+
+    private List<String> breaches() {
+        return RuleChecker.check(seen, CLASSES, COLD).stream().map(each -> each.rule() + ": "
+            + each.what()).toList();
+    }
+
+    private void sent(String id, String className) {
+        seen.add(new ReqSent(0, id, id, className, className.equals("safe") ? null : "k", S, 1, 5 * S));
+    }
+
+    private void came(long us, String worker, int cell, String id) {
+        seen.add(new SendCame(us, us, worker, cell, id, null, S));
+    }
+
+    private void served(String id, String result) {
+        seen.add(new RunDone(S, "w1", id, "w1 did " + id));
+        seen.add(new ReqAnswered(S, id, 200, result));
+    }
+
+    @Test
+    void soundRunBreaksNothing() {
+        sent("a", "safe");
+        came(1, "w1", 0, "a");
+        served("a", "w1 did a");
+        sent("b", "keyed");
+        came(2, "w1", 0, "b");
+        came(3, "w2", 0, "b");
+        seen.add(new EffectMade(9, "w2", "b", "k"));
+        seen.add(new ReqAnswered(9, "b", 503, "refused"));
+        sent("c", "safe");
+        seen.add(new ReqUnfinished(9, "c"));
+        assertThat(breaches()).isEmpty();
+    }
+
+    @Test
+    void everyReqHasOneAnswer() {
+        sent("a", "safe");
+        seen.add(new ReqAnswered(1, "a", 503, ""));
+        seen.add(new ReqAnswered(2, "a", 503, ""));
+        seen.add(new ReqAnswered(3, "x", 503, ""));
+        sent("b", "safe");
+        seen.add(new ReqLost(4, "b"));
+        sent("c", "safe");
+        seen.add(new ReqUnanswered(5, "c"));
+        seen.add(new AnswerTooMany(6, "d"));
+        sent("e", "safe");
+        came(1, "w1", 0, "e");
+        served("e", "made up");
+        sent("f", "safe");
+        came(1, "w1", 0, "f");
+        served("f", "w1 did e");
+        assertThat(breaches()).containsExactly(
+            "ONE_ANSWER: a second answer to a",
+            "ONE_ANSWER: an answer to x, which nobody sent",
+            "ONE_ANSWER: the connection of b ended without an answer",
+            "ONE_ANSWER: no answer to c",
+            "ONE_ANSWER: an answer where none was owed: d",
+            "ONE_ANSWER: e was served with what no worker made",
+            "ONE_ANSWER: f was served with what no worker made");
+    }
+
+    @Test
+    void reqsAreSentAgainOnlyAsTheirClassPermits() {
+        sent("a", "safe");
+        came(1, "w1", 0, "a");
+        came(2, "w2", 1, "a");
+        came(3, "w1", 0, "a");
+        sent("b", "safe");
+        for (int i = 0; i < 4; i++) {
+            came(i, "w" + i, 0, "b");
+        }
+        sent("c", "keyed");
+        came(1, "w1", 0, "c");
+        came(2, "w2", 1, "c");
+        sent("d", "keyed");
+        came(1, "w1", 0, "d");
+        came(4 * S + 2, "w2", 0, "d");
+        sent("e", "wide");
+        came(1, "w1", 0, "e");
+        came(2, "w2", 1, "e");
+        sent("f", "unsafe");
+        came(1, "w1", 0, "f");
+        came(2, "w1", 0, "f");
+        came(3, "w1", 0, "g");
+        assertThat(breaches()).containsExactly(
+            "NO_EFFECT_TWICE: b was sent 4 times; 3 are allowed",
+            "NO_EFFECT_TWICE: c was sent to cell 0 and again to cell 1",
+            "NO_EFFECT_TWICE: d was sent again after its window",
+            "NO_EFFECT_TWICE: f is unsafe to repeat and was sent again",
+            "NO_EFFECT_TWICE: workers were sent g, which no client sent");
+    }
+
+    /** What a worker turned away never ran, so that it may go anywhere. */
+    @Test
+    void whatWasTurnedAwayDoesNotCount() {
+        sent("a", "unsafe");
+        came(1, "w1", 0, "a");
+        seen.add(new SendTurnedAway(1, "w1", "a"));
+        came(2, "w2", 1, "a");
+        assertThat(breaches()).isEmpty();
+    }
+
+    @Test
+    void keyTakesEffectOnce() {
+        seen.add(new EffectMade(1, "w1", "a", "k1"));
+        seen.add(new EffectMade(2, "w1", "b", "k2"));
+        seen.add(new EffectMade(3, "w2", "again-a", "k1"));
+        assertThat(breaches()).containsExactly("NO_EFFECT_TWICE: key k1 took effect at w1 and again at w2");
+    }
+
+    @Test
+    void nothingNewGoesToAWorkerThatDrains() {
+        sent("a", "safe");
+        sent("b", "safe");
+        sent("c", "safe");
+        seen.add(new WorkerTold(S, "w1", "DRAINING", 0));
+        seen.add(new WorkerTold(S + 300_000, "w1", "DRAINING", 0));
+        came(S + 450_000, "w1", 0, "a");
+        // Its last byte came late, its first byte in time: for drains the first one counts.
+        seen.add(new SendCame(S + 900_000, S + 440_000, "w1", 0, "b", null, S));
+        assertThat(breaches()).isEmpty();
+        came(S + 451_000, "w1", 0, "c");
+        assertThat(breaches()).containsExactly(
+            "DRAINS_KEPT: w1 was sent c 451 ms after it was told as DRAINING");
+        seen.add(seen.size() - 1, new WorkerTold(S + 450_500, "w1", "SERVING", 0));
+        assertThat(breaches()).isEmpty();
+    }
+
+    @Test
+    void coldWorkerIsNotPushedOver() {
+        // Half of 4 at the start, twice that in a second: 4 s of work.
+        seen.add(new WorkerBooted(0, "w1", 4));
+        seen.add(new WorkerTold(0, "w1", "SERVING", 5));
+        for (int i = 0; i < 4; i++) {
+            sent("a" + i, "safe");
+            came(1_000 + i, "w1", 0, "a" + i);
+        }
+        assertThat(breaches()).isEmpty();
+        sent("b", "safe");
+        came(2_000, "w1", 0, "b");
+        assertThat(breaches()).containsExactly(
+            "COLD_STARTS_KEPT: w1 was sent 5000 ms of work within 1000 ms, 2 ms after its start; "
+                + "it can take 4001");
+        seen.remove(seen.size() - 1);
+        came(11 * S, "w1", 0, "b");
+        assertThat(breaches()).isEmpty();
+        seen.add(new WorkerFell(12 * S, "w1"));
+        assertThat(breaches()).containsExactly("COLD_STARTS_KEPT: w1 fell over");
+    }
+
+    /** A node that was not told of a start cannot spare the worker. */
+    @Test
+    void untoldStartsAreNoBreach() {
+        seen.add(new WorkerBooted(0, "w1", 4));
+        for (int i = 0; i < 9; i++) {
+            sent("a" + i, "safe");
+            came(i, "w1", 0, "a" + i);
+        }
+        assertThat(breaches()).isEmpty();
+    }
+
+    @Test
+    void retriesCountAsPartOfTheFirstTry() {
+        seen.add(new ReqSent(0, "a", "a", "safe", null, S, 1, 5 * S));
+        seen.add(new ReqAnswered(S, "a", 503, ""));
+        seen.add(new ReqSent(S, "again-1-a", "a", "safe", null, S, 1, 5 * S));
+        seen.add(new ReqAnswered(2 * S, "again-1-a", 200, "x"));
+        seen.add(new ReqSent(0, "b", "b", "safe", null, S, 1, 5 * S));
+        seen.add(new ReqAnswered(2 * S + 1, "b", 200, "x"));
+        seen.add(new ReqSent(0, "c", "c", "safe", null, S, 1, 5 * S));
+        seen.add(new ReqAnswered(1, "c", 500, ""));
+        seen.add(new ReqSent(0, "d", "d", "safe", null, S, 1, 5 * S));
+        seen.add(new ReqUnanswered(1, "d"));
+        seen.add(new ReqSent(0, "e", "e", "safe", null, S, 1, 5 * S));
+        final Outcomes outcomes = Outcomes.of(seen, CLASSES);
+        assertThat(outcomes.asked()).isEqualTo(5);
+        assertThat(outcomes.ended(End.SERVED)).isEqualTo(2);
+        assertThat(outcomes.ended(End.REFUSED)).isZero();
+        assertThat(outcomes.ended(End.FAILED)).isEqualTo(1);
+        assertThat(outcomes.ended(End.UNANSWERED)).isEqualTo(1);
+        assertThat(outcomes.ended(End.UNFINISHED)).isEqualTo(1);
+        assertThat(outcomes.inTime()).isEqualTo(1);
+        assertThat(outcomes.worthKept()).isEqualTo(0.25);
+        assertThat(outcomes.classes().get("safe").servedMs(50)).isBetween(1999.0, 2001.0);
+    }
+}
