--- a/src/main/java/cresschute/cli/Screen.java
+++ b/src/main/java/cresschute/cli/Screen.java
@@ -1,9 +1,6 @@
 package cresschute.cli;
 
-import java.io.IOException;
 import java.util.Map;
-import org.jline.terminal.Terminal;
-import org.jline.terminal.TerminalBuilder;
 
 /**
  * What is known of the place where output goes.
@@ -33,11 +30,8 @@
         return new Screen(isTerminal, Math.max(LEAST_COLUMNS, width), isTerminal && !plain);
     }
 
+    /** As picocli finds it for its help, by {@code stty}; it asks the terminal itself nothing. */
     private static int terminalColumns() {
-        try (Terminal terminal = TerminalBuilder.builder().system(true).dumb(true).build()) {
-            return terminal.getSize().getColumns() > 0 ? terminal.getSize().getColumns() : USUAL_COLUMNS;
-        } catch (IOException e) {
-            return USUAL_COLUMNS;
-        }
+        return Commands.line().setUsageHelpAutoWidth(true).getCommandSpec().usageMessage().width();
     }
 }
