--- a/src/main/java/cresschute/cli/DemoCommand.java
+++ b/src/main/java/cresschute/cli/DemoCommand.java
@@ -102,19 +102,22 @@
             final boolean whole = watch(fleet, forUs, screen, interrupted);
             final FleetReport report = finish(fleet, screen, whole);
             ended.countDown();
-            if (whole) {
-                Runtime.getRuntime().removeShutdownHook(hook);
-            }
+            forget(hook);
             return report.isSound() ? ExitCodes.DONE : ExitCodes.FAILED;
-        } catch (IllegalStateException e) {
-            // The hook can no longer be taken back: the process is on its way out, with its own code.
-            return ExitCodes.FAILED;
         } finally {
             ended.countDown();
             log.close();
         }
     }
 
+    private static void forget(Thread hook) {
+        try {
+            Runtime.getRuntime().removeShutdownHook(hook);
+        } catch (IllegalStateException e) {
+            // The process is on its way out already: the hook runs, and ends now that all is told.
+        }
+    }
+
     private long forUs() {
         try {
             final long us = Durations.parseUs(duration);
--- a/src/main/java/cresschute/cli/Main.java
+++ b/src/main/java/cresschute/cli/Main.java
@@ -24,9 +24,14 @@
         } else if (args.length == 1 && args[0].equals("benchlink")) {
             cresschute.benchlink.Main.main(args);
         } else {
-            final int code = Commands.execute(args);
-            if (code != ServeCommand.GOES_ON) {
-                System.exit(code);
+            try {
+                final int code = Commands.execute(args);
+                if (code != ServeCommand.GOES_ON) {
+                    System.exit(code);
+                }
+            } catch (NoClassDefFoundError e) {
+                // The jar's own class path holds what the platform's node needs, and no more.
+                exit(ExitCodes.UNUSABLE, "java -jar runs serve and benchlink alone; use bin/cresschute");
             }
         }
     }
--- a/src/main/java/cresschute/cli/Screen.java
+++ b/src/main/java/cresschute/cli/Screen.java
@@ -1,5 +1,7 @@
 package cresschute.cli;
 
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 
 /**
@@ -30,8 +32,17 @@
         return new Screen(isTerminal, Math.max(LEAST_COLUMNS, width), isTerminal && !plain);
     }
 
-    /** As picocli finds it for its help, by {@code stty}; it asks the terminal itself nothing. */
+    /** As {@code stty} tells it: picocli's width is never below 55, and JLine asks the terminal itself. */
     private static int terminalColumns() {
-        return Commands.line().setUsageHelpAutoWidth(true).getCommandSpec().usageMessage().width();
+        try {
+            final Process stty = new ProcessBuilder("stty", "size")
+                .redirectInput(ProcessBuilder.Redirect.INHERIT).start();
+            final String[] size = new String(stty.getInputStream().readAllBytes(), StandardCharsets.US_ASCII)
+                .strip().split(" ");
+            return size.length == 2 && size[1].matches("[1-9][0-9]{0,3}") ? Integer.parseInt(size[1])
+                : USUAL_COLUMNS;
+        } catch (IOException e) {
+            return USUAL_COLUMNS;
+        }
     }
 }
