--- a/src/main/java/cresschute/cli/DemoCommand.java
+++ b/src/main/java/cresschute/cli/DemoCommand.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Collectors;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -69,8 +68,6 @@
     @Spec
     private CommandSpec spec;
 
-    private final AtomicBoolean told = new AtomicBoolean();
-
     @Override
     public Integer call() throws InterruptedException {
         final PrintWriter out = spec.commandLine().getOut();
@@ -190,21 +187,19 @@
     private FleetReport finish(Fleet fleet, Screen screen, boolean whole) {
         fleet.stop();
         final FleetReport report = fleet.report();
-        if (told.compareAndSet(false, true)) {
-            final PrintWriter out = spec.commandLine().getOut();
-            if (screen.isTerminal() && !json) {
-                spec.commandLine().getErr().print("\r" + " ".repeat(screen.columns() - 1) + "\r");
-                spec.commandLine().getErr().flush();
-            }
-            if (json) {
-                out.println(report.json());
-            } else {
-                final List<String> lines = report.table(screen.columns());
-                out.println((whole ? "" : "interrupted; so far:\n") + lines.stream()
-                    .map(line -> colored(line, screen)).collect(Collectors.joining("\n")));
-            }
-            out.flush();
+        final PrintWriter out = spec.commandLine().getOut();
+        if (screen.isTerminal() && !json) {
+            spec.commandLine().getErr().print("\r" + " ".repeat(screen.columns() - 1) + "\r");
+            spec.commandLine().getErr().flush();
+        }
+        if (json) {
+            out.println(report.json());
+        } else {
+            final List<String> lines = report.table(screen.columns());
+            out.println((whole ? "" : "interrupted; so far:\n") + lines.stream()
+                .map(line -> colored(line, screen)).collect(Collectors.joining("\n")));
         }
+        out.flush();
         return report;
     }
 
