--- a/src/main/java/cresschute/cli/Main.java
+++ b/src/main/java/cresschute/cli/Main.java
@@ -7,8 +7,7 @@
 
 /**
  * The program's beginning. {@code serve} and {@code benchlink} as the platform starts them go straight to
- * work:
- * the parser of the command line and the structured log are not so much as loaded for them.
+ * work: the parser of the command line and the structured log are not so much as loaded for them.
  */
 public final class Main {
 
--- a/src/main/java/cresschute/control/Drains.java
+++ b/src/main/java/cresschute/control/Drains.java
@@ -12,10 +12,8 @@
 
 /**
  * The operator's drains, laid over whatever the list says. Pure: the clock is passed in, and nothing is read
- * or
- * written. Operations carry ids, so that one that is sent again after a cut has no second effect. Not safe
- * for
- * several threads: its owner is the loop.
+ * or written. Operations carry ids, so that one that is sent again after a cut has no second effect. Not safe
+ * for several threads: its owner is the loop.
  */
 public final class Drains {
 
--- a/src/main/java/cresschute/lab/Observation.java
+++ b/src/main/java/cresschute/lab/Observation.java
@@ -61,8 +61,9 @@
     record RunDone(long us, String worker, String id, String result) implements Observation {
     }
 
-    /** The effect of a job took place: at its end, once for each run,
-        and never for a repeat that is dropped. */
+    /**
+     * The effect of a job took place: at its end, once for each run, and never for a repeat that is dropped.
+     */
     record EffectMade(long us, String worker, String id, String key) implements Observation {
     }
 
--- a/src/main/java/cresschute/lab/RuleChecker.java
+++ b/src/main/java/cresschute/lab/RuleChecker.java
@@ -25,10 +25,8 @@
 
 /**
  * Holds the four rules of a dispatcher against what the sides around it saw: one answer for each req, no
- * effect
- * twice, drains kept, cold starts kept. It knows nothing of the node, and is pure: the same observations
- * always
- * give the same breaches.
+ * effect twice, drains kept, cold starts kept. It knows nothing of the node, and is pure: the same
+ * observations always give the same breaches.
  */
 public final class RuleChecker {
 
@@ -231,8 +229,9 @@
         }
     }
 
-    /** Work that a worker may be sent within the time of tipping over,
-        at an age: slots times microseconds. */
+    /**
+     * Work that a worker may be sent within the time of tipping over, at an age: slots times microseconds.
+     */
     static double coldBudget(ColdStart coldStart, double capacity, long ageUs) {
         return coldStart.overloadFactor() * capacity * shareAt(coldStart, ageUs) * coldStart.tipAfterUs();
     }
--- a/src/main/java/cresschute/lab/WorkerStandIn.java
+++ b/src/main/java/cresschute/lab/WorkerStandIn.java
@@ -48,11 +48,9 @@
 
 /**
  * A worker as the protocol has it: slots, a queue in order of arrival, lines that tell of start, progress and
- * end, load reports, keys that its cell drops, a cold start under which it falls over if it is sent too
- * much. How
- * long a job takes is told by its body, {@code {"work_us":..., "slots":...}}. It has scripted troubles, and
- * all of
- * it happens on one loop.
+ * end, load reports, keys that its cell drops, a cold start under which it falls over if it is sent too much.
+ * How long a job takes is told by its body, {@code {"work_us":..., "slots":...}}. It has scripted troubles,
+ * and all of it happens on one loop.
  */
 final class WorkerStandIn {
 
--- a/src/main/java/cresschute/logs/LogEvent.java
+++ b/src/main/java/cresschute/logs/LogEvent.java
@@ -8,9 +8,8 @@
 
 /**
  * One line of the log: the name of its kind, a text for people, and fields for programs. The text alone is
- * what
- * a plain back end writes; a structured one writes the name and the fields too. The on-call page lists all
- * names. Used by one thread at a time and not after it is logged.
+ * what a plain back end writes; a structured one writes the name and the fields too. The on-call page lists
+ * all names. Used by one thread at a time and not after it is logged.
  */
 public final class LogEvent {
 
--- a/src/main/java/cresschute/logs/structured/StructuredLog.java
+++ b/src/main/java/cresschute/logs/structured/StructuredLog.java
@@ -18,11 +18,9 @@
 import org.slf4j.spi.LoggingEventBuilder;
 
 /**
- * The structured back end, on Logback: lines of text, or JSON objects with the event's name and fields.
- * Lines are
- * written by a thread of its own, so that a reader that stops reading the log never stops the node; lines
- * that
- * find no room then are lost.
+ * The structured back end, on Logback: lines of text, or JSON objects with the event's name and fields. Lines
+ * are written by a thread of its own, so that a reader that stops reading the log never stops the node; lines
+ * that find no room then are lost.
  */
 public final class StructuredLog implements LogBackend, AutoCloseable {
 
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -84,8 +84,7 @@
 
     /**
      * Reads a configuration anew and follows its director; one that cannot be used changes nothing. The
-     * reading
-     * is done on the caller's thread, for it may take a while; the loop is handed what was read.
+     * reading is done on the caller's thread, for it may take a while; the loop is handed what was read.
      */
     public synchronized void reload(Callable<NodeConfig> source) {
         try {
--- a/src/main/java/cresschute/node/http/ReqHead.java
+++ b/src/main/java/cresschute/node/http/ReqHead.java
@@ -93,8 +93,7 @@
 
         /**
          * Guards against a head that says one thing twice: whoever reads it next might take the other one,
-         * and
-         * the node would count one deadline, key or id while the backend goes by another.
+         * and the node would count one deadline, key or id while the backend goes by another.
          */
         private static void once(HttpHeaders headers) throws UnusableHead {
             for (final AsciiString name : SAID_ONCE) {
--- a/src/main/java/cresschute/settings/SettingsFile.java
+++ b/src/main/java/cresschute/settings/SettingsFile.java
@@ -21,8 +21,7 @@
 
 /**
  * Reads settings scripts: runs the script, then checks all that it stated. It tells everything that is wrong
- * at
- * once, as far as the script ran. Any thread; nothing is kept between calls.
+ * at once, as far as the script ran. Any thread; nothing is kept between calls.
  */
 public final class SettingsFile {
 
--- a/src/test/java/cresschute/LayoutTest.java
+++ b/src/test/java/cresschute/LayoutTest.java
@@ -72,12 +72,13 @@
             .dependOnClassesThat().resideInAPackage("cresschute.lab..").check(CLASSES);
     }
 
-    /** Pure packages: no sockets,
-        files or threads. The settings read one file; the checker and reports none. */
+    /**
+     * Pure packages: no sockets, files or threads. The settings read one file; the checker and reports none.
+     */
     @Test
     void pureClassesDoNoInputOrOutput() {
-        noClasses().that().resideInAnyPackage("cresschute.settings..",
-            "cresschute.control").and().doNotHaveSimpleName("SettingsFile")
+        noClasses().that().resideInAnyPackage("cresschute.settings..", "cresschute.control")
+            .and().doNotHaveSimpleName("SettingsFile")
             .should().dependOnClassesThat().resideInAnyPackage("java.io", "java.nio.file", "io.netty..")
             .check(CLASSES);
         noClasses().that().haveSimpleName("RuleChecker").or().haveSimpleName("Outcomes").should()
--- a/src/test/java/cresschute/control/DrainsTest.java
+++ b/src/test/java/cresschute/control/DrainsTest.java
@@ -133,8 +133,7 @@
 
     /**
      * Against a plain model, operations sent up to three times and a restart from a snapshot in between: a
-     * worker
-     * drains exactly while the model says so, and a class with a worker left never loses its last one
+     * worker drains exactly while the model says so, and a class with a worker left never loses its last one
      * unforced.
      */
     @Property(tries = 300, seed = "81")
--- a/src/test/java/cresschute/lab/FleetTest.java
+++ b/src/test/java/cresschute/lab/FleetTest.java
@@ -24,8 +24,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** The stand-ins round a real node, seed 1: each trouble has its effect,
-    and the rules hold in all of them. */
+/**
+ * The stand-ins round a real node, seed 1: each trouble has its effect, and the rules hold in all of them.
+ */
 @Timeout(60)
 @Execution(ExecutionMode.CONCURRENT)
 class FleetTest {
--- a/src/test/java/cresschute/node/SocketRulesTest.java
+++ b/src/test/java/cresschute/node/SocketRulesTest.java
@@ -495,9 +495,8 @@
     }
 
     /**
-     * A head that says one thing twice, or claims another version of HTTP, was passed on as the node had
-     * read it;
-     * a backend might have read the other value. The client gets an error and no backend hears of it.
+     * A head that says one thing twice, or claims another version of HTTP, was passed on as the node had read
+     * it; a backend might have read the other value. The client gets an error and no backend hears of it.
      */
     @ParameterizedTest
     @CsvSource(delimiter = '|', textBlock = """
