--- a/src/test/java/cresschute/LogicTest.java
+++ b/src/test/java/cresschute/LogicTest.java
@@ -27,6 +27,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 class LogicTest {
@@ -244,6 +245,28 @@
         assertThat(host.refused).containsExactly(1);
     }
 
+    /** Of the bounds of a class and of all classes the lower one holds, for repeats and for second copies. */
+    @ParameterizedTest
+    @CsvSource({"1, 1", "2, 2", "4, 4", "9, 4"})
+    void attemptsStayWithinTheLimitOfTheirClass(int ofClass, int sent) {
+        final RequestClass bounded = new RequestClass(1, SECOND, 2, 5 * SECOND, Effect.SAFE,
+            RepeatScope.ALL, 0, Placement.ANYWHERE, ofClass);
+        final Recorder host = new Recorder(settings(List.of(bounded)))
+            .list(ListForm.CACHED, worker(1, 0, 0), worker(2, 0, 1));
+        host.request(1, 0);
+        for (int attempt = 0; attempt < 8; attempt++) {
+            host.end(1, attempt, host.lastSend().worker(), Outcome.FULL);
+        }
+        assertThat(host.sends).hasSize(sent);
+        assertThat(host.refused).containsExactly(1);
+        final Recorder copying = new Recorder(Recorder.copying(List.of(bounded)))
+            .list(ListForm.CACHED, worker(1, 0, 0), worker(2, 0, 1));
+        copying.request(1, 0);
+        copying.module.jobProgressed(copying.nowUs, 1, 0, copying.lastSend().worker(), 0);
+        copying.pass(SECOND * 5 / 2);
+        assertThat(copying.sends).hasSize(Math.min(2, ofClass));
+    }
+
     /** All workers drop a repeat of it for a while, and no longer: so long a refusal is no false promise. */
     @Test
     void aKeyedRequestThatAllWorkersWouldDropIsRefusedWithinItsWindow() {
