Share the stand-ins' listener, and judge a demo's picture only as often as that is cheap

Cause: worker and director stand-ins each kept their own listener, connections and answers. The demo's progress line judged everything seen so far five times a second, which grows with the run. Functions of the script language checked their arguments by way of an unused result.

Change: LoopbackServer serves both; the line judges anew for at most a twentieth of the time; the checks have names; the draw of a gap keeps its sampler; an interrupted stop keeps its interrupt. Behaviour and tests stay.

--- a/src/main/java/cresschute/cli/DemoCommand.java
+++ b/src/main/java/cresschute/cli/DemoCommand.java
@@ -31,6 +31,7 @@
 final class DemoCommand implements Callable<Integer> {
 
     private static final long REFRESH_MS = 200;
+    private static final int JUDGING_SHARE = 20;
     private static final long LONGEST_WAIT_MS = 13_000;
     private static final long MOST_US = 3_600_000_000L;
     private static final int MOST_WORKERS = 100;
@@ -68,6 +69,9 @@
     @Spec
     private CommandSpec spec;
 
+    private FleetReport judged;
+    private long judgeAtNs = System.nanoTime();
+
     @Override
     public Integer call() throws InterruptedException {
         final PrintWriter out = spec.commandLine().getOut();
@@ -172,7 +176,14 @@
         if (!screen.isTerminal() || json) {
             return;
         }
-        final FleetReport now = fleet.report();
+        // Guards a long run against its own picture: all that was seen is judged, so the longer that takes,
+        // the rarer it is done, for a twentieth of the time at most.
+        final long nowNs = System.nanoTime();
+        if (nowNs >= judgeAtNs) {
+            judged = fleet.report();
+            judgeAtNs = nowNs + JUDGING_SHARE * (System.nanoTime() - nowNs);
+        }
+        final FleetReport now = judged;
         final String line = String.format("%3ds of %ds  %s", ranUs / 1_000_000, forUs / 1_000_000,
             now.outcomes().asked() + " asked, " + waiting + " waiting, "
                 + (now.isSound() ? "rules kept" : "A RULE IS BROKEN"));
--- a/src/main/java/cresschute/lab/DirectorStandIn.java
+++ b/src/main/java/cresschute/lab/DirectorStandIn.java
@@ -3,26 +3,16 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import cresschute.lab.Observation.WorkerTold;
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -44,8 +34,7 @@
     private static final int MOST_CHANGES = 1_000;
 
     private record Entry(String id, InetSocketAddress address, String zone, String kind, int cell,
-        String state,
-                         long startedMs) {
+                         String state, long startedMs) {
 
         JsonObject json() {
             final JsonObject json = new JsonObject();
@@ -72,32 +61,21 @@
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final List<Change> changes = new ArrayList<>();
     private final List<Watch> watches = new ArrayList<>();
-    private final Set<Channel> connections = new HashSet<>();
     private long version = 1;
     private long lateUs;
     private boolean down;
-    private Channel server;
+    private final LoopbackServer server;
 
     DirectorStandIn(EventLoop loop, Recorder recorder) {
         this.loop = loop;
         this.recorder = recorder;
+        server = new LoopbackServer(loop, channel -> channel.pipeline().addLast(new HttpServerCodec(),
+            new HttpObjectAggregator(MOST_BODY_BYTES), new Handler()));
     }
 
     /** Listens on a free port of the loopback address; blocks, so not on the loop. */
     InetSocketAddress start() {
-        server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    connections.add(channel);
-                    channel.closeFuture().addListener(closed -> connections.remove(channel));
-                    channel.pipeline().addLast(new HttpServerCodec(),
-                        new HttpObjectAggregator(MOST_BODY_BYTES),
-                        new Handler());
-                }
-            }).bind(InetAddress.getLoopbackAddress(), 0).syncUninterruptibly().channel();
-        return (InetSocketAddress) server.localAddress();
+        return server.listen();
     }
 
     // ---- What happens; all on the loop ----
@@ -112,10 +90,7 @@
         down = now;
         if (now) {
             watches.clear();
-            new ArrayList<>(connections).forEach(channel -> {
-                channel.config().setOption(ChannelOption.SO_LINGER, 0);
-                channel.close();
-            });
+            server.resetAll();
         }
     }
 
@@ -123,8 +98,7 @@
     void set(WorkerStandIn worker, String state, long startedMs) {
         final WorkerStandIn.Make make = worker.make();
         final Entry entry = new Entry(make.id(), worker.address(), make.zone(), make.kind(), make.cell(),
-            state,
-            startedMs);
+            state, startedMs);
         loop.schedule(() -> publish(entry), lateUs, TimeUnit.MICROSECONDS);
     }
 
@@ -233,14 +207,10 @@
     }
 
     private static void answer(ChannelHandlerContext ctx, HttpResponseStatus status, String body) {
-        final DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-            Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
-        HttpUtil.setContentLength(response, response.content().readableBytes());
-        ctx.writeAndFlush(response);
+        ctx.writeAndFlush(LoopbackServer.answer(status, body));
     }
 
     void close() {
         server.close();
-        new ArrayList<>(connections).forEach(Channel::close);
     }
 }
--- a/src/main/java/cresschute/lab/Fleet.java
+++ b/src/main/java/cresschute/lab/Fleet.java
@@ -23,17 +23,14 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
 /**
  * A whole site on loopback ports: a director, workers, clients, and between them a node of the program
- * itself, as
- * {@code serve} runs it, on a loop of its own. The stand-ins share one other loop. All chance comes from a
- * seed;
- * the times at which sockets are read do not, so that runs are alike and not the same.
+ * itself, as {@code serve} runs it, on a loop of its own. The stand-ins share one other loop. All chance
+ * comes from a seed; the times at which sockets are read do not, so that runs are alike and not the same.
  */
 public final class Fleet implements AutoCloseable {
 
@@ -99,10 +96,7 @@
             number < CELLS ? new CellKeys(windowUs(bare)) : workers.get(cell).keys(),
             bare.module().coldStart());
         worker.start();
-        onLoop(() -> {
-            director.set(worker, "SERVING", 0);
-            return null;
-        });
+        onLoop(() -> director.set(worker, "SERVING", 0));
         return worker;
     }
 
@@ -114,8 +108,8 @@
     private static ApplianceSettings settings(InetSocketAddress director, List<WorkerStandIn> workers) {
         final String script = "DIRECTOR = \"127.0.0.1:" + director.getPort() + "\"\nWORKERS = ["
             + workers.stream().map(each -> "(\"" + each.make().id() + "\", \"127.0.0.1:"
-                + each.address().getPort()
-                + "\", \"" + each.make().kind() + "\", " + each.make().cell() + ")")
+                + each.address().getPort() + "\", \"" + each.make().kind() + "\", "
+                + each.make().cell() + ")")
                 .collect(Collectors.joining(", ")) + "]\n" + demoScript();
         final SettingsFile.Result result = SettingsFile.parse(script);
         if (result.settings() == null) {
@@ -138,8 +132,7 @@
             if (trouble.worker() != null
                 && workers.stream().noneMatch(each -> each.make().id().equals(trouble.worker()))) {
                 throw new IllegalArgumentException("no worker is called '" + trouble.worker()
-                    + "'; there are w1 to w"
-                    + workers.size());
+                    + "'; there are w1 to w" + workers.size());
             }
         }
     }
@@ -151,7 +144,6 @@
             director.late(TOLD_LATE_US);
             clients.start(at);
             plan.troubles().forEach(this::plan);
-            return null;
         });
     }
 
@@ -205,15 +197,12 @@
 
     /** No new jobs come from now on. */
     public void stopArriving() {
-        onLoop(() -> {
-            clients.stopArriving();
-            return null;
-        });
+        onLoop(clients::stopArriving);
     }
 
     /** Jobs that wait for their answer now. */
     public int waiting() {
-        return onLoop(clients::waiting);
+        return CompletableFuture.supplyAsync(clients::waiting, loop).join();
     }
 
     /** What was seen so far, and what it comes to. */
@@ -232,8 +221,8 @@
         return settings.module().coldStart();
     }
 
-    private <T> T onLoop(Supplier<T> call) {
-        return CompletableFuture.supplyAsync(call, loop).join();
+    private void onLoop(Runnable call) {
+        CompletableFuture.runAsync(call, loop).join();
     }
 
     @Override
@@ -247,19 +236,18 @@
             return;
         }
         closed = true;
-        onLoop(() -> {
-            clients.abandon();
-            return null;
-        });
+        onLoop(clients::abandon);
         try {
             node.stop().get(STOP_S, TimeUnit.SECONDS);
-        } catch (InterruptedException | ExecutionException | TimeoutException e) {
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            node.halt();
+        } catch (ExecutionException | TimeoutException e) {
             node.halt();
         }
         onLoop(() -> {
             workers.forEach(WorkerStandIn::close);
             director.close();
-            return null;
         });
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/cresschute/lab/FleetReport.java
+++ b/src/main/java/cresschute/lab/FleetReport.java
@@ -81,8 +81,7 @@
         final List<String> lines = new ArrayList<>();
         if (columns >= WIDE) {
             lines.add(String.format(Locale.ROOT, "%-12s %6s %6s %7s %6s %7s %9s %9s", "class", "asked",
-                "served",
-                "refused", "failed", "in time", "p50 ms", "p99 ms"));
+                "served", "refused", "failed", "in time", "p50 ms", "p99 ms"));
             outcomes.classes().forEach((name, each) -> lines.add(String.format(Locale.ROOT,
                 "%-12s %6d %6d %7d %6d %7d %9.0f %9.0f", cut(name, 12), each.asked(), each.ended(End.SERVED),
                 each.ended(End.REFUSED), failed(each), each.inTime(), each.servedMs(P50),
--- a/src/main/java/cresschute/lab/LoadClients.java
+++ b/src/main/java/cresschute/lab/LoadClients.java
@@ -65,6 +65,7 @@
     private final List<JobClass> classes;
     private final double ratePerS;
     private final ContinuousSampler spread;
+    private final ContinuousSampler gap;
     private final Deque<Connection> idle = new ArrayDeque<>();
     private final Set<Try> open = new HashSet<>();
     private final Set<Connection> connections = new HashSet<>();
@@ -84,6 +85,7 @@
         // A mean of 1: work varies by about half, as jobs of one class do.
         this.spread = LogNormalSampler.of(ZigguratSampler.NormalizedGaussian.of(chance), -SPREAD * SPREAD / 2,
             SPREAD);
+        this.gap = ZigguratSampler.Exponential.of(chance, 1);
     }
 
     // ---- Arrivals ----
@@ -111,8 +113,7 @@
     }
 
     private void next() {
-        final double meanUs = 1e6 / (ratePerS * burst);
-        final long delayUs = (long) ZigguratSampler.Exponential.of(chance, meanUs).sample();
+        final long delayUs = (long) (gap.sample() * 1e6 / (ratePerS * burst));
         loop.schedule(() -> {
             if (arriving) {
                 arrive();
@@ -187,9 +188,8 @@
                 kept.send(this);
                 return;
             }
-            new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY,
-                true)
-                .handler(new ChannelInitializer<Channel>() {
+            new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true).handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new HttpClientCodec(),
--- a/src/main/java/cresschute/lab/WorkerStandIn.java
+++ b/src/main/java/cresschute/lab/WorkerStandIn.java
@@ -11,18 +11,14 @@
 import cresschute.lab.Observation.WorkerBooted;
 import cresschute.lab.Observation.WorkerFell;
 import cresschute.node.Json;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -33,15 +29,12 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -76,12 +69,11 @@
     private final Make make;
     private final CellKeys keys;
     private final ColdStart coldStart;
-    private final Set<Channel> connections = new HashSet<>();
     private final Deque<Job> waiting = new ArrayDeque<>();
     private final List<Job> running = new ArrayList<>();
     private final Deque<SendCame> sentCold = new ArrayDeque<>();
     private final Deque<Report> reports = new ArrayDeque<>();
-    private Channel server;
+    private final LoopbackServer server;
     private InetSocketAddress address;
     private double slowness = 1;
     private boolean silent;
@@ -104,6 +96,8 @@
         this.make = make;
         this.keys = keys;
         this.coldStart = coldStart;
+        server = new LoopbackServer(loop, channel -> channel.pipeline().addLast(new FirstBytes(),
+            new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY_BYTES), new Handler()));
     }
 
     Make make() {
@@ -119,31 +113,11 @@
         return address;
     }
 
-    /** Jobs that run. */
-    int running() {
-        return running.size();
-    }
-
     /** Listens on a free port of the loopback address, warm; blocks, so not on the loop. */
     void start() {
         // Before it listens: the first req may ask for a report.
         loop.submit(this::report).syncUninterruptibly();
-        server = bootstrap().bind(InetAddress.getLoopbackAddress(), 0).syncUninterruptibly().channel();
-        address = (InetSocketAddress) server.localAddress();
-    }
-
-    private ServerBootstrap bootstrap() {
-        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    connections.add(channel);
-                    channel.closeFuture().addListener(closed -> connections.remove(channel));
-                    channel.pipeline().addLast(new FirstBytes(), new HttpServerCodec(),
-                        new HttpObjectAggregator(MOST_BODY_BYTES), new Handler());
-                }
-            });
+        address = server.listen();
     }
 
     // ---- Troubles; all on the loop ----
@@ -172,10 +146,8 @@
     void crash() {
         dead = true;
         life++;
-        server.close();
-        for (final Channel connection : new ArrayList<>(connections)) {
-            reset(connection);
-        }
+        server.stopListening();
+        server.resetAll();
         final List<Job> lost = new ArrayList<>(running);
         lost.addAll(waiting);
         running.clear();
@@ -201,12 +173,10 @@
     /** Tried until it works: a listener's port is free only once the loop has looked at its sockets again. */
     private void listenAgain() {
         final int now = life;
-        bootstrap().bind(address).addListener((ChannelFutureListener) bound -> {
+        server.listenAgain(address).addListener((ChannelFutureListener) bound -> {
             if (life != now) {
                 bound.channel().close();
-            } else if (bound.isSuccess()) {
-                server = bound.channel();
-            } else {
+            } else if (!bound.isSuccess()) {
                 loop.schedule(this::listenAgain, LISTEN_AGAIN_MS, TimeUnit.MILLISECONDS);
             }
         });
@@ -229,12 +199,6 @@
         dead = true;
         life++;
         server.close();
-        new ArrayList<>(connections).forEach(Channel::close);
-    }
-
-    private static void reset(Channel channel) {
-        channel.config().setOption(ChannelOption.SO_LINGER, 0);
-        channel.close();
     }
 
     // ---- Jobs ----
@@ -291,8 +255,9 @@
 
     private JsonObject load() {
         final JsonObject load = new JsonObject();
-        load.addProperty("x0", told().freeSlots());
-        load.addProperty("queue", told().queue());
+        final Report told = told();
+        load.addProperty("x0", told.freeSlots());
+        load.addProperty("queue", told.queue());
         return load;
     }
 
@@ -458,13 +423,14 @@
             final String path = request.uri();
             if (path.equals("/stats") || path.equals("/health/live")) {
                 if (!silent) {
-                    answer(ctx, HttpResponseStatus.OK, path.equals("/stats") ? load().toString() : "");
+                    ctx.writeAndFlush(LoopbackServer.answer(HttpResponseStatus.OK,
+                        path.equals("/stats") ? load().toString() : ""));
                 }
                 return;
             }
             final String id = request.headers().get("X-Request-Id");
             if (id == null) {
-                answer(ctx, HttpResponseStatus.NOT_FOUND, "");
+                ctx.writeAndFlush(LoopbackServer.answer(HttpResponseStatus.NOT_FOUND, ""));
                 return;
             }
             take(ctx, request, id, firstByteUs);
@@ -489,14 +455,16 @@
                 return;
             }
             if (chance.nextDouble() < resetShare) {
-                reset(ctx.channel());
+                LoopbackServer.reset(ctx.channel());
                 return;
             }
             if (waiting.size() >= MOST_WAITING_A_SLOT * make.slots()) {
                 recorder.add(new SendTurnedAway(recorder.nowUs(), make.id(), id));
-                final DefaultFullHttpResponse full = response(HttpResponseStatus.SERVICE_UNAVAILABLE, "");
-                full.headers().set("X-Not-Run", "1").set("X-Load", "x0=" + told().freeSlots() + ",queue="
-                    + told().queue());
+                final DefaultFullHttpResponse full = LoopbackServer.answer(
+                    HttpResponseStatus.SERVICE_UNAVAILABLE, "");
+                final Report told = told();
+                full.headers().set("X-Not-Run", "1")
+                    .set("X-Load", "x0=" + told.freeSlots() + ",queue=" + told.queue());
                 ctx.writeAndFlush(full);
                 return;
             }
@@ -528,17 +496,6 @@
             return true;
         }
 
-        private DefaultFullHttpResponse response(HttpResponseStatus status, String body) {
-            final DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
-            HttpUtil.setContentLength(response, response.content().readableBytes());
-            return response;
-        }
-
-        private void answer(ChannelHandlerContext ctx, HttpResponseStatus status, String body) {
-            ctx.writeAndFlush(response(status, body));
-        }
-
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             ctx.close();
--- a/src/main/java/cresschute/settings/Schema.java
+++ b/src/main/java/cresschute/settings/Schema.java
@@ -42,8 +42,7 @@
     static final Field<String> EFFECT = required("effect", Kind.choice("safe", "keyed", "unsafe"),
         "what a repeat does: nothing, nothing within a window by its key, or harm");
     static final Field<String> REPEAT_SCOPE = optional("repeat_scope", Kind.choice("all", "zone", "cell"),
-        "all",
-        "keyed: the workers among which a repeat is dropped");
+        "all", "keyed: the workers among which a repeat is dropped");
     static final Field<Long> REPEAT_WINDOW = optional("repeat_window", Kind.time(0, HOUR_US), 0L,
         "keyed, where it must be given: how long a repeat is dropped");
     static final Field<Long> CLASS_ATTEMPTS = optional("attempts", Kind.whole(1, MOST_ATTEMPTS),
@@ -54,8 +53,7 @@
         "the only kinds of worker that its reqs are sent to; all of them if empty");
     static final Block JOB_CLASS = new Block("job_class", 1, 64, "a class of reqs",
         List.of(CLASS_NAME, WORTH, AIM, STRETCH, DEADLINE, EFFECT, REPEAT_SCOPE, REPEAT_WINDOW,
-            CLASS_ATTEMPTS,
-            CLASS_ZONES, CLASS_KINDS));
+            CLASS_ATTEMPTS, CLASS_ZONES, CLASS_KINDS));
 
     static final Field<String> WORKER_ID = required("id", Kind.name(), "its name");
     static final Field<InetSocketAddress> WORKER_ADDRESS = required("address", Kind.address(),
@@ -142,8 +140,7 @@
         "where state is kept; checked, and not yet used by this version", List.of(FOLDER));
 
     static final List<Block> BLOCKS = List.of(NODE, JOB_CLASS, WORKER, DIRECTOR, LIMITS, REPORTS, COLD_START,
-        GOAL,
-        LOGS, CONTROL, STATE);
+        GOAL, LOGS, CONTROL, STATE);
 
     private Schema() {
     }
--- a/src/main/java/cresschute/settings/script/Builtin.java
+++ b/src/main/java/cresschute/settings/script/Builtin.java
@@ -55,6 +55,12 @@
             throw wrong(index, "a text");
         }
 
+        /** The text that is the only argument. */
+        String onlyText() throws ScriptError {
+            exactly(1, 1);
+            return text(0);
+        }
+
         long whole(int index) throws ScriptError {
             if (value(index) instanceof Long number) {
                 return number;
--- a/src/main/java/cresschute/settings/script/Functions.java
+++ b/src/main/java/cresschute/settings/script/Functions.java
@@ -37,9 +37,9 @@
         all.put("list", call -> new ListValue(call.exactly(0, 1).isEmpty() ? new ArrayList<>()
             : taken(call)));
         all.put("tuple", call -> new TupleValue(call.exactly(0, 1).isEmpty() ? List.of() : taken(call)));
-        all.put("sorted", call -> new ListValue(sorted(taken(call.exactly(1, 1), call), call.at())));
+        all.put("sorted", call -> new ListValue(sorted(takenAlone(call), call.at())));
         all.put("reversed", call -> {
-            final List<Object> elements = taken(call.exactly(1, 1), call);
+            final List<Object> elements = takenAlone(call);
             Collections.reverse(elements);
             return new ListValue(elements);
         });
@@ -47,8 +47,8 @@
         all.put("zip", this::zipped);
         all.put("min", call -> extreme(call, -1));
         all.put("max", call -> extreme(call, 1));
-        all.put("any", call -> taken(call.exactly(1, 1), call).stream().anyMatch(Values::truth));
-        all.put("all", call -> taken(call.exactly(1, 1), call).stream().allMatch(Values::truth));
+        all.put("any", call -> takenAlone(call).stream().anyMatch(Values::truth));
+        all.put("all", call -> takenAlone(call).stream().allMatch(Values::truth));
         all.put("type", call -> Values.kind(call.exactly(1, 1).get(0).value()));
         all.put("fail", call -> {
             final StringBuilder text = new StringBuilder();
@@ -112,7 +112,7 @@
 
     private Object enumerated(Builtin.Call call) throws ScriptError {
         final List<Object> pairs = new ArrayList<>();
-        final List<Object> elements = taken(call.exactly(1, 1), call);
+        final List<Object> elements = takenAlone(call);
         meter.cells(3L * elements.size(), call.at());
         for (int i = 0; i < elements.size(); i++) {
             pairs.add(new TupleValue(List.of((long) i, elements.get(i))));
@@ -172,12 +172,15 @@
         return merged;
     }
 
+    /** The elements of a call's first argument. */
     private List<Object> taken(Builtin.Call call) throws ScriptError {
-        return taken(call.positional(), call);
+        return elements(call.value(0), call.positional().get(0).at());
     }
 
-    private List<Object> taken(List<Builtin.Argument> arguments, Builtin.Call call) throws ScriptError {
-        return elements(arguments.get(0).value(), arguments.get(0).at());
+    /** The same, where that argument must be the only one. */
+    private List<Object> takenAlone(Builtin.Call call) throws ScriptError {
+        call.exactly(1, 1);
+        return taken(call);
     }
 
     /** The elements of a sequence, laid out anew. */
@@ -255,7 +258,7 @@
             case "format" -> call -> Texts.format(text, call);
             case "join" -> call -> join(text, call);
             case "split" -> call -> {
-                final String by = call.exactly(1, 1).isEmpty() ? "" : call.text(0);
+                final String by = call.onlyText();
                 if (by.isEmpty()) {
                     throw new ScriptError(call.at(), "split takes a text that is not empty");
                 }
@@ -264,19 +267,18 @@
                     -1))));
             };
             case "replace" -> call -> replace(text, call);
-            case "strip" -> call -> counted(text.strip(), call.exactly(0, 0).isEmpty(), call);
-            case "lower" -> call -> counted(text.toLowerCase(Locale.ROOT),
-                call.exactly(0, 0).isEmpty(), call);
-            case "upper" -> call -> counted(text.toUpperCase(Locale.ROOT),
-                call.exactly(0, 0).isEmpty(), call);
-            case "startswith" -> call -> text.startsWith(call.exactly(1, 1).isEmpty() ? "" : call.text(0));
-            case "endswith" -> call -> text.endsWith(call.exactly(1, 1).isEmpty() ? "" : call.text(0));
+            case "strip" -> call -> counted(text.strip(), call);
+            case "lower" -> call -> counted(text.toLowerCase(Locale.ROOT), call);
+            case "upper" -> call -> counted(text.toUpperCase(Locale.ROOT), call);
+            case "startswith" -> call -> text.startsWith(call.onlyText());
+            case "endswith" -> call -> text.endsWith(call.onlyText());
             default -> null;
         };
     }
 
-    private String counted(String text, boolean fits, Builtin.Call call) throws ScriptError {
-        assert fits;
+    /** What a method without arguments made of a text. */
+    private String counted(String text, Builtin.Call call) throws ScriptError {
+        call.exactly(0, 0);
         meter.text(text.length(), call.at());
         return text;
     }
@@ -284,7 +286,7 @@
     private String join(String gap, Builtin.Call call) throws ScriptError {
         long chars = 0;
         final List<String> parts = new ArrayList<>();
-        for (final Object part : taken(call.exactly(1, 1), call)) {
+        for (final Object part : takenAlone(call)) {
             if (!(part instanceof String text)) {
                 throw new ScriptError(call.positional().get(0).at(),
                     "join takes a sequence of texts; here is " + Values.kind(part));
@@ -317,7 +319,7 @@
                 return Values.NONE;
             };
             case "extend" -> call -> {
-                list.changeable(call.at()).addAll(taken(call.exactly(1, 1), call));
+                list.changeable(call.at()).addAll(takenAlone(call));
                 return Values.NONE;
             };
             case "index" -> call -> {
