--- /dev/null
+++ b/src/main/java/cresschute/cli/ControlSocket.java
@@ -0,0 +1,61 @@
+package cresschute.cli;
+
+import cresschute.settings.ApplianceSettings;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.Map;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+
+/** The options by which a command finds the control socket of a node. */
+final class ControlSocket {
+
+    /** Names the socket where no option does. */
+    static final String VARIABLE = "CRESSCHUTE_SOCKET";
+
+    @Option(names = "--socket", paramLabel = "FILE",
+        description = "the node's control socket (default: what " + VARIABLE + " names)")
+    private Path socket;
+
+    @Option(names = "--settings", paramLabel = "FILE",
+        description = "the node's settings script, which names the socket")
+    private Path settings;
+
+    /** The socket; without one it is an error of the command line. */
+    Path find(CommandSpec spec, Map<String, String> environment) {
+        if (socket != null) {
+            return socket;
+        }
+        if (settings != null) {
+            final ApplianceSettings read;
+            try {
+                read = SettingsOf.file(settings);
+            } catch (SettingsOf.UnusableFile e) {
+                throw new ParameterException(spec.commandLine(), e.lines().get(0));
+            }
+            if (read.controlSocket() == null) {
+                throw new ParameterException(spec.commandLine(), settings
+                    + " states no control(socket = ...); its node can have no console");
+            }
+            return Path.of(read.controlSocket());
+        }
+        final String named = environment.getOrDefault(VARIABLE, "");
+        if (named.isEmpty()) {
+            throw new ParameterException(spec.commandLine(),
+                "which node? give --socket FILE or --settings FILE, or set " + VARIABLE);
+        }
+        try {
+            return Path.of(named);
+        } catch (InvalidPathException e) {
+            throw new ParameterException(spec.commandLine(), VARIABLE + ": " + e.getMessage());
+        }
+    }
+
+    /** Who is asking, as the node's log and other consoles are told. */
+    static String who(Map<String, String> environment) {
+        final String user = environment.getOrDefault("SUDO_USER",
+            environment.getOrDefault("USER", System.getProperty("user.name", "somebody")));
+        return user.isBlank() ? "somebody" : user;
+    }
+}
--- a/src/main/java/cresschute/cli/DemoCommand.java
+++ b/src/main/java/cresschute/cli/DemoCommand.java
@@ -8,6 +8,7 @@
 import cresschute.logs.structured.StructuredLog;
 import java.io.PrintWriter;
 import java.lang.System.Logger.Level;
+import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -60,6 +61,10 @@
     @Option(names = "--list-troubles", description = "print the kinds of trouble")
     private boolean listTroubles;
 
+    @Option(names = "--socket", paramLabel = "FILE",
+        description = "let consoles connect to the node, at this control socket")
+    private Path socket;
+
     @Option(names = "--json", description = "print one JSON object")
     private boolean json;
 
@@ -140,7 +145,8 @@
                 + (int) MOST_RATE);
         }
         try {
-            return new Fleet(new Fleet.Plan(workers, rate, seed, Trouble.parse(trouble)));
+            return new Fleet(new Fleet.Plan(workers, rate, seed, Trouble.parse(trouble),
+                socket == null ? null : socket.toAbsolutePath().toString(), null));
         } catch (IllegalArgumentException e) {
             throw unusable("--trouble: " + e.getMessage());
         }
--- /dev/null
+++ b/src/main/java/cresschute/cli/NodeTalk.java
@@ -0,0 +1,91 @@
+package cresschute.cli;
+
+import com.google.gson.JsonObject;
+import cresschute.console.ControlLink;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A command's talk with a node: one request, its answer, and the lines that follow. On one thread. */
+final class NodeTalk implements AutoCloseable {
+
+    private static final int MOST_QUEUED = 64;
+    private static final long ANSWER_S = 10;
+
+    private final BlockingQueue<JsonObject> lines = new ArrayBlockingQueue<>(MOST_QUEUED);
+    private final ControlLink link;
+
+    /** The request was refused as such, or there is no node; its message is for the person. */
+    static final class NoAnswer extends Exception {
+
+        private static final long serialVersionUID = 1L;
+        private final boolean worthRetrying;
+
+        NoAnswer(String message, boolean worthRetrying) {
+            super(message, null, false, false);
+            this.worthRetrying = worthRetrying;
+        }
+
+        /** Whether it is the connection that failed, and not the node that said no. */
+        boolean isWorthRetrying() {
+            return worthRetrying;
+        }
+    }
+
+    NodeTalk(Path socket) throws NoAnswer {
+        try {
+            link = ControlLink.open(socket, this::put, why -> {
+                final JsonObject end = new JsonObject();
+                end.addProperty("ended", why);
+                put(end);
+            });
+        } catch (IOException e) {
+            throw new NoAnswer(e.getMessage(), true);
+        }
+    }
+
+    private void put(JsonObject line) {
+        try {
+            lines.put(line);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Sends a request and returns its answer; other lines that come before it are passed over. */
+    JsonObject ask(JsonObject request) throws NoAnswer, InterruptedException {
+        try {
+            link.send(request);
+        } catch (IOException e) {
+            throw new NoAnswer("the connection broke: " + e.getMessage(), true);
+        }
+        final String id = request.get("id").getAsString();
+        JsonObject line = next(ANSWER_S * 1000);
+        while (line != null && !(line.has("re") && line.get("re").getAsString().equals(id))) {
+            line = next(ANSWER_S * 1000);
+        }
+        if (line == null) {
+            throw new NoAnswer("the node has not answered for " + ANSWER_S + " s", true);
+        }
+        return line;
+    }
+
+    /** The next line, or null if none comes in time. */
+    JsonObject next(long timeoutMs) throws NoAnswer, InterruptedException {
+        final JsonObject line = lines.poll(timeoutMs, TimeUnit.MILLISECONDS);
+        if (line != null && line.has("ended")) {
+            throw new NoAnswer(line.get("ended").getAsString(), true);
+        }
+        if (line != null && line.has("ok") && !line.get("ok").getAsBoolean()) {
+            throw new NoAnswer(line.get("error").getAsString(), false);
+        }
+        return line;
+    }
+
+    @Override
+    public void close() {
+        link.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/cli/Operating.java
@@ -0,0 +1,107 @@
+package cresschute.cli;
+
+import com.google.gson.JsonObject;
+import cresschute.cli.NodeTalk.NoAnswer;
+import cresschute.console.ControlLink;
+import cresschute.console.SiteModel;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import picocli.CommandLine.Model.CommandSpec;
+
+/** Sends one operation to a node, again if the connection breaks, until its outcome is known. */
+final class Operating {
+
+    /** How long a node may be away, as while it starts again, before the outcome counts as unknown. */
+    private static final long PATIENCE_MS = 15_000;
+    private static final long AGAIN_MS = 300;
+    private static final Pattern DURATION = Pattern.compile("([0-9]{1,9})(ms|s|m|h|d)");
+    private static final Map<String, Long> UNITS = Map.of("ms", 1L, "s", 1_000L, "m", 60_000L, "h",
+        3_600_000L, "d", 86_400_000L);
+
+    private Operating() {
+    }
+
+    /** A time such as 90s or 2h in milliseconds; anything else is an {@link IllegalArgumentException}. */
+    static long durationMs(String text) {
+        final Matcher matcher = DURATION.matcher(text);
+        if (!matcher.matches()) {
+            throw new IllegalArgumentException("'" + text + "' is no time");
+        }
+        return Long.parseLong(matcher.group(1)) * UNITS.get(matcher.group(2));
+    }
+
+    /** Carries it out and tells how it ended; with {@code wait}, once nothing is out at the worker. */
+    static int run(CommandSpec spec, Path socket, JsonObject request, boolean wait, boolean json)
+        throws InterruptedException {
+        final PrintWriter out = spec.commandLine().getOut();
+        final PrintWriter err = spec.commandLine().getErr();
+        final long untilMs = System.currentTimeMillis() + PATIENCE_MS;
+        boolean sent = false;
+        while (true) {
+            try (NodeTalk talk = new NodeTalk(socket)) {
+                sent = true;
+                final JsonObject answer = talk.ask(request);
+                return told(request, answer, talk, wait, json, out, err);
+            } catch (NoAnswer e) {
+                // Not known whether the node heard it; under its id it may be sent again. One that was
+                // never there at all is told at once.
+                if (!e.isWorthRetrying() || !sent || System.currentTimeMillis() >= untilMs) {
+                    err.println("cresschute: " + e.getMessage());
+                    return ExitCodes.FAILED;
+                }
+                Thread.sleep(AGAIN_MS);
+            }
+        }
+    }
+
+    private static int told(JsonObject request, JsonObject answer, NodeTalk talk, boolean wait, boolean json,
+                            PrintWriter out, PrintWriter err) throws NoAnswer, InterruptedException {
+        final String worker = answer.get("worker").getAsString();
+        final String outcome = answer.get("outcome").getAsString();
+        final boolean drain = request.get("do").getAsString().equals("drain");
+        final int inFlight = answer.get("in_flight").getAsInt();
+        if (answer.has("keep_error")) {
+            err.println("cresschute: " + worker + ": " + answer.get("keep_error").getAsString());
+        }
+        if (json) {
+            out.println(answer);
+        } else if (outcome.equals("done")) {
+            out.println(worker + (drain ? " is draining; " + inFlight + " still out"
+                : " is no longer drained by an operator"));
+        } else if (outcome.equals("already")) {
+            out.println(worker + ": " + answer.get("why").getAsString());
+        }
+        out.flush();
+        if (outcome.equals("refused")) {
+            if (!json) {
+                err.println("cresschute: " + answer.get("why").getAsString()
+                    + (drain ? "; --force drains it anyway" : ""));
+            }
+            return ExitCodes.FAILED;
+        }
+        if (wait && drain) {
+            untilNothingIsOut(worker, talk);
+            if (!json) {
+                out.println(worker + ": nothing is out there any more");
+                out.flush();
+            }
+        }
+        return ExitCodes.DONE;
+    }
+
+    private static void untilNothingIsOut(String worker, NodeTalk talk) throws NoAnswer,
+        InterruptedException {
+        final SiteModel model = new SiteModel();
+        model.take(talk.ask(ControlLink.request("2", "subscribe")), System.currentTimeMillis());
+        while (model.worker(worker) != null && model.worker(worker).get("in_flight").getAsInt() > 0) {
+            final JsonObject line = talk.next(SiteModel.STALE_AFTER_MS * 4);
+            if (line == null) {
+                throw new NoAnswer("the node has gone silent", true);
+            }
+            model.take(line, System.currentTimeMillis());
+        }
+    }
+}
--- a/src/main/java/cresschute/cli/ServeCommand.java
+++ b/src/main/java/cresschute/cli/ServeCommand.java
@@ -1,14 +1,13 @@
 package cresschute.cli;
 
-import cresschute.logs.LogEvent;
 import cresschute.logs.LogFinder;
 import cresschute.logs.structured.StructuredLog;
 import cresschute.node.ConfigException;
 import cresschute.node.NodeConfig;
 import cresschute.settings.ApplianceSettings;
 import java.io.PrintWriter;
-import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.net.SocketException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.Locale;
@@ -51,13 +50,13 @@
         final StructuredLog log = new StructuredLog(settings.logFormat().equals("json"),
             Level.valueOf(settings.logLevel().toUpperCase(Locale.ROOT)));
         LogFinder.use(log);
-        notYetUsed(settings);
         try {
             Serving.start(node(settings), () -> reread(file), log::close);
         } catch (IllegalStateException e) {
             log.close();
             spec.commandLine().getErr().println("cresschute: cannot start: " + e.getMessage()
-                + "; see who listens there, or give node another listen address");
+                + (e.getCause() instanceof SocketException
+                ? "; see who listens there, or give node another listen address" : ""));
             return ExitCodes.FAILED;
         }
         return GOES_ON;
@@ -75,17 +74,4 @@
             throw new ConfigException(String.join(" | ", e.lines()));
         }
     }
-
-    /** Told, so that nobody counts on what is only checked so far. */
-    private static void notYetUsed(ApplianceSettings settings) {
-        final Logger logger = System.getLogger("cresschute.settings");
-        if (settings.controlSocket() != null) {
-            LogEvent.of("setting_unused", "control is checked but not used by this version")
-                .with("block", "control").log(logger, Level.WARNING);
-        }
-        if (settings.stateFolder() != null) {
-            LogEvent.of("setting_unused", "state is checked but not used by this version")
-                .with("block", "state").log(logger, Level.WARNING);
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/cresschute/console/Keys.java
@@ -0,0 +1,82 @@
+package cresschute.console;
+
+import java.io.IOException;
+
+/** Turns the bytes that a terminal sends for keys into keys. */
+final class Keys {
+
+    private static final int ESC = 27;
+    private static final int CTRL_C = 3;
+    private static final int CTRL_D = 4;
+    private static final int DELETE = 127;
+    private static final int BACKSPACE = 8;
+    /** How long the rest of a sequence may take, ms; after that an escape was the key itself. */
+    private static final long SEQUENCE_MS = 60;
+
+    enum Kind { CHAR, UP, DOWN, PAGE_UP, PAGE_DOWN, HOME, END, ENTER, ESCAPE, BACKSPACE, QUIT, UNKNOWN }
+
+    /** One key; {@code character} is there for {@link Kind#CHAR}. */
+    record Key(Kind kind, char character) {
+
+        static Key of(Kind kind) {
+            return new Key(kind, '\0');
+        }
+    }
+
+    /** Where characters come from, as JLine's reader gives them. */
+    interface Source {
+
+        /** The next character, -1 at the end, -2 if none came in time; 0 waits for good. */
+        int read(long timeoutMs) throws IOException;
+    }
+
+    private final Source source;
+
+    Keys(Source source) {
+        this.source = source;
+    }
+
+    /** The next key, or null at the end. */
+    Key next() throws IOException {
+        final int first = source.read(0);
+        return switch (first) {
+            case -1 -> null;
+            case ESC -> sequence();
+            case '\r', '\n' -> Key.of(Kind.ENTER);
+            case CTRL_C, CTRL_D -> Key.of(Kind.QUIT);
+            case DELETE, BACKSPACE -> Key.of(Kind.BACKSPACE);
+            default -> first >= ' ' ? new Key(Kind.CHAR, (char) first) : Key.of(Kind.UNKNOWN);
+        };
+    }
+
+    private Key sequence() throws IOException {
+        final int second = source.read(SEQUENCE_MS);
+        if (second < 0) {
+            return Key.of(Kind.ESCAPE);
+        }
+        if (second != '[' && second != 'O') {
+            return Key.of(Kind.UNKNOWN);
+        }
+        final StringBuilder rest = new StringBuilder();
+        int next = source.read(SEQUENCE_MS);
+        // Digits and semicolons, then one letter or a tilde.
+        while (next >= ' ' && next < '@' && rest.length() < 8) {
+            rest.append((char) next);
+            next = source.read(SEQUENCE_MS);
+        }
+        return Key.of(switch (next) {
+            case 'A' -> Kind.UP;
+            case 'B' -> Kind.DOWN;
+            case 'H' -> Kind.HOME;
+            case 'F' -> Kind.END;
+            case '~' -> switch (rest.toString()) {
+                case "5" -> Kind.PAGE_UP;
+                case "6" -> Kind.PAGE_DOWN;
+                case "1", "7" -> Kind.HOME;
+                case "4", "8" -> Kind.END;
+                default -> Kind.UNKNOWN;
+            };
+            default -> Kind.UNKNOWN;
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/console/WorkerTable.java
@@ -0,0 +1,39 @@
+package cresschute.console;
+
+import com.google.gson.JsonObject;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** The workers as plain lines, for scripts and for terminals that cannot show a screen. Pure. */
+public final class WorkerTable {
+
+    private WorkerTable() {
+    }
+
+    /** A line of titles and one a worker, by name. */
+    public static List<String> lines(SiteModel model, long nowMs) {
+        final List<String> lines = new ArrayList<>();
+        lines.add(String.format("%-16s %-9s %4s %6s %7s %7s %5s %5s  %s", "WORKER", "STATE", "OUT", "/S",
+            "P50", "P99", "QUEUE", "FREE", "WHY"));
+        for (final JsonObject row : new ScreenState().rows(model)) {
+            lines.add(String.format(Locale.ROOT, "%-16s %-9s %4d %6.1f %7s %7s %5s %5s  %s",
+                ScreenView.clean(ScreenState.text(row, "id")), ScreenState.text(row, "state"),
+                row.get("in_flight").getAsInt(), ScreenState.number(row, "rate"),
+                ScreenView.ms(ScreenState.number(row, "p50_ms")),
+                ScreenView.ms(ScreenState.number(row, "p99_ms")), figure(row, "queue"), figure(row, "free"),
+                ScreenView.clean(why(row, nowMs))).stripTrailing());
+        }
+        return lines;
+    }
+
+    private static String figure(JsonObject row, String field) {
+        final double value = ScreenState.number(row, field);
+        return value < 0 ? "-" : String.valueOf(Math.round(value));
+    }
+
+    private static String why(JsonObject row, long nowMs) {
+        final String why = ScreenState.text(row, "why");
+        return why.isEmpty() ? "" : why + ", for " + ScreenView.age(nowMs - row.get("since_ms").getAsLong());
+    }
+}
--- a/src/main/java/cresschute/control/Drains.java
+++ b/src/main/java/cresschute/control/Drains.java
@@ -86,7 +86,8 @@
     public record Site(List<Listed> workers, List<ClassBound> classes, Set<Integer> boundCells) {
     }
 
-    private record Remembered(Operation operation, Outcome outcome) {
+    /** An operation that was carried out, and how it ended: what makes it harmless to send it again. */
+    public record Remembered(Operation operation, Outcome outcome) {
     }
 
     private final Map<String, Drain> drains = new LinkedHashMap<>();
@@ -107,6 +108,11 @@
         return outcome;
     }
 
+    /** Whether an operation under this id was carried out and is still remembered. */
+    public boolean isRemembered(String operationId) {
+        return remembered.containsKey(operationId);
+    }
+
     private Outcome start(Operation operation, Site site, long nowUs) {
         final Drain inForce = drains.get(operation.worker());
         if (inForce != null) {
@@ -139,6 +145,10 @@
         if (leaving == null) {
             return "no worker is called " + name;
         }
+        if (over(name, leaving.state()) != WorkerState.READY) {
+            // It takes nothing new as it is: a worker that is restarting just now comes back drained.
+            return null;
+        }
         final List<Worker> left = new ArrayList<>();
         for (final Listed each : site.workers()) {
             if (!each.name().equals(name) && over(each.name(), each.worker().state()) == WorkerState.READY) {
@@ -175,14 +185,31 @@
         return drains.values().stream().mapToLong(Drain::untilUs).min().orElse(FOREVER);
     }
 
+    /** The drain of a worker, or null. */
+    public Drain of(String worker) {
+        return drains.get(worker);
+    }
+
     /** The drains in force, oldest first: what a snapshot holds. */
     public List<Drain> inForce() {
         return List.copyOf(drains.values());
     }
 
+    /** The operations that are remembered, oldest first: a snapshot holds them too. */
+    public List<Remembered> remembered() {
+        return List.copyOf(remembered.values());
+    }
+
     /** Drains of a snapshot, in place of all that were in force. */
     public void restore(List<Drain> kept) {
+        restore(kept, List.of());
+    }
+
+    /** Drains and operations of a snapshot, in place of all that was known. */
+    public void restore(List<Drain> kept, List<Remembered> operations) {
         drains.clear();
         kept.forEach(each -> drains.put(each.worker(), each));
+        remembered.clear();
+        operations.forEach(each -> remembered.put(each.operation().id(), each));
     }
 }
--- a/src/main/java/cresschute/lab/Fleet.java
+++ b/src/main/java/cresschute/lab/Fleet.java
@@ -43,8 +43,16 @@
      * What a fleet is to be.
      *
      * @param ratePerS jobs that arrive in a second on average
+     * @param controlSocket where consoles connect to the node, or null
+     * @param stateFolder where the node keeps its operators' drains, or null
      */
-    public record Plan(int workers, double ratePerS, long seed, List<Trouble> troubles) {
+    public record Plan(int workers, double ratePerS, long seed, List<Trouble> troubles, String controlSocket,
+                       String stateFolder) {
+
+        /** A fleet whose node no console can connect to. */
+        public Plan(int workers, double ratePerS, long seed, List<Trouble> troubles) {
+            this(workers, ratePerS, seed, troubles, null, null);
+        }
     }
 
     private final Plan plan;
@@ -105,12 +113,14 @@
     }
 
     /** The settings come from a script, as a site's do; the addresses are put before it. */
-    private static ApplianceSettings settings(InetSocketAddress director, List<WorkerStandIn> workers) {
+    private ApplianceSettings settings(InetSocketAddress director, List<WorkerStandIn> workers) {
         final String script = "DIRECTOR = \"127.0.0.1:" + director.getPort() + "\"\nWORKERS = ["
             + workers.stream().map(each -> "(\"" + each.make().id() + "\", \"127.0.0.1:"
                 + each.address().getPort() + "\", \"" + each.make().kind() + "\", "
                 + each.make().cell() + ")")
-                .collect(Collectors.joining(", ")) + "]\n" + demoScript();
+                .collect(Collectors.joining(", ")) + "]\n" + demoScript()
+            + (plan.controlSocket() == null ? "" : "\ncontrol(socket = " + quoted(plan.controlSocket()) + ")\n")
+            + (plan.stateFolder() == null ? "" : "\nstate(folder = " + quoted(plan.stateFolder()) + ")\n");
         final SettingsFile.Result result = SettingsFile.parse(script);
         if (result.settings() == null) {
             throw new IllegalStateException(result.problems().stream().map(Problem::toString)
@@ -119,6 +129,10 @@
         return result.settings();
     }
 
+    private static String quoted(String text) {
+        return '"' + text.replace("\\", "\\\\").replace("\"", "\\\"") + '"';
+    }
+
     private static String demoScript() {
         try (InputStream in = Fleet.class.getResourceAsStream("demo.star")) {
             return new String(in.readAllBytes(), StandardCharsets.UTF_8);
--- /dev/null
+++ b/src/main/java/cresschute/node/ControlDesk.java
@@ -0,0 +1,483 @@
+package cresschute.node;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import cresschute.DispatchApi.LoadReport;
+import cresschute.DispatchApi.RequestClass;
+import cresschute.DispatchApi.Worker;
+import cresschute.DispatchApi.WorkerState;
+import cresschute.control.Board;
+import cresschute.control.ControlRequest;
+import cresschute.control.Drains;
+import cresschute.control.Drains.ClassBound;
+import cresschute.control.Drains.Drain;
+import cresschute.control.Drains.Listed;
+import cresschute.control.Drains.Operation;
+import cresschute.control.Drains.Outcome;
+import cresschute.control.Drains.Site;
+import cresschute.control.EventRing;
+import cresschute.control.Snapshot;
+import cresschute.control.files.StateFolder;
+import cresschute.control.socket.ControlServer;
+import cresschute.control.socket.Desk;
+import cresschute.health.Condition;
+import cresschute.health.HealthBook;
+import cresschute.health.Thresholds;
+import cresschute.logs.LogEvent;
+import io.netty.channel.EventLoop;
+import io.netty.util.NetUtil;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * The operator's place in a node: lays drains over the list, keeps them, notes who is well, and shows all of
+ * it to consoles. It chooses no worker and answers no req. All of it is on the loop, save {@link #open} and
+ * {@link #close}, which wait for files. A node that names neither a control socket nor a state folder has
+ * none.
+ */
+final class ControlDesk implements CoreWatcher, Desk {
+
+    /** How often conditions are looked at and consoles are told, ms. */
+    private static final long LOOK_MS = 250;
+    /** Figures of an unchanged worker are drawn anew at every so many looks. */
+    private static final int LOOKS_A_FIGURE = 4;
+    private static final long US_A_MS = 1_000;
+    private static final Logger LOG = System.getLogger("cresschute.control");
+
+    private final NodeConfig config;
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Drains drains = new Drains();
+    private final HealthBook health;
+    private final Board board = new Board();
+    private final EventRing events = new EventRing();
+    private final String boot = UUID.randomUUID().toString();
+    private final Set<Integer> changed = new HashSet<>();
+    private final Map<String, WorkerState> listedBefore = new HashMap<>();
+    private final Deque<Waiting> waiting = new ArrayDeque<>();
+    private Core core;
+    private StateFolder state;
+    private ControlServer server;
+    private long generation;
+    private long keptUpTo;
+    private IOException keepFailed;
+    private int looks;
+    private boolean stopping;
+
+    /** An answer that waits until a snapshot is kept. */
+    private record Waiting(long generation, Runnable answer) {
+    }
+
+    ControlDesk(NodeConfig config, EventLoop loop, Clock clock) {
+        this.config = config;
+        this.loop = loop;
+        this.clock = clock;
+        final List<HealthBook.Aim> aims = new ArrayList<>();
+        for (final RequestClass each : config.settings().classes()) {
+            aims.add(new HealthBook.Aim(each.worth(), each.aimUs(), each.aimStretch()));
+        }
+        health = new HealthBook(Thresholds.usual(config.settings().progressUs(),
+            config.settings().coldStart().warmWithinUs()), aims);
+    }
+
+    /** Whether a node has such a place. */
+    static boolean isWanted(NodeConfig config) {
+        return config.controlSocket() != null || config.stateFolder() != null;
+    }
+
+    // ---- Start and stop ----
+
+    /** Takes up the drains that were kept, before the first list is told. Reads files, so not on the loop. */
+    void open(Core watched) throws IOException {
+        core = watched;
+        if (config.stateFolder() != null) {
+            state = StateFolder.open(Path.of(config.stateFolder()));
+            final Snapshot kept = state.load();
+            generation = kept.generation();
+            keptUpTo = generation;
+            drains.restore(kept.drains(), kept.operations());
+            LogEvent.of("drains_restored", "drains taken up from " + config.stateFolder() + ": "
+                + kept.drains().size()).with("count", kept.drains().size()).log(LOG, Level.INFO);
+        }
+        if (config.controlSocket() != null) {
+            server = new ControlServer(loop, Path.of(config.controlSocket()), this);
+        }
+    }
+
+    /** Lets consoles connect and begins to look. Blocks, so not on the loop. */
+    void listen() throws IOException {
+        if (server != null) {
+            server.listen();
+        }
+        loop.scheduleWithFixedDelay(this::tick, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** The node stops: consoles are told. On the loop. */
+    void stopping() {
+        stopping = true;
+        note("node_stopping", null, "the node is stopping; " + core.owed() + " reqs are owed an answer");
+    }
+
+    /** Ends the sessions. On the loop. */
+    void closeSocket() {
+        if (server != null) {
+            server.close();
+        }
+    }
+
+    /** Lets go of the state folder once all is written. Blocks, so not on the loop. */
+    void close() {
+        if (state != null) {
+            state.close();
+        }
+    }
+
+    // ---- Operations ----
+
+    @Override
+    public void carryOut(Operation operation, Consumer<JsonObject> answer) {
+        expire();
+        // One that was carried out before is only answered again: nothing is told or kept a second time.
+        final boolean again = drains.isRemembered(operation.id());
+        final Outcome outcome = drains.apply(operation, site(), clock.nowUs());
+        if (outcome.kind() == Drains.Kind.DONE && !again) {
+            note(operation.start() ? "drained" : "undrained", operation.worker(), operation.worker()
+                + (operation.start() ? " drained" : " no longer drained") + " by " + operation.who()
+                + (operation.reason().isEmpty() ? "" : ": " + operation.reason()));
+            overlayChanged(List.of(operation.worker()));
+            keep();
+        }
+        // Confirmed only when kept: also the second time, for the first may still be on its way to the disk.
+        afterKept(() -> answer.accept(answer(operation, outcome)));
+    }
+
+    private JsonObject answer(Operation operation, Outcome outcome) {
+        final JsonObject json = new JsonObject();
+        json.addProperty("ok", true);
+        json.addProperty("outcome", outcome.kind().name().toLowerCase(Locale.ROOT));
+        json.addProperty("why", outcome.why());
+        json.addProperty("worker", operation.worker());
+        final int number = core.roster().number(operation.worker());
+        json.addProperty("in_flight", number < 0 ? 0 : health.inFlight(number));
+        if (state != null) {
+            json.addProperty("kept", keepFailed == null);
+            if (keepFailed != null) {
+                json.addProperty("keep_error", "in force, but a restart would forget it: "
+                    + keepFailed.getMessage());
+            }
+        }
+        return json;
+    }
+
+    private Site site() {
+        final List<Listed> workers = core.roster().listed().stream()
+            .map(each -> new Listed(core.roster().name(each.id()), each)).toList();
+        final List<ClassBound> classes = new ArrayList<>();
+        for (int i = 0; i < config.classes().size(); i++) {
+            classes.add(new ClassBound(config.classes().get(i),
+                config.settings().classes().get(i).placement()));
+        }
+        return new Site(workers, classes, core.boundCells());
+    }
+
+    private void overlayChanged(List<String> workers) {
+        core.relist(workers);
+        final long nowUs = clock.nowUs();
+        for (final String worker : workers) {
+            final int number = core.roster().number(worker);
+            if (number >= 0) {
+                heard(nowUs, core.roster().listed().get(number));
+            }
+        }
+        look();
+    }
+
+    private void expire() {
+        final List<String> ended = drains.expire(clock.nowUs());
+        if (!ended.isEmpty()) {
+            ended.forEach(each -> note("drain_over", each, "the drain of " + each + " is over"));
+            overlayChanged(ended);
+            keep();
+        }
+    }
+
+    // ---- What is kept ----
+
+    private void keep() {
+        if (state == null) {
+            return;
+        }
+        final long mine = ++generation;
+        state.keep(new Snapshot(mine, drains.inForce(), drains.remembered()), loop, failed -> {
+            keptUpTo = mine;
+            keepFailed = failed;
+            if (failed != null) {
+                LogEvent.of("snapshot_failed", "drains could not be kept: " + failed)
+                    .with("detail", failed).log(LOG, Level.ERROR);
+            }
+            while (!waiting.isEmpty() && waiting.peekFirst().generation() <= keptUpTo) {
+                waiting.pollFirst().answer().run();
+            }
+        });
+    }
+
+    private void afterKept(Runnable answer) {
+        if (state == null || keptUpTo >= generation) {
+            answer.run();
+        } else {
+            waiting.addLast(new Waiting(generation, answer));
+        }
+    }
+
+    // ---- What passes ----
+
+    @Override
+    public WorkerState over(String backend, WorkerState listed) {
+        return drains.over(backend, listed);
+    }
+
+    @Override
+    public void listed(long nowUs) {
+        for (final Worker each : core.roster().listed()) {
+            heard(nowUs, each);
+            final String name = core.roster().name(each.id());
+            final WorkerState before = listedBefore.put(name, each.state());
+            if (before != null && before != each.state()) {
+                note("listed", name, "the list says " + name + " is " + switch (each.state()) {
+                    case READY -> "serving";
+                    case DRAINING -> "draining";
+                    case GONE -> "gone";
+                });
+            }
+        }
+    }
+
+    private void heard(long nowUs, Worker worker) {
+        health.listed(nowUs, worker.id(), worker.state(),
+            drains.of(core.roster().name(worker.id())) != null, worker.startedAtUs());
+        changed.add(worker.id());
+    }
+
+    @Override
+    public void asked(long nowUs, int requestClass) {
+        health.asked(nowUs, requestClass);
+    }
+
+    @Override
+    public void answered(long nowUs, int requestClass, Answer answer, int fetches, long waitedUs,
+                         long ranUs) {
+        health.answered(nowUs, requestClass, HealthBook.Answer.valueOf(answer.name()), fetches, waitedUs,
+            ranUs);
+    }
+
+    @Override
+    public FetchWatch sent(long nowUs, int backend, int requestClass) {
+        final HealthBook.Job job = health.sent(nowUs, backend, requestClass);
+        changed.add(backend);
+        return new FetchWatch() {
+            @Override
+            public void told(long atUs) {
+                job.told(atUs);
+            }
+
+            @Override
+            public void ended(long atUs, cresschute.DispatchApi.Outcome outcome, LoadReport report) {
+                job.ended(atUs, outcome, report);
+                changed.add(backend);
+            }
+        };
+    }
+
+    @Override
+    public void probed(long nowUs, int backend, LoadReport report) {
+        health.probed(nowUs, backend, report);
+        changed.add(backend);
+    }
+
+    // ---- What is shown ----
+
+    private void tick() {
+        expire();
+        lookAtConditions();
+        if (server != null) {
+            if (server.isFollowed()) {
+                show(false);
+            }
+            server.tell(clock.nowUs());
+        }
+    }
+
+    private void lookAtConditions() {
+        for (final HealthBook.Change each : health.look(clock.nowUs())) {
+            changed.add(each.worker());
+            if (isNews(each)) {
+                note("condition", core.roster().name(each.worker()), core.roster().name(each.worker())
+                    + " is " + each.to().word() + (each.why().isEmpty() ? "" : ": " + each.why()));
+            }
+        }
+    }
+
+    /** What the list says is noted as it is heard, and a worker that fills up and empties is at work. */
+    private static boolean isNews(HealthBook.Change change) {
+        return change.from() != null && change.to() != Condition.GONE && change.to() != Condition.DRAINING
+            && !(change.from().compareTo(Condition.FULL) <= 0 && change.to().compareTo(Condition.FULL) <= 0);
+    }
+
+    private void note(String kind, String worker, String text) {
+        events.add(clock.nowUs(), kind, worker, text);
+        final LogEvent event = LogEvent.of("happening", text).with("kind", kind);
+        (worker == null ? event : event.with("worker", worker)).log(LOG, Level.INFO);
+    }
+
+    @Override
+    public void look() {
+        lookAtConditions();
+        show(true);
+    }
+
+    private void show(boolean all) {
+        final long nowUs = clock.nowUs();
+        looks++;
+        final Set<Integer> known = new HashSet<>(health.workers());
+        for (final int worker : known) {
+            if (all || changed.contains(worker) || worker % LOOKS_A_FIGURE == looks % LOOKS_A_FIGURE) {
+                board.put("w/" + core.roster().name(worker), row(nowUs, worker));
+            }
+        }
+        changed.removeAll(known);
+        changed.forEach(worker -> board.remove("w/" + core.roster().name(worker)));
+        changed.clear();
+        for (int i = 0; i < config.classes().size(); i++) {
+            board.put("c/" + config.classes().get(i), classRow(nowUs, i));
+        }
+        board.put("node", nodeRow(nowUs));
+    }
+
+    private String row(long nowUs, int worker) {
+        final HealthBook.View view = health.view(nowUs, worker);
+        final Worker listed = core.roster().listed().get(worker);
+        final JsonObject row = new JsonObject();
+        row.addProperty("id", core.roster().name(worker));
+        row.addProperty("state", view.condition().word());
+        row.addProperty("why", view.why());
+        row.addProperty("since_ms", view.sinceUs() / US_A_MS);
+        row.addProperty("address", NetUtil.toSocketAddressString(core.roster().address(worker)));
+        row.addProperty("kind", core.roster().kind(listed.kind()));
+        row.addProperty("cell", listed.cell());
+        row.addProperty("listed", listed.state() == WorkerState.READY ? "serving"
+            : listed.state().name().toLowerCase(Locale.ROOT));
+        final Drain drain = drains.of(core.roster().name(worker));
+        if (drain != null) {
+            final JsonObject shown = new JsonObject();
+            shown.addProperty("who", drain.who());
+            shown.addProperty("reason", drain.reason());
+            shown.addProperty("since_ms", drain.sinceUs() / US_A_MS);
+            if (drain.untilUs() != Drains.FOREVER) {
+                shown.addProperty("until_ms", drain.untilUs() / US_A_MS);
+            }
+            row.add("drain", shown);
+        }
+        row.addProperty("in_flight", view.inFlight());
+        final JsonObject byClass = new JsonObject();
+        for (int i = 0; i < view.inFlightByClass().length; i++) {
+            if (view.inFlightByClass()[i] > 0) {
+                byClass.addProperty(config.classes().get(i), view.inFlightByClass()[i]);
+            }
+        }
+        row.add("in_flight_by_class", byClass);
+        row.addProperty("rate", Math.round(view.ratePerS() * 100) / 100.0);
+        row.addProperty("failed", view.failed());
+        times(row, view.minute(), view.tenMinutes());
+        final JsonArray sparks = new JsonArray();
+        for (final int spark : view.sparks()) {
+            sparks.add(spark);
+        }
+        row.add("sparks", sparks);
+        row.addProperty("queue", view.queue());
+        row.addProperty("free", view.free());
+        row.addProperty("report_ms", view.reportUs() / US_A_MS);
+        return row.toString();
+    }
+
+    private static void times(JsonObject row, HealthBook.Times minute, HealthBook.Times tenMinutes) {
+        row.addProperty("p50_ms", minute.p50Ms());
+        row.addProperty("p99_ms", minute.p99Ms());
+        row.addProperty("p50_ms_10m", tenMinutes.p50Ms());
+        row.addProperty("p99_ms_10m", tenMinutes.p99Ms());
+    }
+
+    private String classRow(long nowUs, int number) {
+        final HealthBook.ClassView view = health.classView(nowUs, number);
+        final JsonObject row = new JsonObject();
+        row.addProperty("id", config.classes().get(number));
+        row.addProperty("asked", view.asked());
+        final int answered = view.served() + view.refused() + view.failed();
+        row.addProperty("admitted", answered == 0 ? -1
+            : Math.min(1, Math.round(view.admitted() * 1000.0 / answered) / 1000.0));
+        row.addProperty("served", view.served());
+        row.addProperty("refused", view.refused());
+        row.addProperty("failed", view.failed());
+        row.addProperty("in_time", view.inTime());
+        row.addProperty("in_flight", view.inFlight());
+        times(row, view.minute(), view.tenMinutes());
+        return row.toString();
+    }
+
+    private String nodeRow(long nowUs) {
+        final JsonObject row = new JsonObject();
+        row.addProperty("name", config.name());
+        row.addProperty("list_version", core.listVersion());
+        row.addProperty("list_ms", config.director() == null ? 0 : core.listHeardUs() / US_A_MS);
+        row.addProperty("fixed_list", config.director() == null);
+        row.addProperty("open", core.owed());
+        final double kept = health.worthKept(nowUs);
+        row.addProperty("worth_kept", kept < 0 ? -1 : Math.round(kept * 1000) / 1000.0);
+        row.addProperty("stopping", stopping);
+        row.addProperty("consoles", server == null ? 0 : server.sessions());
+        row.addProperty("broken", core.invariant().total());
+        return row.toString();
+    }
+
+    @Override
+    public String boot() {
+        return boot;
+    }
+
+    @Override
+    public Board board() {
+        return board;
+    }
+
+    @Override
+    public EventRing events() {
+        return events;
+    }
+
+    @Override
+    public void audit(long session, ControlRequest request) {
+        final LogEvent event = LogEvent.of("console_asked", "console " + session + " asks: "
+            + request.what().name().toLowerCase(Locale.ROOT) + (request.operation() == null ? ""
+            : " " + request.operation().worker() + " by " + request.operation().who()))
+            .with("session", session).with("what", request.what().name().toLowerCase(Locale.ROOT));
+        if (request.operation() != null) {
+            final Operation asked = request.operation();
+            event.with("worker", asked.worker()).with("operation", asked.id()).with("who", asked.who())
+                .with("reason", asked.reason()).with("forced", asked.forced());
+        }
+        event.log(LOG, Level.INFO);
+    }
+}
--- a/src/main/java/cresschute/node/Core.java
+++ b/src/main/java/cresschute/node/Core.java
@@ -1,11 +1,14 @@
 package cresschute.node;
 
 import cresschute.DispatchApi.Actions;
+import cresschute.DispatchApi.Effect;
 import cresschute.DispatchApi.Events;
 import cresschute.DispatchApi.Job;
 import cresschute.DispatchApi.ListForm;
 import cresschute.DispatchApi.LoadReport;
 import cresschute.DispatchApi.Outcome;
+import cresschute.DispatchApi.RepeatScope;
+import cresschute.DispatchApi.RequestClass;
 import cresschute.DispatchApi.Worker;
 import cresschute.DispatchApi.WorkerState;
 import cresschute.logs.LogEvent;
@@ -13,6 +16,7 @@
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -46,6 +50,8 @@
     private final Invariant invariant = new Invariant();
     private final Roster roster;
     private final List<String> classes;
+    private final List<RequestClass> classSettings;
+    private final CoreWatcher watcher;
     private final Events module;
     private final Map<Integer, Req> open = new HashMap<>();
     private final Set<String> openIds = new HashSet<>();
@@ -55,17 +61,29 @@
     private boolean ready;
     private int lastReqId;
     private int owed;
+    private long listHeardUs;
     private Backends backends;
     private Director director;
 
-    /** A core without its ways out; {@code module} builds the decision module around its actions. */
+    /** A core that nobody watches. */
     public Core(NodeConfig config, ScheduledExecutorService loop, Clock clock, RateLimitedLog troubles,
                 Function<Actions, Events> module) {
+        this(config, loop, clock, troubles, CoreWatcher.NONE, module);
+    }
+
+    /**
+     * A core without its ways out; {@code module} builds the decision module around its actions, and
+     * {@code watcher} hears what passes and may lay drains over the list.
+     */
+    Core(NodeConfig config, ScheduledExecutorService loop, Clock clock, RateLimitedLog troubles,
+         CoreWatcher watcher, Function<Actions, Events> module) {
         this.loop = loop;
         this.clock = clock;
         this.troubles = troubles;
         this.roster = new Roster(config.zones(), config.kinds());
         this.classes = config.classes();
+        this.classSettings = config.settings().classes();
+        this.watcher = watcher;
         this.module = module.apply(new GatheredActions());
     }
 
@@ -87,11 +105,12 @@
     public Req take(ReqContent content, Job job, long waitUs, ReqClient client) {
         final long nowUs = clock.nowUs();
         final long giveUpUs = nowUs + Math.max(0, waitUs - ANSWER_MARGIN_US);
-        final Req req = new Req(++lastReqId, content, classes.get(job.requestClass()), nowUs, nowUs + waitUs,
-            giveUpUs, client);
+        final Req req = new Req(++lastReqId, content, classes.get(job.requestClass()), job.requestClass(),
+            nowUs, nowUs + waitUs, giveUpUs, client);
         open.put(req.id, req);
         openIds.add(content.requestId());
         owed++;
+        watcher.asked(nowUs, req.requestClass);
         // Guards against a req that the module forgets or fails on: it is never left without an answer.
         req.overdue = after(waitUs + OVERDUE_US, () -> {
             failUnasked(req);
@@ -105,12 +124,18 @@
     public void clientLeft(Req req) {
         if (!req.closed) {
             close(req);
+            watched(req, CoreWatcher.Answer.LEFT, 0);
             gather(req, now -> module.clientLeft(now, req.id));
         }
     }
 
+    private void watched(Req req, CoreWatcher.Answer answer, long ranUs) {
+        final long nowUs = clock.nowUs();
+        watcher.answered(nowUs, req.requestClass, answer, req.fetchesStarted, nowUs - req.takenUs, ranUs);
+    }
+
     /** The one place where a client gets its answer. */
-    private void answer(Req req, String outcome, Runnable answer) {
+    private void answer(Req req, CoreWatcher.Answer outcome, long ranUs, Runnable answer) {
         if (req.closed) {
             // The client may have left in the same turn; a second answer may not happen.
             invariant.holds(!req.answered, "second answer");
@@ -122,9 +147,11 @@
         } finally {
             close(req);
         }
+        watched(req, outcome, ranUs);
         if (LOG.isLoggable(Level.DEBUG)) {
-            LogEvent.of("req_answered", "req " + req.content.requestId() + " answered: " + outcome)
-                .with("req", req.content.requestId()).with("class", req.className).with("outcome", outcome)
+            final String word = outcome.name().toLowerCase(Locale.ROOT);
+            LogEvent.of("req_answered", "req " + req.content.requestId() + " answered: " + word)
+                .with("req", req.content.requestId()).with("class", req.className).with("outcome", word)
                 .with("fetches", req.fetchesStarted).with("ms", (clock.nowUs() - req.takenUs) / US_A_MS)
                 .log(LOG, Level.DEBUG);
         }
@@ -170,6 +197,8 @@
         final long nowUs = clock.nowUs();
         final Fetch fetch = new Fetch(req, req.fetchesStarted++, backend, nowUs);
         req.fetchesOut++;
+        req.firstBackend = req.firstBackend < 0 ? backend : req.firstBackend;
+        fetch.watch = watcher.sent(nowUs, backend, req.requestClass);
         final long waitUs = Math.max(0, Math.min(giveUpUs, req.giveUpUs) - nowUs);
         fetch.giveUp = after(waitUs, () -> end(fetch, fetch.call.giveUp(), LoadReport.NONE, null));
         try {
@@ -187,6 +216,9 @@
         return new Backends.FetchListener() {
             @Override
             public void progressed(double shareDone) {
+                final long nowUs = clock.nowUs();
+                fetch.startedUs = fetch.startedUs == 0 ? nowUs : fetch.startedUs;
+                fetch.watch.told(nowUs);
                 gather(fetch.req, now -> module.jobProgressed(now, fetch.req.id, fetch.number, fetch.backend,
                     shareDone));
             }
@@ -213,8 +245,12 @@
                 .with("outcome", word(outcome)).with("ms", (clock.nowUs() - fetch.sentUs) / US_A_MS)
                 .log(LOG, Level.DEBUG);
         }
+        final long endedUs = clock.nowUs();
+        fetch.watch.ended(endedUs, outcome, report);
         if (outcome == Outcome.SERVED && !req.closed) {
-            answer(req, "served", () -> req.client.served(result));
+            answer(req, CoreWatcher.Answer.SERVED,
+                endedUs - (fetch.startedUs == 0 ? fetch.sentUs : fetch.startedUs),
+                () -> req.client.served(result));
         }
         req.fetchesOut--;
         forgetIfDone(req);
@@ -232,8 +268,10 @@
         if (!invariant.holds(addr != null, "probe of nobody")) {
             return;
         }
-        backends.probe(addr, (outcome, report) ->
-            gather(null, now -> module.probed(now, backend, outcome, report)));
+        backends.probe(addr, (outcome, report) -> {
+            watcher.probed(clock.nowUs(), backend, report);
+            gather(null, now -> module.probed(now, backend, outcome, report));
+        });
     }
 
     // ---- The director's list ----
@@ -254,11 +292,54 @@
     }
 
     private void tellList(ListForm form, DirectorList list) {
-        final List<Worker> workers = roster.take(list);
+        final List<Worker> workers = over(roster.take(list));
         ready |= workers.stream().anyMatch(worker -> worker.state() == WorkerState.READY);
+        listHeardUs = clock.nowUs();
+        watcher.listed(listHeardUs);
         gather(null, now -> module.listed(now, form, workers));
     }
 
+    /** The list as the module is to hear it. */
+    private List<Worker> over(List<Worker> workers) {
+        return workers.stream().map(each -> {
+            final WorkerState state = watcher.over(roster.name(each.id()), each.state());
+            return state == each.state() ? each : new Worker(each.id(), each.zone(), each.kind(), each.cell(),
+                state, each.weight(), each.startedAtUs());
+        }).toList();
+    }
+
+    /** Tells the module anew of these backends, over which something else lies now. */
+    void relist(Collection<String> names) {
+        final List<Worker> listed = names.stream().map(roster::number).filter(number -> number >= 0)
+            .map(roster.listed()::get).filter(each -> each.state() != WorkerState.GONE).toList();
+        if (!listed.isEmpty()) {
+            final List<Worker> workers = over(listed);
+            gather(null, now -> module.listed(now, ListForm.CHANGES, workers));
+        }
+    }
+
+    /** Cells in which keyed reqs that are open must be repeated, as their first fetch went there. */
+    Set<Integer> boundCells() {
+        final Set<Integer> cells = new HashSet<>();
+        for (final Req req : open.values()) {
+            final RequestClass stated = classSettings.get(req.requestClass);
+            if (!req.closed && req.firstBackend >= 0 && stated.effect() == Effect.KEYED
+                && stated.scope() == RepeatScope.CELL) {
+                cells.add(roster.listed().get(req.firstBackend).cell());
+            }
+        }
+        return cells;
+    }
+
+    Roster roster() {
+        return roster;
+    }
+
+    /** When the list, or that nothing in it has changed, was last heard; 0 before that. */
+    long listHeardUs() {
+        return listHeardUs;
+    }
+
     /** Whether reqs can be served: the module has been told of a backend that takes work. */
     public boolean isReady() {
         return ready;
@@ -324,7 +405,7 @@
     /** Fails a req that the module did not answer, and tells the module that nothing is owed any more. */
     private void failUnasked(Req req) {
         gather(req, now -> module.clientLeft(now, req.id));
-        answer(req, "failed", req.client::failed);
+        answer(req, CoreWatcher.Answer.FAILED, 0, req.client::failed);
     }
 
     private Future<?> after(long delayUs, Runnable then) {
@@ -351,19 +432,19 @@
 
         @Override
         public void refuse(int requestId, long retryAfterUs) {
-            actions.add(() -> answerOpen(requestId, "refused",
+            actions.add(() -> answerOpen(requestId, CoreWatcher.Answer.REFUSED,
                 client -> client.syntheticAnswer(retryAfterUs)));
         }
 
         @Override
         public void fail(int requestId) {
-            actions.add(() -> answerOpen(requestId, "failed", ReqClient::failed));
+            actions.add(() -> answerOpen(requestId, CoreWatcher.Answer.FAILED, ReqClient::failed));
         }
 
-        private void answerOpen(int requestId, String outcome, Consumer<ReqClient> answer) {
+        private void answerOpen(int requestId, CoreWatcher.Answer outcome, Consumer<ReqClient> answer) {
             final Req req = open.get(requestId);
             if (req != null) {
-                answer(req, outcome, () -> answer.accept(req.client));
+                answer(req, outcome, 0, () -> answer.accept(req.client));
             }
         }
 
--- /dev/null
+++ b/src/main/java/cresschute/node/CoreWatcher.java
@@ -0,0 +1,66 @@
+package cresschute.node;
+
+import cresschute.DispatchApi.LoadReport;
+import cresschute.DispatchApi.Outcome;
+import cresschute.DispatchApi.WorkerState;
+
+/**
+ * Hears what passes through the core, and may lay drains over the list before the module hears it. It never
+ * chooses, answers or sends. All calls are on the loop, at the loop's clock in microseconds.
+ */
+interface CoreWatcher {
+
+    /** Nobody: what a node has that no console can connect to. */
+    CoreWatcher NONE = new CoreWatcher() {
+    };
+
+    /** How a req was answered. */
+    enum Answer { SERVED, REFUSED, FAILED, LEFT }
+
+    /** What becomes of one fetch. */
+    interface FetchWatch {
+
+        /** Of no interest. */
+        FetchWatch NONE = new FetchWatch() {
+        };
+
+        /** Its start or its progress was told. */
+        default void told(long nowUs) {
+        }
+
+        /** Its end, once. */
+        default void ended(long nowUs, Outcome outcome, LoadReport report) {
+        }
+    }
+
+    /** The state that the module is to hear of a backend; never a better one than the list's. */
+    default WorkerState over(String backend, WorkerState listed) {
+        return listed;
+    }
+
+    /** The roster has taken in a list or a change, perhaps an empty one. */
+    default void listed(long nowUs) {
+    }
+
+    /** A req was taken. */
+    default void asked(long nowUs, int requestClass) {
+    }
+
+    /**
+     * A req was answered or left, once.
+     *
+     * @param ranUs how long the job ran that served it, or 0
+     */
+    default void answered(long nowUs, int requestClass, Answer answer, int fetches, long waitedUs,
+                          long ranUs) {
+    }
+
+    /** A fetch goes out. */
+    default FetchWatch sent(long nowUs, int backend, int requestClass) {
+        return FetchWatch.NONE;
+    }
+
+    /** A probe came back. */
+    default void probed(long nowUs, int backend, LoadReport report) {
+    }
+}
--- a/src/main/java/cresschute/node/Fetch.java
+++ b/src/main/java/cresschute/node/Fetch.java
@@ -8,6 +8,9 @@
     final int number;
     final int backend;
     final long sentUs;
+    /** When its start was told, or 0. */
+    long startedUs;
+    CoreWatcher.FetchWatch watch;
     Backends.Call call;
     Future<?> giveUp;
     boolean ended;
--- a/src/main/java/cresschute/node/NodeConfig.java
+++ b/src/main/java/cresschute/node/NodeConfig.java
@@ -16,6 +16,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 
 /**
  * All that a node is told at its start.
@@ -29,10 +30,13 @@
  * @param sockets file descriptors that the process may hold
  * @param director where the director listens, or null where the known list is fixed
  * @param known the list as this node last had it; it may be old
+ * @param controlSocket the file of the socket for consoles, or null
+ * @param stateFolder the folder for what outlives the process, or null
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress director, long seed,
                          Settings settings, List<String> classes, List<String> zones, List<String> kinds,
-                         long connectTimeoutUs, long connIdleUs, int sockets, DirectorList known) {
+                         long connectTimeoutUs, long connIdleUs, int sockets, DirectorList known,
+                         String controlSocket, String stateFolder) {
 
     private static final String DISCOVERY = "BALANCER_DISCOVERY";
     private static final long DEFAULT_CONNECT_TIMEOUT_US = 250_000;
@@ -48,7 +52,8 @@
         return new NodeConfig(settings.name(), settings.listen(), settings.director(), seed,
             settings.module(),
             settings.classes(), settings.zones(), settings.kinds(), settings.connectTimeoutUs(),
-            settings.idleTimeoutUs(), settings.sockets(), new DirectorList(-1, true, workers));
+            settings.idleTimeoutUs(), settings.sockets(), new DirectorList(-1, true, workers),
+            settings.controlSocket(), settings.stateFolder());
     }
 
     /** Reads the environment and the file that it names. */
@@ -91,7 +96,7 @@
                 (long) Json.number(limits, "connectTimeoutUs", DEFAULT_CONNECT_TIMEOUT_US),
                 (long) Json.number(limits, "connIdleUs", DEFAULT_CONN_IDLE_US),
                 (int) Json.number(machine, "sockets", DEFAULT_SOCKETS),
-                known);
+                known, null, null);
         } catch (JsonParseException | IllegalArgumentException e) {
             throw new ConfigException("configuration: " + String.valueOf(e.getMessage()).lines().findFirst()
                 .orElse("unusable"));
@@ -109,6 +114,8 @@
             && sockets == next.sockets && settings.limits().equals(next.settings.limits()));
         note(changed, "workers", (director == null) == (next.director == null)
             && (director != null || known.entries().equals(next.known.entries())));
+        note(changed, "control", Objects.equals(controlSocket, next.controlSocket));
+        note(changed, "state", Objects.equals(stateFolder, next.stateFolder));
         return changed;
     }
 
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -13,6 +13,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.NetUtil;
+import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
@@ -44,6 +45,8 @@
     private final ClientFront front;
     private final BackendConnections backends;
     private final DirectorClient director;
+    /** The operator's place, or null where nobody can connect. */
+    private final ControlDesk desk;
     private boolean stopping;
     private long breachesLogged;
 
@@ -58,7 +61,8 @@
         final RateLimitedLog troubles = new RateLimitedLog(System.getLogger("cresschute.trouble"), clock);
         final int sockets = Math.max(2, config.sockets() - OTHER_SOCKETS);
         final int forClients = (int) (sockets * CLIENT_PART);
-        core = new Core(config, loop, clock, troubles, module);
+        desk = ControlDesk.isWanted(config) ? new ControlDesk(config, loop, clock) : null;
+        core = new Core(config, loop, clock, troubles, desk == null ? CoreWatcher.NONE : desk, module);
         front = new ClientFront(loop, core, config, forClients);
         backends = new BackendConnections(loop, troubles, config.connectTimeoutUs(), config.connIdleUs(),
             sockets - forClients);
@@ -68,13 +72,24 @@
 
     /** Starts all of it; returns, with the address, once clients can connect. */
     public SocketAddress start() {
+        openDesk();
         loop.execute(() -> core.start(backends, director == null ? () -> { } : director, config.known()));
         final ChannelFuture bound = front.listen(group, config.listen()).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             halt();
+            closeDesk();
             throw new IllegalStateException("cannot listen on " + text(config.listen()) + ": "
                 + bound.cause().getMessage(), bound.cause());
         }
+        if (desk != null) {
+            try {
+                desk.listen();
+            } catch (IOException e) {
+                halt();
+                closeDesk();
+                throw new IllegalStateException(e.getMessage(), e);
+            }
+        }
         loop.scheduleWithFixedDelay(this::logStatus, STATUS_S, STATUS_S, TimeUnit.SECONDS);
         LogEvent.of("listening", "node " + config.name() + " listens on " + bound.channel().localAddress())
             .with("node", config.name()).with("address", text(bound.channel().localAddress()))
@@ -82,6 +97,27 @@
         return bound.channel().localAddress();
     }
 
+    /** Before the first list is told: no worker that an operator drained gets work at a start. */
+    private void openDesk() {
+        if (desk == null) {
+            return;
+        }
+        try {
+            desk.open(core);
+        } catch (IOException e) {
+            halt();
+            closeDesk();
+            throw new IllegalStateException("the state folder " + config.stateFolder()
+                + " cannot be used: " + e.getMessage(), e);
+        }
+    }
+
+    private void closeDesk() {
+        if (desk != null) {
+            desk.close();
+        }
+    }
+
     /**
      * Reads a configuration anew and follows its director; one that cannot be used changes nothing. The
      * reading is done on the caller's thread, for it may take a while; the loop is handed what was read.
@@ -123,6 +159,9 @@
                 LogEvent.of("stopping", "stopping: " + core.owed() + " reqs are owed an answer")
                     .with("count", core.owed()).log(LOG, Level.INFO);
                 front.stopReady();
+                if (desk != null) {
+                    desk.stopping();
+                }
                 loop.schedule(this::stopAccepting, STILL_ACCEPTING_MS, TimeUnit.MILLISECONDS);
             }
         });
@@ -141,8 +180,19 @@
         if (front.open() == 0 && !stopped.isDone()) {
             logStatus();
             LogEvent.of("stopped", "stopped: everything taken is answered").log(LOG, Level.INFO);
+            if (desk != null) {
+                desk.closeSocket();
+            }
             halt();
-            stopped.complete(null);
+            if (desk == null) {
+                stopped.complete(null);
+            } else {
+                // What is still being written is waited for elsewhere than on the loop.
+                group.terminationFuture().addListener(ended -> {
+                    closeDesk();
+                    stopped.complete(null);
+                });
+            }
         }
     }
 
--- a/src/main/java/cresschute/node/Req.java
+++ b/src/main/java/cresschute/node/Req.java
@@ -7,22 +7,26 @@
     final int id;
     final ReqContent content;
     final String className;
+    final int requestClass;
     final long takenUs;
     final long dueUs;
     final long giveUpUs;
     final ReqClient client;
     Future<?> overdue;
     int fetchesStarted;
+    /** Where its first fetch went, or -1. */
+    int firstBackend = -1;
     int fetchesOut;
     int untold;
     boolean closed;
     boolean answered;
 
-    Req(int id, ReqContent content, String className, long takenUs, long dueUs, long giveUpUs,
-        ReqClient client) {
+    Req(int id, ReqContent content, String className, int requestClass, long takenUs, long dueUs,
+        long giveUpUs, ReqClient client) {
         this.id = id;
         this.content = content;
         this.className = className;
+        this.requestClass = requestClass;
         this.takenUs = takenUs;
         this.dueUs = dueUs;
         this.giveUpUs = giveUpUs;
--- a/src/main/java/cresschute/node/Roster.java
+++ b/src/main/java/cresschute/node/Roster.java
@@ -1,8 +1,10 @@
 package cresschute.node;
 
 import cresschute.DispatchApi.Worker;
+import cresschute.DispatchApi.WorkerState;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,6 +15,8 @@
     private final Map<String, Integer> idNumbers = new HashMap<>();
     private final List<InetSocketAddress> addresses = new ArrayList<>();
     private final List<String> ids = new ArrayList<>();
+    /** As last listed, by number; one that a whole list leaves out is gone. */
+    private final List<Worker> listed = new ArrayList<>();
     private final Map<String, Integer> zones = new HashMap<>();
     private final Map<String, Integer> kinds = new HashMap<>();
     private long version = -1;
@@ -25,6 +29,10 @@
     /** Takes in an answer and tells it in the module's terms; a changed address holds from now on. */
     List<Worker> take(DirectorList list) {
         version = list.version();
+        if (list.full()) {
+            listed.replaceAll(each -> new Worker(each.id(), each.zone(), each.kind(), each.cell(),
+                WorkerState.GONE, each.weight(), each.startedAtUs()));
+        }
         final List<Worker> workers = new ArrayList<>();
         for (final DirectorList.Entry entry : list.entries()) {
             final int id = number(idNumbers, entry.id());
@@ -34,8 +42,14 @@
             } else {
                 addresses.set(id, entry.addr());
             }
-            workers.add(new Worker(id, number(zones, entry.zone()), number(kinds, entry.kind()), entry.cell(),
-                entry.state(), entry.weight(), entry.startedMs() * 1000));
+            final Worker worker = new Worker(id, number(zones, entry.zone()), number(kinds, entry.kind()),
+                entry.cell(), entry.state(), entry.weight(), entry.startedMs() * 1000);
+            if (id == listed.size()) {
+                listed.add(worker);
+            } else {
+                listed.set(id, worker);
+            }
+            workers.add(worker);
         }
         return workers;
     }
@@ -45,6 +59,22 @@
         return numbers.computeIfAbsent(name, unseen -> numbers.size());
     }
 
+    /** Every backend that was ever named, as last listed; its number is its place. */
+    List<Worker> listed() {
+        return Collections.unmodifiableList(listed);
+    }
+
+    /** The number of a backend, or -1 where no list has named it. */
+    int number(String id) {
+        return idNumbers.getOrDefault(id, -1);
+    }
+
+    /** The name of a kind of machine. */
+    String kind(int number) {
+        return kinds.entrySet().stream().filter(each -> each.getValue() == number).map(Map.Entry::getKey)
+            .findFirst().orElse("");
+    }
+
     /** Where a backend listens, or null for a number that no list has named. */
     InetSocketAddress address(int id) {
         return id >= 0 && id < addresses.size() ? addresses.get(id) : null;
--- a/src/main/java/cresschute/settings/Kind.java
+++ b/src/main/java/cresschute/settings/Kind.java
@@ -6,6 +6,7 @@
 import cresschute.settings.script.Values.Quantity;
 import java.math.BigDecimal;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
@@ -21,6 +22,8 @@
 record Kind<T>(String allowed, Function<Object, T> read, Function<T, String> show) {
 
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
+    /** What fits into {@code sockaddr_un} with the zero at its end on every system that Java runs on. */
+    private static final int MOST_SOCKET_BYTES = 100;
     private static final long US_A_MS = 1_000;
     private static final long US_A_S = 1_000_000;
 
@@ -88,6 +91,16 @@
                 ? text : null, Values::quoted);
     }
 
+    /** A path from the root, short enough for the address of a Unix domain socket. */
+    static Kind<String> socketPath() {
+        final Kind<String> path = path();
+        return new Kind<>(path.allowed() + ", of at most " + MOST_SOCKET_BYTES + " bytes", value -> {
+            final String read = path.read().apply(value);
+            return read == null || read.getBytes(StandardCharsets.UTF_8).length > MOST_SOCKET_BYTES ? null
+                : read;
+        }, path.show());
+    }
+
     /** A list of names, none of them twice. */
     static Kind<List<String>> names() {
         final Kind<String> name = name();
--- a/src/main/java/cresschute/settings/Schema.java
+++ b/src/main/java/cresschute/settings/Schema.java
@@ -130,14 +130,15 @@
     static final Block LOGS = new Block("logs", 0, 1, "the log, which goes to standard error",
         List.of(LOG_FORMAT, LOG_LEVEL));
 
-    static final Field<String> SOCKET = required("socket", Kind.path(), "the file of the control socket");
+    static final Field<String> SOCKET = required("socket", Kind.socketPath(),
+        "the file of the control socket, in a folder that is nobody else's");
     static final Block CONTROL = new Block("control", 0, 1,
-        "where consoles connect; checked, and not yet used by this version", List.of(SOCKET));
+        "where consoles connect; without it, nowhere", List.of(SOCKET));
 
     static final Field<String> FOLDER = required("folder", Kind.path(),
         "the folder for what outlives the process");
     static final Block STATE = new Block("state", 0, 1,
-        "where state is kept; checked, and not yet used by this version", List.of(FOLDER));
+        "where the operators' drains are kept; without it, they end with the process", List.of(FOLDER));
 
     static final List<Block> BLOCKS = List.of(NODE, JOB_CLASS, WORKER, DIRECTOR, LIMITS, REPORTS, COLD_START,
         GOAL, LOGS, CONTROL, STATE);
--- a/src/test/java/cresschute/LayoutTest.java
+++ b/src/test/java/cresschute/LayoutTest.java
@@ -45,8 +45,12 @@
         mayUse(of("cresschute.settings.script.."));
         mayUse(of("cresschute.settings"), "cresschute", "cresschute.settings.script");
         mayUse(of("cresschute.node", "cresschute.node.http"), "cresschute", "cresschute.benchlink",
-            "cresschute.settings", "cresschute.logs");
+            "cresschute.settings", "cresschute.logs", "cresschute.health", "cresschute.control..");
+        mayUse(of("cresschute.health"), "cresschute");
         mayUse(of("cresschute.control"), "cresschute");
+        mayUse(of("cresschute.control.socket", "cresschute.control.files"), "cresschute.control",
+            "cresschute.logs");
+        mayUse(of("cresschute.console"), "cresschute.control");
         mayUse(of("cresschute.lab.."), "cresschute", "cresschute.node", "cresschute.settings",
             "cresschute.logs");
     }
@@ -77,7 +81,8 @@
      */
     @Test
     void pureClassesDoNoInputOrOutput() {
-        noClasses().that().resideInAnyPackage("cresschute.settings..", "cresschute.control")
+        noClasses().that().resideInAnyPackage("cresschute.settings..", "cresschute.control",
+            "cresschute.health")
             .and().doNotHaveSimpleName("SettingsFile")
             .should().dependOnClassesThat().resideInAnyPackage("java.io", "java.nio.file", "io.netty..")
             .check(CLASSES);
@@ -86,6 +91,14 @@
             .check(CLASSES);
     }
 
+    /** The screen's parts that decide what is drawn know neither the terminal nor the socket. */
+    @Test
+    void screenIsDrawnWithoutInputOrOutput() {
+        noClasses().that().haveSimpleName("ScreenView").or().haveSimpleName("ScreenState")
+            .or().haveSimpleName("SiteModel").should().dependOnClassesThat()
+            .resideInAnyPackage("java.io", "java.nio..", "org.jline.terminal..").check(CLASSES);
+    }
+
     /** The structured log and its library are put in place by the command line alone. */
     @Test
     void structuredLogIsTheCommandLinesMatter() {
--- a/src/test/java/cresschute/settings/SettingsFileTest.java
+++ b/src/test/java/cresschute/settings/SettingsFileTest.java
@@ -139,7 +139,7 @@
         limits(second_copies = 1)                  | limits: second_copies is 1; allowed: True or False
         logs(format = "xml")                       | logs: format is "xml"; allowed: "text" or "json"
         job_class(kinds = ["a", "a"])              | job_class: kinds is a list; allowed: a list of names, each once
-        control(socket = "here")                   | control: socket is "here"; allowed: a path that begins with '/'
+        control(socket = "here")                   | control: socket is "here"; allowed: a path that begins with '/', of at most 100 bytes
         limits(); limits()                         | limits is stated too often; at most once is allowed
         goal(whole = 0, worst_window = 0, worst_class = 0) | goal: all weights are 0; at least one must be above 0
         nodee(name = "n")                          | unknown name 'nodee'; did you mean 'node'?
