--- a/deploy/appliance.star
+++ b/deploy/appliance.star
@@ -23,3 +23,7 @@
 limits(attempts = 3, second_copies = True, retry_after = 2 * s)
 reports(load = True, starts = True, progress = 1 * s)
 logs(format = "text", level = "info")
+
+# Lets consoles connect, and keeps operators' drains over a restart; see docs/console.md.
+# control(socket = "/run/cresschute/control.sock")
+# state(folder = "/var/lib/cresschute")
--- /dev/null
+++ b/src/main/java/cresschute/cli/TrialCommand.java
@@ -0,0 +1,237 @@
+package cresschute.cli;
+
+import com.google.gson.JsonObject;
+import cresschute.cli.NodeTalk.NoAnswer;
+import cresschute.console.ControlLink;
+import cresschute.console.ScreenCost;
+import cresschute.lab.Fleet;
+import cresschute.lab.FleetReport;
+import cresschute.lab.WideSite;
+import cresschute.logs.LogFinder;
+import cresschute.logs.structured.StructuredLog;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.lang.System.Logger.Level;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import org.HdrHistogram.Histogram;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Measures the console's parts on loopback and prints tables in Markdown, as the docs keep them. */
+@Command(name = "trial", mixinStandardHelpOptions = true,
+    description = "Measures what drains and consoles cost, on loopback, and prints tables.",
+    footer = {"", "Trials: drains (how soon new work stops), consoles (the node's CPU with 0, 1 and 8 of "
+        + "them), screen (drawing 1,000 workers).", "", "Example: cresschute trial drains --count 200"})
+final class TrialCommand implements Callable<Integer> {
+
+    /** What may be measured. */
+    enum Trial { drains, consoles, screen }
+
+    private static final double RATE = 25;
+    private static final int WORKERS = 8;
+    private static final long SETTLED_MS = 500;
+    private static final long BETWEEN_MS = 200;
+    private static final int WIDE = 1_000;
+    private static final int CHURN = 200;
+
+    @Parameters(paramLabel = "TRIAL", description = "${COMPLETION-CANDIDATES}")
+    private Trial trial;
+
+    @Option(names = "--count", paramLabel = "N", defaultValue = "200",
+        description = "how many drains, or drawings (default: ${DEFAULT-VALUE})")
+    private int count;
+
+    @Option(names = "--seconds", paramLabel = "S", defaultValue = "6",
+        description = "how long each number of consoles is measured (default: ${DEFAULT-VALUE})")
+    private int seconds;
+
+    @Option(names = "--rounds", paramLabel = "N", defaultValue = "5",
+        description = "how often, in turn (default: ${DEFAULT-VALUE})")
+    private int rounds;
+
+    @Option(names = "--seed", paramLabel = "S", defaultValue = "1",
+        description = "for all chance (default: ${DEFAULT-VALUE})")
+    private long seed;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException, NoAnswer {
+        // Set before anything of the node's is loaded: its log would run through the tables.
+        final StructuredLog log = new StructuredLog(false, Level.ERROR);
+        LogFinder.use(log);
+        final PrintWriter out = spec.commandLine().getOut();
+        final Path folder = Files.createTempDirectory("cresschute-trial");
+        try {
+            return switch (trial) {
+                case drains -> drains(out, folder);
+                case consoles -> consoles(out, folder);
+                case screen -> screen(out);
+            };
+        } finally {
+            log.close();
+            out.flush();
+        }
+    }
+
+    // ---- How soon new work stops ----
+
+    private int drains(PrintWriter out, Path folder) throws NoAnswer, InterruptedException {
+        final Path socket = folder.resolve("s");
+        final Histogram confirmed = new Histogram(3);
+        final Histogram stopped = new Histogram(3);
+        int more = 0;
+        final FleetReport report;
+        try (Fleet fleet = new Fleet(new Fleet.Plan(WORKERS, RATE, seed, List.of(), socket.toString(),
+            folder.resolve("state").toString()))) {
+            fleet.start();
+            Thread.sleep(4 * SETTLED_MS);
+            try (NodeTalk talk = new NodeTalk(socket)) {
+                for (int i = 0; i < count; i++) {
+                    final String worker = "w" + (i % WORKERS + 1);
+                    final long askedUs = fleet.nowUs();
+                    operate(talk, "drain", i, worker);
+                    final long doneUs = fleet.nowUs();
+                    fleet.drainedAt(worker, doneUs);
+                    Thread.sleep(SETTLED_MS);
+                    final long lastUs = Math.max(0, fleet.lastSendUs(worker) - askedUs);
+                    confirmed.recordValue(doneUs - askedUs);
+                    stopped.recordValue(lastUs);
+                    more += lastUs > 0 ? 1 : 0;
+                    fleet.undrained(worker);
+                    operate(talk, "undrain", i, worker);
+                    Thread.sleep(BETWEEN_MS);
+                }
+            }
+            fleet.stop();
+            report = fleet.report();
+        }
+        out.println("| of " + count + " drains, ms | p50 | p99 | max |\n| --- | --- | --- | --- |");
+        out.println("| until the node had kept and confirmed it | " + figures(confirmed) + " |");
+        out.println("| until the first byte of the last new work at the worker | " + figures(stopped) + " |");
+        out.println("\nDrains after which any new work came: " + more + ". Reqs: " + report.outcomes().asked()
+            + ", worth kept " + String.format(Locale.ROOT, "%.3f", report.outcomes().worthKept())
+            + ", rules broken: " + report.breaches().size() + ", invariants broken: "
+            + report.invariantBreaches() + ".");
+        report.breaches().forEach(each -> out.println("- " + each.what()));
+        return report.isSound() ? ExitCodes.DONE : ExitCodes.FAILED;
+    }
+
+    private static void operate(NodeTalk talk, String what, int number, String worker) throws NoAnswer,
+        InterruptedException {
+        final JsonObject answer = talk.ask(ControlLink.request(what + number, what,
+            Map.of("op", what + "-" + number, "worker", worker, "who", "trial", "force", true)));
+        if (!answer.get("outcome").getAsString().equals("done")) {
+            throw new IllegalStateException("a " + what + " was not done: " + answer);
+        }
+    }
+
+    private static String figures(Histogram us) {
+        return String.format(Locale.ROOT, "%.1f | %.1f | %.1f", us.getValueAtPercentile(50) / 1e3,
+            us.getValueAtPercentile(99) / 1e3, us.getMaxValue() / 1e3);
+    }
+
+    // ---- What consoles cost ----
+
+    @FunctionalInterface
+    private interface Cpu {
+        long ns();
+    }
+
+    private int consoles(PrintWriter out, Path folder) throws NoAnswer, InterruptedException {
+        out.println("| site | consoles | node's CPU, per cent of a core: median (least to most) | heap after a"
+            + " collection, MB: median |\n| --- | --- | --- | --- |");
+        final Path one = folder.resolve("fleet");
+        try (Fleet fleet = new Fleet(new Fleet.Plan(WORKERS, RATE, seed, List.of(), one.toString(), null))) {
+            fleet.start();
+            consoles(out, "8 workers, " + (int) RATE + " jobs a second", one, fleet::nodeCpuNs);
+        }
+        final Path two = folder.resolve("wide");
+        try (WideSite site = new WideSite(WIDE, seed, two)) {
+            site.churn(CHURN);
+            consoles(out, WIDE + " workers, " + CHURN + " changes a second", two, site::nodeCpuNs);
+        }
+        return ExitCodes.DONE;
+    }
+
+    private void consoles(PrintWriter out, String site, Path socket, Cpu cpu) throws NoAnswer,
+        InterruptedException {
+        final int[] numbers = {0, 1, 8};
+        final List<List<Double>> shares = List.of(new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
+        final List<List<Double>> heaps = List.of(new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
+        // In turn, so that the program's warming falls on all of them; the first round is for that alone.
+        for (int round = 0; round <= rounds; round++) {
+            for (int which = 0; which < numbers.length; which++) {
+                final List<ControlLink> links = new ArrayList<>();
+                try {
+                    for (int i = 0; i < numbers[which]; i++) {
+                        links.add(follow(socket));
+                    }
+                    Thread.sleep(SETTLED_MS);
+                    final long beforeNs = cpu.ns();
+                    final long startNs = System.nanoTime();
+                    Thread.sleep(seconds * 1_000L);
+                    final double share = 100.0 * (cpu.ns() - beforeNs) / (System.nanoTime() - startNs);
+                    if (round > 0) {
+                        shares.get(which).add(share);
+                        heaps.get(which).add(heapMb());
+                    }
+                } finally {
+                    links.forEach(ControlLink::close);
+                }
+            }
+        }
+        for (int which = 0; which < numbers.length; which++) {
+            final List<Double> sorted = shares.get(which).stream().sorted().toList();
+            out.println(String.format(Locale.ROOT, "| %s | %d | %.2f (%.2f to %.2f) | %.1f |", site,
+                numbers[which], median(sorted), sorted.get(0), sorted.get(sorted.size() - 1),
+                median(heaps.get(which).stream().sorted().toList())));
+        }
+        out.flush();
+    }
+
+    private static ControlLink follow(Path socket) throws NoAnswer {
+        try {
+            final ControlLink link = ControlLink.open(socket, line -> { }, why -> { });
+            link.send(ControlLink.request("1", "subscribe"));
+            link.send(ControlLink.request("2", "events"));
+            return link;
+        } catch (IOException e) {
+            throw new NoAnswer(e.getMessage(), false);
+        }
+    }
+
+    private static double median(List<Double> sorted) {
+        return sorted.get(sorted.size() / 2);
+    }
+
+    private static double heapMb() {
+        System.gc();
+        return (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) / 1e6;
+    }
+
+    // ---- What a screen costs ----
+
+    private int screen(PrintWriter out) {
+        ScreenCost.measure(WIDE, CHURN, count);
+        out.println("| workers, of which changed | ms to take the news in and draw 120x50: p50 | p99 | max |\n"
+            + "| --- | --- | --- | --- |");
+        for (final int changed : new int[] {0, CHURN / 10, CHURN, WIDE}) {
+            final Histogram ns = ScreenCost.measure(WIDE, changed, count);
+            out.println(String.format(Locale.ROOT, "| %d, %d | %.2f | %.2f | %.2f |", WIDE, changed,
+                ns.getValueAtPercentile(50) / 1e6, ns.getValueAtPercentile(99) / 1e6,
+                ns.getMaxValue() / 1e6));
+        }
+        return ExitCodes.DONE;
+    }
+}
--- a/src/main/java/cresschute/console/Keys.java
+++ b/src/main/java/cresschute/console/Keys.java
@@ -64,7 +64,7 @@
             rest.append((char) next);
             next = source.read(SEQUENCE_MS);
         }
-        return Key.of(switch (next) {
+        final Kind kind = switch (next) {
             case 'A' -> Kind.UP;
             case 'B' -> Kind.DOWN;
             case 'H' -> Kind.HOME;
@@ -77,6 +77,7 @@
                 default -> Kind.UNKNOWN;
             };
             default -> Kind.UNKNOWN;
-        });
+        };
+        return Key.of(kind);
     }
 }
--- /dev/null
+++ b/src/main/java/cresschute/console/ScreenCost.java
@@ -0,0 +1,53 @@
+package cresschute.console;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import cresschute.console.ScreenView.Look;
+import java.time.ZoneOffset;
+import org.HdrHistogram.Histogram;
+
+/** What it costs to draw the picture of a large site; for the trials. */
+public final class ScreenCost {
+
+    private static final long MOST_NS = 10_000_000_000L;
+
+    private ScreenCost() {
+    }
+
+    /**
+     * Takes news of some workers in and draws the screen, again and again.
+     *
+     * @param workers how many there are
+     * @param changed how many of them have changed at each drawing
+     * @return nanoseconds for each drawing
+     */
+    public static Histogram measure(int workers, int changed, int drawings) {
+        final SiteModel model = new SiteModel();
+        final ScreenState state = new ScreenState();
+        final long nowMs = 1_700_000_000_000L;
+        model.connected(nowMs);
+        model.take(news(true, 0, workers, 0), nowMs);
+        final Look look = new Look(120, 50, true, true, ZoneOffset.UTC);
+        final Histogram times = new Histogram(MOST_NS, 2);
+        for (int i = 0; i < drawings; i++) {
+            final JsonObject news = news(false, i * changed % workers, changed, i);
+            final long startNs = System.nanoTime();
+            model.take(news, nowMs);
+            ScreenView.draw(model, state, look, nowMs);
+            times.recordValue(Math.min(MOST_NS, System.nanoTime() - startNs));
+        }
+        return times;
+    }
+
+    private static JsonObject news(boolean whole, int first, int count, int value) {
+        final StringBuilder rows = new StringBuilder();
+        for (int i = first; i < first + count; i++) {
+            rows.append(i == first ? "" : ",").append("\"w/w").append(i).append("\":{\"id\":\"w").append(i)
+                .append("\",\"state\":\"taking\",\"why\":\"\",\"since_ms\":1,\"kind\":\"std\",\"in_flight\":")
+                .append(value % 9).append(",\"rate\":1.5,\"p50_ms\":400,\"p99_ms\":900,\"sparks\":[1,2,3,4,5,"
+                    + "6,7,8,9,10,11,12],\"queue\":1,\"free\":2,\"report_ms\":1}");
+        }
+        return JsonParser.parseString("{\"boot\":\"b\",\"number\":" + (value + 1) + ",\"whole\":" + whole
+            + ",\"rows\":{" + rows + "},\"gone\":[]}").getAsJsonObject();
+    }
+}
--- a/src/main/java/cresschute/console/ScreenState.java
+++ b/src/main/java/cresschute/console/ScreenState.java
@@ -91,7 +91,8 @@
 
     private boolean matches(JsonObject row) {
         final String wanted = filter.toLowerCase(Locale.ROOT);
-        return text(row, "id").toLowerCase(Locale.ROOT).contains(wanted) || text(row, "state").contains(wanted)
+        return text(row, "id").toLowerCase(Locale.ROOT).contains(wanted)
+            || text(row, "state").contains(wanted)
             || text(row, "kind").toLowerCase(Locale.ROOT).contains(wanted);
     }
 
@@ -112,13 +113,20 @@
         return Comparator.<JsonObject>comparingDouble(row -> number(row, field)).reversed();
     }
 
-    /** w2 before w10. */
+    /** w2 before w10: of names that differ in the number at their end alone, the shorter one comes first. */
     private static int byNumber(String one, String other) {
-        final String head = one.replaceAll("[0-9]+$", "");
-        if (head.equals(other.replaceAll("[0-9]+$", "")) && one.length() != other.length()) {
-            return Integer.compare(one.length(), other.length());
+        final int head = headLength(one);
+        return one.length() != other.length() && head == headLength(other)
+            && one.regionMatches(0, other, 0, head) ? Integer.compare(one.length(), other.length())
+            : one.compareTo(other);
+    }
+
+    private static int headLength(String name) {
+        int length = name.length();
+        while (length > 0 && Character.isDigit(name.charAt(length - 1))) {
+            length--;
         }
-        return one.compareTo(other);
+        return length;
     }
 
     static String text(JsonObject row, String field) {
--- a/src/main/java/cresschute/console/ScreenView.java
+++ b/src/main/java/cresschute/console/ScreenView.java
@@ -24,6 +24,7 @@
 
     static final int LEAST_COLUMNS = 40;
     static final int LEAST_ROWS = 6;
+    private static final int FULL_HINTS = 60;
     private static final String SPARKS = " ▁▂▃▄▅▆▇█";
     private static final String PLAIN_SPARKS = " .:-=+*%#";
     private static final DateTimeFormatter CLOCK = DateTimeFormatter.ofPattern("HH:mm:ss", Locale.ROOT);
@@ -284,7 +285,8 @@
             case HELP -> "";
             case BROWSE -> !state.message().isEmpty() ? " " + state.message()
                 : (state.filter().isEmpty() ? "" : "[/" + state.filter() + "]")
-                + " d drain  u undo  / filter  s sort  ? help  q quit";
+                + (look.columns() < FULL_HINTS ? " d drain  u undo  ? help  q quit"
+                : " d drain  u undo  / filter  s sort  ? help  q quit");
         };
         return line(clean(text), state.mode() == ScreenState.Mode.BROWSE ? AttributedStyle.DEFAULT
             : AttributedStyle.DEFAULT.bold(), look);
--- a/src/main/java/cresschute/health/HealthBook.java
+++ b/src/main/java/cresschute/health/HealthBook.java
@@ -15,7 +15,7 @@
  *
  * <p>Pure: the clock is passed in, and its owner, the loop, is the only one to call it. Times are
  * microseconds of a clock that never goes back. Memory is bounded by the workers that are listed, or went
- * less than ten minutes ago: up to about 12 KiB for each, as measured by {@code HealthBookTest}.
+ * less than ten minutes ago: about 16 kB for each, as measured by {@code HealthBookTest}.
  */
 public final class HealthBook {
 
@@ -262,7 +262,8 @@
      * @param waitedUs since it came
      * @param ranUs how long the job ran that served it
      */
-    public void answered(long nowUs, int requestClass, Answer answer, int fetches, long waitedUs, long ranUs) {
+    public void answered(long nowUs, int requestClass, Answer answer, int fetches, long waitedUs,
+                         long ranUs) {
         final ClassSeen seen = classes.get(requestClass);
         seen.admitted.add(nowUs, fetches > 0 ? 1 : 0);
         switch (answer) {
--- a/src/main/java/cresschute/lab/DirectorStandIn.java
+++ b/src/main/java/cresschute/lab/DirectorStandIn.java
@@ -96,12 +96,25 @@
 
     /** A worker's state, as {@code SERVING}, {@code DRAINING} or {@code DELETED}; told when it is due. */
     void set(WorkerStandIn worker, String state, long startedMs) {
-        final WorkerStandIn.Make make = worker.make();
-        final Entry entry = new Entry(make.id(), worker.address(), make.zone(), make.kind(), make.cell(),
-            state, startedMs);
+        set(worker.make(), worker.address(), state, startedMs);
+    }
+
+    /** The same of a worker that is nowhere but on the list. */
+    void set(WorkerStandIn.Make make, InetSocketAddress address, String state, long startedMs) {
+        final Entry entry = new Entry(make.id(), address, make.zone(), make.kind(), make.cell(), state,
+            startedMs);
         loop.schedule(() -> publish(entry), lateUs, TimeUnit.MICROSECONDS);
     }
 
+    /** As after its own restart: it knows no changes, and each watch is answered with the whole list. */
+    void forgetChanges() {
+        changes.clear();
+        version++;
+        final List<Watch> due = List.copyOf(watches);
+        watches.clear();
+        due.forEach(watch -> whole(watch.ctx()));
+    }
+
     private void publish(Entry entry) {
         version++;
         if (entry.state().equals("DELETED")) {
--- a/src/main/java/cresschute/lab/Fleet.java
+++ b/src/main/java/cresschute/lab/Fleet.java
@@ -2,6 +2,8 @@
 
 import cresschute.DispatchApi.ColdStart;
 import cresschute.lab.JobClass.Demand;
+import cresschute.lab.Observation.OperatorDrained;
+import cresschute.lab.Observation.SendCame;
 import cresschute.node.NodeConfig;
 import cresschute.node.NodeServer;
 import cresschute.settings.ApplianceSettings;
@@ -19,6 +21,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -119,7 +122,8 @@
                 + each.address().getPort() + "\", \"" + each.make().kind() + "\", "
                 + each.make().cell() + ")")
                 .collect(Collectors.joining(", ")) + "]\n" + demoScript()
-            + (plan.controlSocket() == null ? "" : "\ncontrol(socket = " + quoted(plan.controlSocket()) + ")\n")
+            + (plan.controlSocket() == null ? ""
+            : "\ncontrol(socket = " + quoted(plan.controlSocket()) + ")\n")
             + (plan.stateFolder() == null ? "" : "\nstate(folder = " + quoted(plan.stateFolder()) + ")\n");
         final SettingsFile.Result result = SettingsFile.parse(script);
         if (result.settings() == null) {
@@ -231,6 +235,62 @@
         return recorder.seen();
     }
 
+    /** A worker's trouble begins now. Not on the fleet's loop. */
+    void begin(Trouble.Kind kind, String worker) {
+        onLoop(() -> begin(new Trouble(kind, worker, 1, 0, 0), workerCalled(worker)));
+    }
+
+    /** A worker's trouble ends now. Not on the fleet's loop. */
+    void end(Trouble.Kind kind, String worker) {
+        onLoop(() -> end(new Trouble(kind, worker, 1, 0, 0), workerCalled(worker)));
+    }
+
+    private WorkerStandIn workerCalled(String id) {
+        return workers.stream().filter(each -> each.make().id().equals(id)).findFirst().orElseThrow();
+    }
+
+    /** Notes for the checker of the rules that the node has confirmed an operator's drain just now. */
+    void confirmed(String worker, boolean drained) {
+        recorder.add(new OperatorDrained(recorder.nowUs(), worker, drained));
+    }
+
+    /** Notes that an operator's drain was taken at this time, Unix time in microseconds. */
+    public void drainedAt(String worker, long us) {
+        recorder.add(new OperatorDrained(us, worker, true));
+    }
+
+    /** Notes that an operator's drain is undone from now on: work may come. */
+    public void undrained(String worker) {
+        confirmed(worker, false);
+    }
+
+    /** When the first byte of the newest send to a worker came, Unix time in microseconds, or 0. */
+    public long lastSendUs(String worker) {
+        final List<Observation> seen = recorder.seen();
+        for (int i = seen.size() - 1; i >= 0; i--) {
+            if (seen.get(i) instanceof SendCame send && send.worker().equals(worker)) {
+                return send.firstByteUs();
+            }
+        }
+        return 0;
+    }
+
+    /** CPU time of the node's one loop, ns. */
+    public long nodeCpuNs() {
+        return node.loopCpuNs();
+    }
+
+    /** Names of the workers that were sent something since a time, Unix time in microseconds. */
+    public Set<String> workersSentToSince(long us) {
+        return recorder.seen().stream().filter(SendCame.class::isInstance).map(SendCame.class::cast)
+            .filter(each -> each.firstByteUs() > us).map(SendCame::worker).collect(Collectors.toSet());
+    }
+
+    /** The director forgets what it has told, so that its next answer is a whole list. */
+    void tellWholeList() {
+        onLoop(director::forgetChanges);
+    }
+
     private ColdStart coldStart() {
         return settings.module().coldStart();
     }
@@ -267,7 +327,7 @@
     }
 
     /** Time on the fleet's clock, in which observations are told. */
-    long nowUs() {
+    public long nowUs() {
         return recorder.nowUs();
     }
 }
--- a/src/main/java/cresschute/lab/Observation.java
+++ b/src/main/java/cresschute/lab/Observation.java
@@ -78,4 +78,8 @@
     /** The director has written this to the node. */
     record WorkerTold(long us, String worker, String state, long startedMs) implements Observation {
     }
+
+    /** The node has confirmed that an operator drains this worker, or that it does no longer. */
+    record OperatorDrained(long us, String worker, boolean start) implements Observation {
+    }
 }
--- a/src/main/java/cresschute/lab/RuleChecker.java
+++ b/src/main/java/cresschute/lab/RuleChecker.java
@@ -5,6 +5,7 @@
 import cresschute.DispatchApi.RepeatScope;
 import cresschute.lab.Observation.AnswerTooMany;
 import cresschute.lab.Observation.EffectMade;
+import cresschute.lab.Observation.OperatorDrained;
 import cresschute.lab.Observation.ReqAnswered;
 import cresschute.lab.Observation.ReqLost;
 import cresschute.lab.Observation.ReqSent;
@@ -164,29 +165,40 @@
 
     // ---- Drains ----
 
+    /** A drain holds whoever asked for it: the list's and the operator's end each by themselves. */
     private void drains(List<Observation> seen) {
-        final Map<String, WorkerTold> leaving = new HashMap<>();
+        final Map<String, Long> byList = new HashMap<>();
+        final Map<String, Long> byOperator = new HashMap<>();
         // Sends are noted at their last byte, after what was told since their first: so that all is in order.
         final List<Observation> ordered = new ArrayList<>(seen);
         ordered.sort((a, b) -> Long.compare(drainTime(a), drainTime(b)));
         for (final Observation each : ordered) {
             if (each instanceof WorkerTold told) {
                 if (told.state().equals("SERVING")) {
-                    leaving.remove(told.worker());
+                    byList.remove(told.worker());
                 } else {
-                    leaving.putIfAbsent(told.worker(), told);
+                    byList.putIfAbsent(told.worker(), told.us());
                 }
-            } else if (each instanceof SendCame send && leaving.containsKey(send.worker())) {
-                final WorkerTold told = leaving.get(send.worker());
-                if (send.firstByteUs() > told.us() + DRAIN_WITHIN_US) {
-                    breach(Rule.DRAINS_KEPT, send.us(), send.worker() + " was sent " + send.id() + " "
-                        + (send.firstByteUs() - told.us()) / 1000 + " ms after it was told as "
-                            + told.state());
+            } else if (each instanceof OperatorDrained drained) {
+                if (drained.start()) {
+                    byOperator.putIfAbsent(drained.worker(), drained.us());
+                } else {
+                    byOperator.remove(drained.worker());
                 }
+            } else if (each instanceof SendCame send) {
+                kept(send, byList.get(send.worker()), "the list told that it leaves");
+                kept(send, byOperator.get(send.worker()), "an operator's drain was confirmed");
             }
         }
     }
 
+    private void kept(SendCame send, Long sinceUs, String what) {
+        if (sinceUs != null && send.firstByteUs() > sinceUs + DRAIN_WITHIN_US) {
+            breach(Rule.DRAINS_KEPT, send.us(), send.worker() + " was sent " + send.id() + " "
+                + (send.firstByteUs() - sinceUs) / 1000 + " ms after " + what);
+        }
+    }
+
     private static long drainTime(Observation seen) {
         return seen instanceof SendCame send ? send.firstByteUs() : seen.us();
     }
--- /dev/null
+++ b/src/main/java/cresschute/lab/WideSite.java
@@ -0,0 +1,80 @@
+package cresschute.lab;
+
+import cresschute.node.NodeConfig;
+import cresschute.node.NodeServer;
+import cresschute.settings.SettingsFile;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * A node that is told of very many workers, by a director whose list does not rest: for what consoles cost
+ * at that size. Nobody sends jobs, so that none of the workers need be there.
+ */
+public final class WideSite implements AutoCloseable {
+
+    private static final long STEP_MS = 50;
+    private static final InetSocketAddress NOWHERE = new InetSocketAddress(InetAddress.getLoopbackAddress(),
+        1);
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final UniformRandomProvider chance;
+    private final DirectorStandIn director;
+    private final List<WorkerStandIn.Make> workers = new ArrayList<>();
+    private final boolean[] drains;
+    private final NodeServer node;
+
+    /** Starts director and node; the list is told at once. */
+    public WideSite(int count, long seed, Path controlSocket) {
+        chance = RandomSource.XO_SHI_RO_256_PP.create(seed);
+        director = new DirectorStandIn(loop, new Recorder());
+        drains = new boolean[count];
+        final InetSocketAddress at = director.start();
+        for (int i = 0; i < count; i++) {
+            workers.add(new WorkerStandIn.Make("w" + (i + 1), i % 10, "local", "std", 4, 1));
+        }
+        CompletableFuture.runAsync(() -> workers.forEach(each -> director.set(each, NOWHERE, "SERVING", 0)),
+            loop).join();
+        node = new NodeServer(NodeConfig.of(SettingsFile.parse("""
+            node(name = "wide", listen = "127.0.0.1:0", seed = 1)
+            director(address = "127.0.0.1:%d")
+            job_class(name = "lookup", worth = 1, aim = 1 * s, deadline = 5 * s, effect = "safe")
+            control(socket = "%s")
+            """.formatted(at.getPort(), controlSocket)).settings(), seed));
+        node.start();
+    }
+
+    /** From now on so many workers a second change between serving and draining, drawn by the seed. */
+    public void churn(int perS) {
+        loop.scheduleAtFixedRate(() -> {
+            for (int i = 0; i < perS * STEP_MS / 1_000; i++) {
+                final int worker = chance.nextInt(drains.length);
+                drains[worker] = !drains[worker];
+                director.set(workers.get(worker), NOWHERE, drains[worker] ? "DRAINING" : "SERVING", 0);
+            }
+        }, STEP_MS, STEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** CPU time of the node's one loop, ns. */
+    public long nodeCpuNs() {
+        return node.loopCpuNs();
+    }
+
+    @Override
+    public void close() {
+        node.stop().join();
+        CompletableFuture.runAsync(director::close, loop).join();
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+}
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -16,6 +16,7 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.lang.management.ManagementFactory;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.List;
@@ -196,6 +197,12 @@
         }
     }
 
+    /** CPU time that the loop has used, ns, by which the lab measures; blocks, so not on the loop. */
+    public long loopCpuNs() {
+        return CompletableFuture.supplyAsync(
+            () -> ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime(), loop).join();
+    }
+
     /** How often something did not hold that must; any thread, and a moment old. */
     public long invariantBreaches() {
         return core.invariant().total();
--- /dev/null
+++ b/src/test/java/cresschute/cli/ConsoleProgramTest.java
@@ -0,0 +1,343 @@
+package cresschute.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonObject;
+import cresschute.ControlPeer;
+import cresschute.lab.Fleet;
+import cresschute.lab.FleetReport;
+import cresschute.lab.Trouble;
+import cresschute.node.Json;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import picocli.CommandLine;
+
+/** The person at the terminal: a screen on a pseudo-terminal, commands, and nodes that are killed. */
+@Timeout(120)
+class ConsoleProgramTest {
+
+    private static final String JAVA = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+
+    @TempDir
+    private Path folder;
+    private Path socket;
+
+    @BeforeEach
+    void closeFolder() throws IOException {
+        Files.setPosixFilePermissions(folder, PosixFilePermissions.fromString("rwx------"));
+        socket = folder.resolve("s");
+    }
+
+    private static List<String> program(String... args) {
+        final List<String> command = new ArrayList<>(List.of(JAVA, "-ea", "-XX:TieredStopAtLevel=1",
+            "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "cresschute.cli.Main"));
+        command.addAll(List.of(args));
+        return command;
+    }
+
+    private Fleet fleet(String troubles) {
+        final Fleet fleet = new Fleet(new Fleet.Plan(5, 15, 1, Trouble.parse(troubles), socket.toString(),
+            null));
+        fleet.start();
+        return fleet;
+    }
+
+    private VirtualScreen console(int columns, int rows, Map<String, String> environment) throws IOException {
+        return new VirtualScreen(columns, rows, environment, program("console", "--socket",
+            socket.toString()));
+    }
+
+    private JsonObject worker(String id) throws IOException {
+        try (ControlPeer peer = new ControlPeer(socket)) {
+            return peer.worker(id);
+        }
+    }
+
+    private static void sound(Fleet fleet) {
+        fleet.stop();
+        final FleetReport report = fleet.report();
+        assertThat(report.breaches()).isEmpty();
+        assertThat(report.invariantBreaches()).isZero();
+    }
+
+    private static String row(VirtualScreen screen, String worker) {
+        return screen.lines().stream().filter(each -> each.length() > 1
+            && each.substring(1).startsWith(worker + " ")).findFirst().orElse("");
+    }
+
+    /**
+     * The whole session: look, drain the worker that was chosen, be cut off, come back, undo, leave. The
+     * drain holds within 400 ms of the node's taking it, as the workers saw it, and all others go on.
+     */
+    @Test
+    void sessionAtATerminalDrainsWhatItMeant() throws Exception {
+        try (Fleet fleet = fleet("")) {
+            try (VirtualScreen screen = console(80, 24, Map.of("USER", "wanjiru"))) {
+                screen.await("LIVE");
+                screen.await("all workers at work", text -> text.contains("w5 ") && !text.contains("  0.0 "));
+                screen.type("jj");
+                screen.await("the cursor on w3", text -> row(screen, "w3").startsWith(">"));
+                screen.type("d");
+                screen.await("Drain w3? ");
+                screen.type("y");
+                screen.await("w3 is draining");
+                // Cut off: the terminal goes and the program with it, and the drain holds.
+                screen.cut();
+            }
+            final JsonObject drain = worker("w3").getAsJsonObject("drain");
+            assertThat(drain.get("who").getAsString()).isEqualTo("wanjiru");
+            final long drainedUs = drain.get("since_ms").getAsLong() * 1_000;
+            fleet.drainedAt("w3", drainedUs);
+            try (VirtualScreen screen = console(80, 24, Map.of("USER", "otieno"))) {
+                screen.await("the drain", text -> row(screen, "w3").contains("draining"));
+                screen.type("jj");
+                screen.await("drained by wanjiru");
+                final Set<String> busy = new HashSet<>(fleet.workersSentToSince(drainedUs + 400_000));
+                screen.await("work at all others", text -> {
+                    busy.addAll(fleet.workersSentToSince(drainedUs + 400_000));
+                    return busy.size() >= 4;
+                });
+                assertThat(busy).containsExactlyInAnyOrder("w1", "w2", "w4", "w5");
+                fleet.undrained("w3");
+                screen.type("u");
+                screen.await("w3 takes work again");
+                screen.await("it at work", text -> row(screen, "w3").contains("taking")
+                    || row(screen, "w3").contains("full"));
+                screen.type("q");
+                assertThat(screen.exitCode()).isZero();
+            }
+            for (final String other : List.of("w1", "w2", "w4", "w5")) {
+                assertThat(worker(other).has("drain")).isFalse();
+            }
+            sound(fleet);
+        }
+    }
+
+    /** Cut between the question and the answer: nothing was meant yet, so nothing is done. */
+    @Test
+    void sessionCutAtTheQuestionDrainsNothing() throws Exception {
+        try (Fleet fleet = fleet("")) {
+            try (VirtualScreen screen = console(80, 24, Map.of())) {
+                screen.await("LIVE");
+                screen.type("d");
+                screen.await("Drain w1? ");
+                screen.cut();
+            }
+            assertThat(worker("w1").has("drain")).isFalse();
+            sound(fleet);
+        }
+    }
+
+    /** The node goes away and another run of it comes: old figures are not shown as new, then all is live. */
+    @Test
+    void screenTellsThatItsPictureIsOldAndComesBack() throws Exception {
+        try (VirtualScreen screen = console(40, 12, Map.of("NO_COLOR", "1"))) {
+            screen.await("LOADING");
+            try (Fleet first = fleet("crash:w2@1s+1s")) {
+                screen.await("LIVE");
+                assertThat(screen.lines()).allMatch(line -> line.length() <= 40);
+                screen.resize(100, 30);
+                screen.await("QUEUE FREE REPORT LAST MINUTE");
+                sound(first);
+            }
+            screen.await("RECONNECTING, STALE since ");
+            assertThat(row(screen, "w1")).isNotEmpty();
+            try (Fleet second = fleet("")) {
+                screen.await("LIVE");
+                sound(second);
+            }
+            screen.type("?");
+            screen.await("any key goes back");
+            screen.type("\u0003");
+            screen.type("\u0003");
+            assertThat(screen.exitCode()).isZero();
+        }
+    }
+
+    @Test
+    void dumbTerminalGetsLines() throws Exception {
+        try (Fleet fleet = fleet("")) {
+            try (VirtualScreen screen = console(80, 24, Map.of("TERM", "dumb"))) {
+                screen.await("this is no terminal that can show a screen");
+                screen.await("WORKER           STATE");
+            }
+            sound(fleet);
+        }
+    }
+
+    // ---- Commands ----
+
+    private record Ran(int code, String out, String err) {
+    }
+
+    private Ran run(String... args) {
+        final List<String> all = new ArrayList<>(List.of(args));
+        all.addAll(List.of("--socket", socket.toString()));
+        final StringWriter out = new StringWriter();
+        final StringWriter err = new StringWriter();
+        final CommandLine line = Commands.line().setOut(new PrintWriter(out, true))
+            .setErr(new PrintWriter(err, true));
+        return new Ran(line.execute(all.toArray(String[]::new)), out.toString().strip(),
+            err.toString().strip());
+    }
+
+    @Test
+    void commandsDrainAndShow() {
+        try (Fleet fleet = fleet("")) {
+            assertThat(run("workers").out().lines().map(each -> each.split(" +")[0]))
+                .containsExactly("WORKER", "w1", "w2", "w3", "w4", "w5");
+            final JsonObject picture = Json.object(run("workers", "--json").out());
+            assertThat(picture.keySet()).containsExactly("node", "workers", "classes");
+            final Ran drain = run("drain", "w2", "--for", "2h", "--reason", "disk", "--wait");
+            assertThat(drain.code()).isZero();
+            assertThat(drain.out()).matches("(?s)w2 is draining; [0-9]+ still out\\s+"
+                + "w2: nothing is out there any more");
+            assertThat(run("drain", "w2").out()).startsWith("w2: drained by ").endsWith(": disk");
+            assertThat(run("drain", "w2").code()).isZero();
+            assertThat(run("drain", "w9")).isEqualTo(new Ran(1, "",
+                "cresschute: no worker is called w9; --force drains it anyway"));
+            assertThat(run("undrain", "w2", "--operation", "u1").out())
+                .isEqualTo("w2 is no longer drained by an operator");
+            assertThat(run("undrain", "w2").out()).isEqualTo("w2: not drained by an operator");
+            assertThat(Json.object(run("undrain", "w2", "--operation", "u1", "--json").out()).get("outcome")
+                .getAsString()).isEqualTo("done");
+            assertThat(run("events").out()).contains("w2 drained by ", ": disk", "w2 no longer drained by ");
+            assertThat(run("events", "--json").out().lines().map(Json::object)
+                .map(each -> each.get("kind").getAsString())).contains("drained", "undrained");
+            sound(fleet);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+        drain                | Missing required parameter: 'WORKER'; try 'cresschute drain --help'
+        drain w1 --for soon  | --for: 'soon' is no time; allowed: a whole number and ms, s, m, h or d, such as 2h; try 'cresschute drain --help'
+        drain w1 --for 0s    | --for: '0s' is no time; allowed: a whole number and ms, s, m, h or d, such as 2h; try 'cresschute drain --help'
+        drain w1             | no node answers at
+        workers              | no node answers at
+        events               | no node answers at
+        """)
+    void wrongWordsAndAbsentNodesAreTold(String words, String message) {
+        final Ran ran = run(words.split(" "));
+        assertThat(ran.err()).startsWith("cresschute: " + message);
+        assertThat(ran.code()).isEqualTo(message.startsWith("no node") ? 1 : 2);
+    }
+
+    @Test
+    void socketMustBeNamed() {
+        final StringWriter err = new StringWriter();
+        final int code = Commands.line().setErr(new PrintWriter(err, true)).execute("workers", "--settings",
+            "deploy/appliance.star");
+        assertThat(err.toString()).contains("states no control(socket = ...)");
+        assertThat(code).isEqualTo(2);
+    }
+
+    // ---- Kills ----
+
+    private Process serve(Path script) throws IOException {
+        final Process node = new ProcessBuilder(program("serve", "--settings", script.toString())).start();
+        final BufferedReader log = node.errorReader();
+        String line = log.readLine();
+        while (line != null && !line.contains(" listens on ")) {
+            line = log.readLine();
+        }
+        assertThat(line).isNotNull();
+        return node;
+    }
+
+    /**
+     * Killed at once after the drain was confirmed, or after it was asked for: a confirmed drain is there at
+     * the next start, before the first req, and asking for it again has no second effect either way.
+     */
+    @Test
+    void killedNodeKeepsWhatItConfirmed() throws Exception {
+        final Path script = folder.resolve("site.star");
+        try (ServerSocket w1 = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+             ServerSocket w2 = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            final int port;
+            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                port = free.getLocalPort();
+            }
+            Files.writeString(script, """
+                node(name = "n", listen = "127.0.0.1:%d", seed = 3)
+                worker(id = "w1", address = "127.0.0.1:%d")
+                worker(id = "w2", address = "127.0.0.1:%d")
+                job_class(name = "check", worth = 1, aim = 1 * s, deadline = 5 * s, effect = "safe")
+                control(socket = "%s")
+                state(folder = "%s")
+                """.formatted(port, w1.getLocalPort(), w2.getLocalPort(), socket, folder.resolve("state")));
+            for (int round = 0; round < 4; round++) {
+                final String op = "round-" + round;
+                final boolean confirmed = round % 2 == 0;
+                final Process first = serve(script);
+                try (ControlPeer peer = new ControlPeer(socket)) {
+                    peer.write("{\"v\":1,\"id\":\"1\"," + ControlPeer.operation("drain", op, "w1") + "}\n");
+                    if (confirmed) {
+                        assertThat(peer.read().get("outcome").getAsString()).isEqualTo("done");
+                    }
+                } finally {
+                    first.destroyForcibly().waitFor();
+                }
+                // It left its socket behind, and died with the lock of its folder.
+                assertThat(Files.exists(socket)).isTrue();
+                final Process second = serve(script);
+                try (ControlPeer peer = new ControlPeer(socket)) {
+                    if (confirmed) {
+                        assertThat(peer.worker("w1").has("drain")).isTrue();
+                        goesTo(port, w2);
+                    }
+                    assertThat(peer.operate("drain", op, "w1")).isEqualTo("done: ");
+                    assertThat(peer.worker("w1").has("drain")).isTrue();
+                    assertThat(peer.operate("undrain", "u" + round, "w1")).isEqualTo("done: ");
+                } finally {
+                    second.destroy();
+                    second.waitFor();
+                }
+            }
+        }
+    }
+
+    private static void goesTo(int port, ServerSocket worker) throws IOException {
+        for (int i = 0; i < 6; i++) {
+            try (Socket client = new Socket()) {
+                client.connect(new InetSocketAddress("127.0.0.1", port));
+                client.getOutputStream().write(("POST /check HTTP/1.1\r\nHost: n\r\nX-Request-Id: r" + i
+                    + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+                worker.setSoTimeout(8_000);
+                try (Socket backend = worker.accept()) {
+                    final StringBuilder head = new StringBuilder();
+                    while (head.indexOf("\r\n\r\n") < 0) {
+                        head.append((char) backend.getInputStream().read());
+                    }
+                    final String line = "{\"id\":\"r" + i + "\",\"state\":\"done\",\"result\":\"yes\"}\n";
+                    backend.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + line.length()
+                        + "\r\nConnection: close\r\n\r\n" + line).getBytes(StandardCharsets.US_ASCII));
+                    assertThat(new String(client.getInputStream().readAllBytes(), StandardCharsets.UTF_8))
+                        .endsWith("yes");
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cresschute/console/ScreenTest.java
@@ -0,0 +1,309 @@
+package cresschute.console;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import cresschute.console.Keys.Key;
+import cresschute.console.Keys.Kind;
+import cresschute.console.ScreenState.Mode;
+import cresschute.console.ScreenState.Wish;
+import cresschute.console.ScreenView.Look;
+import cresschute.console.SiteModel.Freshness;
+import java.io.IOException;
+import java.io.StringReader;
+import java.time.ZoneOffset;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.jline.utils.AttributedString;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What is on the screen, for every size and state of the picture, and what keys do to it. */
+class ScreenTest {
+
+    private static final long NOW = 1_700_000_100_000L;
+    private static final Look USUAL = new Look(80, 24, false, false, ZoneOffset.UTC);
+
+    private final SiteModel model = new SiteModel();
+    private final ScreenState state = new ScreenState();
+
+    private static String worker(String id, String condition, int out) {
+        return "\"w/" + id + "\":{\"id\":\"" + id + "\",\"state\":\"" + condition
+            + "\",\"why\":\"\",\"since_ms\":" + (NOW - 65_000)
+            + ",\"address\":\"127.0.0.1:9101\",\"kind\":\"std\",\"cell\":0,\"listed\":\"serving\","
+            + "\"in_flight\":" + out + ",\"in_flight_by_class\":{},\"rate\":1.25,\"failed\":0,\"p50_ms\":415,"
+            + "\"p99_ms\":12800,\"p50_ms_10m\":400,\"p99_ms_10m\":900,\"sparks\":[0,0,0,1,2,3,4,5,6,7,8,4],"
+            + "\"queue\":2,\"free\":-1,\"report_ms\":" + (NOW - 1_500) + "}";
+    }
+
+    private static String node(boolean stopping) {
+        return "\"node\":{\"name\":\"desk-1\",\"list_version\":41,\"list_ms\":" + (NOW - 2_300)
+            + ",\"fixed_list\":false,\"open\":12,\"worth_kept\":0.984,\"stopping\":" + stopping
+            + ",\"consoles\":1,\"broken\":0}";
+    }
+
+    private static final String CLASS = "\"c/lookup\":{\"id\":\"lookup\",\"asked\":59,\"admitted\":0.97,"
+        + "\"served\":55,\"refused\":2,\"failed\":1,\"in_time\":54,\"in_flight\":3,\"p50_ms\":400,"
+        + "\"p99_ms\":1100,\"p50_ms_10m\":400,\"p99_ms_10m\":900}";
+
+    private static JsonObject line(String text) {
+        return JsonParser.parseString(text).getAsJsonObject();
+    }
+
+    private void load(String... rows) {
+        model.connected(NOW);
+        model.take(line("{\"boot\":\"b\",\"number\":5,\"whole\":true,\"rows\":{" + String.join(",", rows)
+            + "},\"gone\":[]}"), NOW);
+    }
+
+    private void change(String rows, String gone) {
+        model.take(line("{\"boot\":\"b\",\"number\":6,\"whole\":false,\"rows\":{" + rows
+            + "},\"gone\":[" + gone + "]}"), NOW);
+    }
+
+    private List<String> screen(Look look) {
+        return ScreenView.draw(model, state, look, NOW).stream().map(AttributedString::toString)
+            .map(String::stripTrailing).toList();
+    }
+
+    private Wish press(String keys) {
+        Wish wish = Wish.NOTHING;
+        for (final char key : keys.toCharArray()) {
+            wish = state.key(new Key(Kind.CHAR, key), model);
+        }
+        return wish;
+    }
+
+    @Test
+    void usualScreen() {
+        load(worker("w1", "taking", 3), worker("w2", "silent", 10), worker("w10", "draining", 0), CLASS,
+            node(false));
+        model.take(line("{\"boot\":\"b\",\"missed\":0,\"events\":[{\"n\":1,\"at_ms\":" + NOW
+            + ",\"kind\":\"condition\",\"worker\":\"w2\",\"text\":\"w2 is silent\"}]}"), NOW);
+        assertThat(String.join("\n", screen(USUAL))).isEqualTo("""
+             desk-1 | open 12 | worth kept 98% | list 41, 2s ago                       LIVE
+             WORKER*      STATE     OUT    /S    P50    P99 QUEUE FREE REPORT
+            >w1           taking      3   1.3  415ms    13s     2    -     1s
+             w2           silent     10   1.3  415ms    13s     2    -     1s
+             w10          draining    0   1.3  415ms    13s     2    -     1s
+
+
+
+
+
+
+
+
+
+
+
+             w1: taking for 65s
+             CLASS          ASKED   ADMIT  SERVED REFUSED  FAILED  INTIME     P99
+             lookup            59     97%      55       2       1      54  1100ms
+             22:15:00 w2 is silent
+
+
+
+             d drain  u undo  / filter  s sort  ? help  q quit""");
+    }
+
+    @Test
+    void narrowScreenKeepsNamesAndStates() {
+        load(worker("w1", "taking", 3), worker("a-worker-with-a-long-name", "slowing", 1), CLASS,
+            node(false));
+        assertThat(String.join("\n", screen(new Look(40, 14, false, false, ZoneOffset.UTC)))).isEqualTo("""
+             desk-1 | open 12 | worth kept 98% LIVE
+             WORKER*      STATE     OUT    P99
+            >a-worker-wi~ slowing     1    13s
+             w1           taking      3    13s
+
+
+
+
+
+
+             a-worker-with-a-long-name: slowing for
+             CLASS          ASKED  SERVED REFUSED
+             lookup            59      55       2
+             d drain  u undo  ? help  q quit""");
+    }
+
+    /** Every line is just as wide as the screen, and there are just as many as it is high. */
+    @Property(tries = 200, seed = "83")
+    void screenIsFilledExactly(@ForAll Random random) {
+        final List<String> rows = new ArrayList<>(List.of(node(random.nextBoolean())));
+        final int workers = random.nextInt(40);
+        for (int i = 0; i < workers; i++) {
+            rows.add(worker((random.nextInt(5) == 0 ? "日本" : "w") + i,
+                List.of("taking", "full", "slowing", "silent", "cold", "draining", "gone")
+                .get(random.nextInt(7)), random.nextInt(1_000)));
+        }
+        load(rows.toArray(String[]::new));
+        for (int i = 0; i < random.nextInt(30); i++) {
+            press(String.valueOf("jkgGsd/?yn".charAt(random.nextInt(10))));
+        }
+        final Look look = new Look(40 + random.nextInt(120), 6 + random.nextInt(60), random.nextBoolean(),
+            random.nextBoolean(), ZoneOffset.UTC);
+        final List<AttributedString> drawn = ScreenView.draw(model, state, look, NOW);
+        assertThat(drawn).hasSize(look.rows());
+        assertThat(drawn).allMatch(each -> each.columnLength() == look.columns());
+    }
+
+    @Test
+    void loadingStaleAndReconnectingAreNeverShownAsLive() {
+        assertThat(model.freshness(NOW)).isEqualTo(Freshness.LOADING);
+        assertThat(String.join("\n", screen(USUAL))).contains("LOADING", "the node has told nothing yet");
+        model.connected(NOW);
+        assertThat(model.freshness(NOW)).isEqualTo(Freshness.LOADING);
+        load(worker("w1", "taking", 3), node(false));
+        assertThat(model.freshness(NOW + SiteModel.STALE_AFTER_MS - 1)).isEqualTo(Freshness.LIVE);
+        assertThat(model.freshness(NOW + SiteModel.STALE_AFTER_MS)).isEqualTo(Freshness.STALE);
+        assertThat(ScreenView.draw(model, state, USUAL, NOW + 9_000).get(0).toString())
+            .endsWith("STALE since 22:15:00 ");
+        model.disconnected();
+        assertThat(screen(USUAL).get(0)).endsWith("RECONNECTING, STALE since 22:15:00");
+        // The rows stay, as the last that is known.
+        assertThat(screen(USUAL).get(2)).startsWith(">w1");
+    }
+
+    @Test
+    void stoppingNodeIsTold() {
+        load(worker("w1", "taking", 3), node(true));
+        assertThat(screen(USUAL).get(0)).contains("STOPPING");
+    }
+
+    /** Workers join, leave and change their places while the cursor stands on one. */
+    @Test
+    void selectionFollowsTheWorker() {
+        load(worker("w2", "taking", 3), worker("w4", "taking", 1), worker("w6", "taking", 2), node(false));
+        screen(USUAL);
+        press("j");
+        assertThat(state.selected()).isEqualTo("w4");
+        change(worker("w1", "taking", 9) + "," + worker("w3", "silent", 9), "\"w/w2\"");
+        screen(USUAL);
+        assertThat(state.selected()).isEqualTo("w4");
+        press("ss");
+        screen(USUAL);
+        assertThat(state.selected()).isEqualTo("w4");
+        assertThat(state.order()).isEqualTo(ScreenState.Order.OUT);
+        // It goes: the one in its place takes over, and not the first.
+        final List<JsonObject> rows = state.rows(model);
+        change("", "\"w/w4\"");
+        screen(USUAL);
+        assertThat(state.selected()).isEqualTo(ScreenState.text(rows.get(rows.size() - 2), "id"));
+        change("", "\"w/w1\",\"w/w3\",\"w/w6\"");
+        assertThat(String.join("\n", screen(USUAL))).contains("the list names no worker");
+        assertThat(press("d")).isEqualTo(Wish.NOTHING);
+        assertThat(state.message()).isEqualTo("no worker is selected");
+    }
+
+    /** The question names a worker, and that worker is drained, wherever the cursor has gone by then. */
+    @Test
+    void confirmationIsAboutTheWorkerThatWasAskedFor() {
+        load(worker("w1", "taking", 3), worker("w2", "taking", 7), node(false));
+        screen(USUAL);
+        press("jd");
+        assertThat(state.mode()).isEqualTo(Mode.CONFIRM_DRAIN);
+        change("", "\"w/w2\"");
+        assertThat(screen(USUAL).get(23)).isEqualTo(" Drain w2? 0 out there. y or n");
+        change(worker("w2", "taking", 7), "");
+        assertThat(screen(USUAL).get(23)).isEqualTo(" Drain w2? 7 out there. y or n");
+        assertThat(press("y")).isEqualTo(Wish.DRAIN);
+        assertThat(state.asked()).isEqualTo("w2");
+        press("d");
+        assertThat(press("n")).isEqualTo(Wish.NOTHING);
+        assertThat(state.message()).endsWith("is left as it is");
+        state.offerForce("w2", "w2 is the last worker that may run file");
+        assertThat(screen(USUAL).get(23)).isEqualTo(
+            " w2 is the last worker that may run file. F drains it anyway");
+        assertThat(press("f")).isEqualTo(Wish.NOTHING);
+        state.offerForce("w2", "w2 is the last worker that may run file");
+        assertThat(press("F")).isEqualTo(Wish.FORCED_DRAIN);
+    }
+
+    @Test
+    void filterNarrowsAndEscapeWidens() {
+        load(worker("w1", "taking", 3), worker("w2", "silent", 7), worker("x1", "taking", 0), node(false));
+        press("/SIL");
+        assertThat(screen(USUAL).get(23)).isEqualTo("/SIL_");
+        assertThat(state.rows(model)).hasSize(1);
+        state.key(Key.of(Kind.ENTER), model);
+        assertThat(screen(USUAL).get(23)).startsWith("[/SIL] d drain");
+        assertThat(state.selected()).isEqualTo("w2");
+        state.key(Key.of(Kind.ESCAPE), model);
+        assertThat(state.rows(model)).hasSize(3);
+        assertThat(state.selected()).isEqualTo("w2");
+        press("/zz");
+        assertThat(String.join("\n", screen(USUAL))).contains("no worker matches 'zz'; Esc shows all");
+    }
+
+    /** Names and reasons come from others: they must not move the cursor or turn the text round. */
+    @ParameterizedTest
+    @ValueSource(strings = {"a\u001b[2Jb", "a\u0007b", "a\u202eb", "a\nb", "a\u009bb"})
+    void foreignTextIsCleaned(String text) {
+        assertThat(ScreenView.clean(text)).matches("a\\?[^\\p{Cntrl}]*b");
+    }
+
+    @Test
+    void colourIsLeftOutWhereItIsNotWanted() {
+        load(worker("w1", "silent", 3), worker("w2", "silent", 3), node(false));
+        final String plain = ScreenView.draw(model, state, USUAL, NOW).get(3).toAnsi();
+        final String colored = ScreenView.draw(model, state,
+            new Look(80, 24, true, true, ZoneOffset.UTC), NOW).get(3).toAnsi();
+        assertThat(plain).doesNotContain("[31").doesNotContain(";31");
+        assertThat(colored).contains("31");
+    }
+
+    /** A node that started anew counts from 1 again; what it told before is no news. */
+    @Test
+    void anotherRunOfTheNodeStartsThePictureAnew() {
+        load(worker("w1", "taking", 3), node(false));
+        model.take(line("{\"boot\":\"b\",\"missed\":0,\"events\":[{\"n\":7,\"at_ms\":1,\"kind\":\"k\","
+            + "\"text\":\"old\"}]}"), NOW);
+        assertThat(model.lastEvent()).isEqualTo(7);
+        model.take(line("{\"boot\":\"c\",\"number\":1,\"whole\":true,\"rows\":{" + worker("w9", "cold", 0)
+            + "},\"gone\":[]}"), NOW);
+        assertThat(model.lastEvent()).isZero();
+        assertThat(model.events()).isEmpty();
+        assertThat(model.workers()).hasSize(1);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', ignoreLeadingAndTrailingWhitespace = true, textBlock = """
+        j            | CHAR
+        \u001b[A     | UP
+        \u001bOB     | DOWN
+        \u001b[5~    | PAGE_UP
+        \u001b[6~    | PAGE_DOWN
+        \u001b[H     | HOME
+        \u001b[1~    | HOME
+        \u001b[F     | END
+        \u001b[3~    | UNKNOWN
+        \u001b[1;5C  | UNKNOWN
+        \u001b       | ESCAPE
+        \u0003       | QUIT
+        \u0004       | QUIT
+        \u007f       | BACKSPACE
+        """)
+    void keysOfTerminals(String typed, Kind kind) throws IOException {
+        // CsvSource trims control characters at the ends as blanks.
+        final String whole = typed == null ? String.valueOf((char) switch (kind) {
+            case ESCAPE -> 27;
+            case QUIT -> 3;
+            default -> 127;
+        }) : typed.charAt(0) == '[' || typed.charAt(0) == 'O' ? "\u001b" + typed : typed;
+        final StringReader in = new StringReader(whole);
+        final Keys keys = new Keys(timeoutMs -> {
+            final int next = in.read();
+            return next < 0 && timeoutMs > 0 ? -2 : next;
+        });
+        assertThat(keys.next().kind()).isEqualTo(kind);
+        assertThat(keys.next()).isNull();
+    }
+}
--- /dev/null
+++ b/src/test/java/cresschute/lab/ControlledFleetTest.java
@@ -0,0 +1,357 @@
+package cresschute.lab;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.google.gson.JsonObject;
+import cresschute.ControlPeer;
+import cresschute.control.socket.ControlServer;
+import cresschute.lab.Observation.ReqAnswered;
+import cresschute.lab.Observation.ReqSent;
+import cresschute.lab.Observation.SendCame;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Consoles at a node under load, seed 1: sessions that are cut, meet each other, or stop reading. */
+@Timeout(90)
+class ControlledFleetTest {
+
+    @TempDir
+    private Path folder;
+    private Path socket;
+    private Fleet fleet;
+
+    @BeforeEach
+    void start() throws IOException {
+        Files.setPosixFilePermissions(folder, PosixFilePermissions.fromString("rwx------"));
+        socket = folder.resolve("s");
+        fleet = new Fleet(new Fleet.Plan(6, 20, 1, List.of(), socket.toString(),
+            folder.resolve("state").toString()));
+        fleet.start();
+    }
+
+    /** Whatever was done at the consoles, the rules held. */
+    @AfterEach
+    void stop() {
+        fleet.stop();
+        final FleetReport report = fleet.report();
+        assertThat(report.breaches()).isEmpty();
+        assertThat(report.invariantBreaches()).isZero();
+        assertThat(Files.exists(socket)).isFalse();
+    }
+
+    private ControlPeer peer() throws IOException {
+        return new ControlPeer(socket);
+    }
+
+    private void await(Condition condition) {
+        Awaitility.await().atMost(Duration.ofSeconds(20)).until(condition::holds);
+    }
+
+    @FunctionalInterface
+    private interface Condition {
+        boolean holds() throws Exception;
+    }
+
+    private static boolean goesTo(Observation seen, String worker) {
+        return seen instanceof SendCame send && send.worker().equals(worker);
+    }
+
+    private List<Observation> since(int before) {
+        final List<Observation> seen = fleet.seen();
+        return seen.subList(before, seen.size());
+    }
+
+    private long asked() {
+        return fleet.seen().stream().filter(ReqSent.class::isInstance).count();
+    }
+
+    /** Lets so many more reqs come. */
+    private void more(int reqs) {
+        final long before = asked();
+        await(() -> asked() >= before + reqs);
+    }
+
+    private boolean isDrained(String worker) throws IOException {
+        try (ControlPeer peer = peer()) {
+            return peer.worker(worker).has("drain");
+        }
+    }
+
+    private void drain(ControlPeer peer, String op, String worker) throws IOException {
+        assertThat(peer.operate("drain", op, worker)).isEqualTo("done: ");
+        fleet.confirmed(worker, true);
+    }
+
+    private void undrain(ControlPeer peer, String op, String worker) throws IOException {
+        // Before it is asked for: from then on work may come.
+        fleet.confirmed(worker, false);
+        assertThat(peer.operate("undrain", op, worker)).isEqualTo("done: ");
+    }
+
+    @Test
+    void drainedWorkerGetsNothingNewAndOthersGoOn() throws IOException {
+        more(30);
+        try (ControlPeer peer = peer()) {
+            drain(peer, "o1", "w1");
+            more(60);
+            final int before = fleet.seen().size();
+            more(40);
+            final List<Observation> seen = fleet.seen();
+            assertThat(seen.subList(before, seen.size())).noneMatch(each -> goesTo(each, "w1"));
+            for (final String other : List.of("w2", "w3", "w4", "w5", "w6")) {
+                assertThat(seen.subList(before, seen.size())).anyMatch(each -> goesTo(each, other));
+            }
+            await(() -> peer.worker("w1").get("in_flight").getAsInt() == 0);
+            assertThat(peer.worker("w1").get("why").getAsString())
+                .isEqualTo("by an operator; nothing is out there");
+            undrain(peer, "o2", "w1");
+            final int after = fleet.seen().size();
+            await(() -> since(after).stream()
+                .anyMatch(each -> goesTo(each, "w1")));
+        }
+    }
+
+    /** Half a request is none, however often it is tried. */
+    @Test
+    void sessionCutBeforeTheRequestIsWholeChangesNothing() throws IOException {
+        final String request = "{\"v\":1,\"id\":\"1\"," + ControlPeer.operation("drain", "o", "w1") + "}\n";
+        for (int cut = 0; cut < request.length(); cut += 7) {
+            try (ControlPeer peer = peer()) {
+                peer.write(request.substring(0, cut));
+            }
+        }
+        // Without its end the line is not whole, even if all of its JSON is there.
+        try (ControlPeer peer = peer()) {
+            peer.write(request.strip());
+        }
+        assertThat(isDrained("w1")).isFalse();
+    }
+
+    /** Cut at any point after that: the drain holds, once, and sending it again tells the same. */
+    @Test
+    void sessionCutAfterTheRequestLeavesADrainThatCanBeAskedForAgain() throws IOException {
+        for (int round = 0; round < 10; round++) {
+            final String op = "round-" + round;
+            try (ControlPeer peer = peer()) {
+                peer.write("{\"v\":1,\"id\":\"1\"," + ControlPeer.operation("drain", op, "w2") + "}\n");
+                if (round % 2 == 0) {
+                    peer.read();
+                }
+            }
+            await(() -> isDrained("w2"));
+            try (ControlPeer next = peer()) {
+                assertThat(next.operate("drain", op, "w2")).isEqualTo("done: ");
+                assertThat(next.operate("drain", "other-" + op, "w2")).isEqualTo("already: drained by ann");
+                assertThat(next.operate("undrain", "undo-" + op, "w2")).isEqualTo("done: ");
+                // The first operation once more, as from a console that was cut off for long: no new drain.
+                assertThat(next.operate("drain", op, "w2")).isEqualTo("done: ");
+                assertThat(next.worker("w2").has("drain")).isFalse();
+                final long drained = next.ask("\"do\":\"events\"").getAsJsonArray("events").asList()
+                    .stream().map(each -> each.getAsJsonObject().get("kind").getAsString())
+                    .filter("drained"::equals).count();
+                assertThat(drained).isEqualTo(round + 1);
+            }
+        }
+    }
+
+    @Test
+    void twoConsolesDrainTheSameWorker() throws IOException {
+        try (ControlPeer one = peer(); ControlPeer other = peer()) {
+            one.write("{\"v\":1,\"id\":\"a\"," + ControlPeer.operation("drain", "a", "w3") + "}\n");
+            other.write("{\"v\":1,\"id\":\"b\"," + ControlPeer.operation("drain", "b", "w3") + "}\n");
+            final Set<String> outcomes = new HashSet<>();
+            outcomes.add(one.read().get("outcome").getAsString());
+            outcomes.add(other.read().get("outcome").getAsString());
+            assertThat(outcomes).containsExactlyInAnyOrder("done", "already");
+            // Either may undo it; the other's undo then finds nothing.
+            assertThat(one.operate("undrain", "c", "w3")).isEqualTo("done: ");
+            assertThat(other.operate("undrain", "d", "w3")).isEqualTo("already: not drained by an operator");
+        }
+    }
+
+    /** Drained while its process is away: it comes back drained, and takes work once that is undone. */
+    @Test
+    void drainHoldsOverTheWorkersRestart() throws IOException {
+        more(10);
+        fleet.begin(Trouble.Kind.CRASH, "w4");
+        try (ControlPeer peer = peer()) {
+            await(() -> peer.worker("w4").get("state").getAsString().equals("gone"));
+            drain(peer, "o1", "w4");
+            fleet.end(Trouble.Kind.CRASH, "w4");
+            await(() -> peer.worker("w4").get("state").getAsString().equals("draining"));
+            final int before = fleet.seen().size();
+            more(60);
+            assertThat(since(before)).noneMatch(each -> goesTo(each, "w4"));
+            undrain(peer, "o2", "w4");
+            await(() -> since(before).stream()
+                .anyMatch(each -> goesTo(each, "w4")));
+        }
+    }
+
+    @Test
+    void drainHoldsOverAWholeNewListAndADrainOfTheLists() throws IOException {
+        try (ControlPeer peer = peer()) {
+            drain(peer, "o1", "w5");
+            fleet.tellWholeList();
+            more(20);
+            assertThat(peer.worker("w5").get("state").getAsString()).isEqualTo("draining");
+            fleet.begin(Trouble.Kind.DRAIN, "w5");
+            await(() -> peer.worker("w5").get("listed").getAsString().equals("draining"));
+            undrain(peer, "o2", "w5");
+            // The operator's word is undone, the list's is not.
+            assertThat(peer.worker("w5").get("why").getAsString()).startsWith("by the list");
+            final int before = fleet.seen().size();
+            more(40);
+            assertThat(since(before)).noneMatch(each -> goesTo(each, "w5"));
+            fleet.end(Trouble.Kind.DRAIN, "w5");
+            await(() -> since(before).stream()
+                .anyMatch(each -> goesTo(each, "w5")));
+        }
+    }
+
+    @Test
+    void lastWorkerIsDrainedOnlyByForce() throws IOException {
+        try (ControlPeer peer = peer()) {
+            for (int i = 1; i <= 5; i++) {
+                assertThat(peer.ask(ControlPeer.operation("drain", "o" + i, "w" + i) + ",\"force\":true")
+                    .get("outcome").getAsString()).isEqualTo("done");
+            }
+            assertThat(peer.operate("drain", "o6", "w6"))
+                .isEqualTo("refused: w6 is the last worker that may run lookup");
+            assertThat(peer.operate("drain", "o7", "w9")).isEqualTo("refused: no worker is called w9");
+            assertThat(peer.ask(ControlPeer.operation("drain", "o8", "w6") + ",\"force\":true").get("outcome")
+                .getAsString()).isEqualTo("done");
+            for (int i = 1; i <= 6; i++) {
+                assertThat(peer.operate("undrain", "u" + i, "w" + i)).isEqualTo("done: ");
+            }
+            final int before = fleet.seen().size();
+            await(() -> since(before).stream().anyMatch(each ->
+                each instanceof ReqAnswered answer && answer.status() == LoadClients.OK));
+        }
+    }
+
+    @Test
+    void drainEndsByItself() throws IOException {
+        try (ControlPeer peer = peer()) {
+            assertThat(peer.ask(ControlPeer.operation("drain", "o", "w1") + ",\"for_ms\":700").get("outcome")
+                .getAsString()).isEqualTo("done");
+            assertThat(peer.worker("w1").getAsJsonObject("drain").has("until_ms")).isTrue();
+            await(() -> !peer.worker("w1").has("drain"));
+            assertThat(peer.ask("\"do\":\"events\"").toString()).contains("the drain of w1 is over");
+        }
+    }
+
+    /** It follows with the number it had; what it missed is told, and of another run it starts anew. */
+    @Test
+    void consoleResumesFromANumber() throws IOException {
+        final String boot;
+        final long number;
+        try (ControlPeer peer = peer()) {
+            final JsonObject first = peer.ask("\"do\":\"subscribe\"");
+            assertThat(first.get("whole").getAsBoolean()).isTrue();
+            boot = first.get("boot").getAsString();
+            number = first.get("number").getAsLong();
+        }
+        try (ControlPeer peer = peer()) {
+            drain(peer, "o", "w1");
+            final JsonObject next = peer.ask("\"do\":\"subscribe\",\"from\":" + number + ",\"boot\":\"" + boot
+                + "\"");
+            assertThat(next.get("whole").getAsBoolean()).isFalse();
+            assertThat(next.getAsJsonObject("rows").getAsJsonObject("w/w1").has("drain")).isTrue();
+            assertThat(peer.ask("\"do\":\"subscribe\",\"from\":" + number + ",\"boot\":\"x\"").get("whole")
+                .getAsBoolean()).isTrue();
+            undrain(peer, "o2", "w1");
+        }
+    }
+
+    /** It asks and follows and reads nothing: others are served, and it is told no more than fits. */
+    @Test
+    void consoleThatStopsReadingHoldsNobodyUp() throws IOException {
+        try (ControlPeer deaf = peer(); ControlPeer peer = peer()) {
+            deaf.write("{\"v\":1,\"id\":\"1\",\"do\":\"subscribe\"}\n");
+            final Thread flood = new Thread(() -> {
+                try {
+                    for (int i = 0; i < 20_000; i++) {
+                        deaf.write("{\"v\":1,\"id\":\"" + i + "\",\"do\":\"workers\"}\n");
+                    }
+                } catch (IOException e) {
+                    // The socket is full and is closed under it at the end.
+                }
+            });
+            flood.start();
+            // Written as far as the node reads: it has stopped reading, since its answers are not taken.
+            await(() -> flood.getState() == Thread.State.RUNNABLE || !flood.isAlive());
+            drain(peer, "o1", "w2");
+            more(40);
+            undrain(peer, "o2", "w2");
+            assertThat(flood.isAlive()).isTrue();
+        }
+    }
+
+    @Test
+    void sessionsAndLinesAreBounded() throws IOException {
+        final List<ControlPeer> peers = new ArrayList<>();
+        try {
+            for (int i = 0; i < ControlServer.MOST_SESSIONS; i++) {
+                peers.add(peer());
+                peers.get(i).ask("\"do\":\"events\"");
+            }
+            try (ControlPeer more = peer()) {
+                assertThat(more.read().get("error").getAsString())
+                    .isEqualTo("there are 16 consoles already; close one first");
+                assertThat(more.read()).isNull();
+            }
+            peers.get(0).write("x".repeat(17_000) + "\n");
+            assertThat(peers.get(0).read().get("error").getAsString())
+                .isEqualTo("a line is longer than 16384 bytes");
+            assertThat(peers.get(0).read()).isNull();
+            peers.get(1).write("nonsense\n");
+            assertThat(peers.get(1).read().get("ok").getAsBoolean()).isFalse();
+            // An error of one line is not the end of the session.
+            assertThat(peers.get(1).worker("w1").get("id").getAsString()).isEqualTo("w1");
+            await(() -> {
+                try (ControlPeer again = peer()) {
+                    // Its place is free again once the loop has seen the end of the other.
+                    again.write("{\"v\":1,\"id\":\"1\",\"do\":\"events\"}\n");
+                    return again.read().get("ok").getAsBoolean();
+                }
+            });
+        } finally {
+            for (final ControlPeer each : peers) {
+                each.close();
+            }
+        }
+    }
+
+    @Test
+    void socketIsTheOwnersAlone() throws IOException {
+        assertThat(PosixFilePermissions.toString(Files.getPosixFilePermissions(socket)))
+            .isEqualTo("rw-------");
+        assertThatThrownBy(() -> new Fleet(new Fleet.Plan(2, 1, 1, List.of(), socket.toString(), null))
+            .start()).hasMessage("another node listens on the control socket " + socket);
+        assertThatThrownBy(() -> new Fleet(new Fleet.Plan(2, 1, 1, List.of(), null,
+            folder.resolve("state").toString())).start()).hasMessageContaining("another node uses the state");
+        final Path open = Files.createDirectory(folder.resolve("open"),
+            PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rwxr-xr-x")));
+        assertThatThrownBy(() -> new Fleet(new Fleet.Plan(2, 1, 1, List.of(), open.resolve("s").toString(),
+            null)).start()).hasMessageContaining("is open to others; chmod 700 it");
+        final Path file = Files.createFile(folder.resolve("file"));
+        assertThatThrownBy(() -> new Fleet(new Fleet.Plan(2, 1, 1, List.of(), file.toString(), null)).start())
+            .hasMessageContaining("is there and is no socket");
+        assertThat(Files.exists(file)).isTrue();
+    }
+}
--- a/src/test/java/cresschute/lab/RuleCheckerTest.java
+++ b/src/test/java/cresschute/lab/RuleCheckerTest.java
@@ -7,6 +7,7 @@
 import cresschute.DispatchApi.RepeatScope;
 import cresschute.lab.Observation.AnswerTooMany;
 import cresschute.lab.Observation.EffectMade;
+import cresschute.lab.Observation.OperatorDrained;
 import cresschute.lab.Observation.ReqAnswered;
 import cresschute.lab.Observation.ReqLost;
 import cresschute.lab.Observation.ReqSent;
@@ -162,11 +163,25 @@
         assertThat(breaches()).isEmpty();
         came(S + 451_000, "w1", 0, "c");
         assertThat(breaches()).containsExactly(
-            "DRAINS_KEPT: w1 was sent c 451 ms after it was told as DRAINING");
+            "DRAINS_KEPT: w1 was sent c 451 ms after the list told that it leaves");
         seen.add(seen.size() - 1, new WorkerTold(S + 450_500, "w1", "SERVING", 0));
         assertThat(breaches()).isEmpty();
     }
 
+    /** Whoever asked for it, a drain is kept; the end of one is not the end of the other. */
+    @Test
+    void operatorsDrainIsKeptToo() {
+        sent("c", "safe");
+        seen.add(new OperatorDrained(S, "w1", true));
+        seen.add(new WorkerTold(S + 100_000, "w1", "DRAINING", 0));
+        seen.add(new WorkerTold(S + 200_000, "w1", "SERVING", 0));
+        came(S + 451_000, "w1", 0, "c");
+        assertThat(breaches()).containsExactly(
+            "DRAINS_KEPT: w1 was sent c 451 ms after an operator's drain was confirmed");
+        seen.add(new OperatorDrained(S + 300_000, "w1", false));
+        assertThat(breaches()).isEmpty();
+    }
+
     @Test
     void coldWorkerIsNotPushedOver() {
         // Half of 4 at the start, twice that in a second: 4 s of work.
--- /dev/null
+++ b/src/test/java/cresschute/lab/WideSiteTest.java
@@ -0,0 +1,65 @@
+package cresschute.lab;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonObject;
+import cresschute.ControlPeer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.HashMap;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A thousand workers, of which 200 a second change: what a console holds is what the node has. */
+@Timeout(60)
+class WideSiteTest {
+
+    @TempDir
+    private Path folder;
+
+    private static void take(Map<String, JsonObject> held, JsonObject line) {
+        if (line.has("rows")) {
+            line.getAsJsonArray("gone").forEach(each -> held.remove(each.getAsString()));
+            line.getAsJsonObject("rows").entrySet().forEach(each -> held.put(each.getKey(),
+                each.getValue().getAsJsonObject()));
+        }
+    }
+
+    @Test
+    void newsOfAThousandWorkersAddUp() throws Exception {
+        Files.setPosixFilePermissions(folder, PosixFilePermissions.fromString("rwx------"));
+        final Path socket = folder.resolve("s");
+        try (WideSite site = new WideSite(1_000, 1, socket); ControlPeer peer = new ControlPeer(socket)) {
+            final Map<String, JsonObject> held = new HashMap<>();
+            take(held, peer.ask("\"do\":\"subscribe\""));
+            while (held.size() < 1_002) {
+                take(held, peer.read());
+            }
+            site.churn(200);
+            int drains = 0;
+            for (int i = 0; i < 12; i++) {
+                final JsonObject news = peer.read();
+                // Changes, and never the whole picture again.
+                assertThat(news.has("whole") && news.get("whole").getAsBoolean()).isFalse();
+                drains += news.has("rows") ? (int) news.getAsJsonObject("rows").entrySet().stream()
+                    .filter(each -> each.getKey().startsWith("w/") && each.getValue().getAsJsonObject()
+                    .get("listed").getAsString().equals("draining")).count() : 0;
+                take(held, news);
+            }
+            assertThat(drains).isGreaterThan(50);
+            // An operator among all of that is heard at once, and sees what was asked for.
+            try (ControlPeer operator = new ControlPeer(socket)) {
+                assertThat(operator.operate("drain", "o", "w500")).isEqualTo("done: ");
+            }
+            JsonObject row = held.get("w/w500");
+            while (!row.has("drain")) {
+                take(held, peer.read());
+                row = held.get("w/w500");
+            }
+            assertThat(row.get("state").getAsString()).isEqualTo("draining");
+        }
+    }
+}
