Answer a console's requests only as fast as its answers are read; hear lists entry by entry

Cause: one read brings many short requests, and each was answered in full: 64 answers of 300 kB were made for a console that read none. Every answer of the director made the console's part look at the whole list.

Change: flow control between the line decoder and the session; the watcher hears what was told anew.

--- a/src/main/java/cresschute/console/Console.java
+++ b/src/main/java/cresschute/console/Console.java
@@ -132,6 +132,9 @@
             link = ControlLink.open(socket, line -> offer(() -> taken(mine, line)),
                 why -> offer(() -> ended(mine, why)));
             model.connected(System.currentTimeMillis());
+            if (mine > 1) {
+                state.say("connected");
+            }
             final JsonObject follow = ControlLink.request("rows", "subscribe");
             follow.addProperty("from", model.number());
             follow.addProperty("boot", model.boot());
--- a/src/main/java/cresschute/control/files/StateFolder.java
+++ b/src/main/java/cresschute/control/files/StateFolder.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -111,7 +112,13 @@
                 failed = e;
             }
             final IOException told = failed;
-            back.execute(() -> done.accept(told));
+            try {
+                back.execute(() -> done.accept(told));
+            } catch (RejectedExecutionException e) {
+                // The node ended meanwhile: it is kept, and nobody waits for the word any more.
+                LogEvent.of("kept_unheard", "a snapshot was kept as the node ended")
+                    .with("generation", snapshot.generation()).log(LOG, Level.DEBUG);
+            }
         });
     }
 
--- a/src/main/java/cresschute/control/socket/ControlServer.java
+++ b/src/main/java/cresschute/control/socket/ControlServer.java
@@ -11,6 +11,7 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.handler.flow.FlowControlHandler;
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
@@ -123,8 +124,10 @@
         }
         sessions.add(session);
         channel.closeFuture().addListener(closed -> sessions.remove(session));
+        // The flow control guards the heap: one read brings many short requests, and without it each of them
+        // would be answered in full, however little of that is taken.
         channel.pipeline().addLast(new LineBasedFrameDecoder(ControlRequest.MOST_LINE),
-            session);
+            new FlowControlHandler(), session);
     }
 
     /** Whether anybody follows what the board shows. */
--- a/src/main/java/cresschute/node/ControlDesk.java
+++ b/src/main/java/cresschute/node/ControlDesk.java
@@ -251,8 +251,8 @@
     }
 
     @Override
-    public void listed(long nowUs) {
-        for (final Worker each : core.roster().listed()) {
+    public void listed(long nowUs, List<Worker> told) {
+        for (final Worker each : told) {
             heard(nowUs, each);
             final String name = core.roster().name(each.id());
             final WorkerState before = listedBefore.put(name, each.state());
--- a/src/main/java/cresschute/node/Core.java
+++ b/src/main/java/cresschute/node/Core.java
@@ -292,10 +292,12 @@
     }
 
     private void tellList(ListForm form, DirectorList list) {
-        final List<Worker> workers = over(roster.take(list));
+        final List<Worker> told = roster.take(list);
+        final List<Worker> workers = over(told);
         ready |= workers.stream().anyMatch(worker -> worker.state() == WorkerState.READY);
         listHeardUs = clock.nowUs();
-        watcher.listed(listHeardUs);
+        // A whole list says of those that it leaves out that they are gone.
+        watcher.listed(listHeardUs, list.full() ? roster.listed() : told);
         gather(null, now -> module.listed(now, form, workers));
     }
 
--- a/src/main/java/cresschute/node/CoreWatcher.java
+++ b/src/main/java/cresschute/node/CoreWatcher.java
@@ -2,7 +2,9 @@
 
 import cresschute.DispatchApi.LoadReport;
 import cresschute.DispatchApi.Outcome;
+import cresschute.DispatchApi.Worker;
 import cresschute.DispatchApi.WorkerState;
+import java.util.List;
 
 /**
  * Hears what passes through the core, and may lay drains over the list before the module hears it. It never
@@ -38,8 +40,8 @@
         return listed;
     }
 
-    /** The roster has taken in a list or a change, perhaps an empty one. */
-    default void listed(long nowUs) {
+    /** The roster has taken in a list or a change, perhaps an empty one; these have been told anew by it. */
+    default void listed(long nowUs, List<Worker> told) {
     }
 
     /** A req was taken. */
--- a/src/test/java/cresschute/node/CoreTest.java
+++ b/src/test/java/cresschute/node/CoreTest.java
@@ -190,4 +190,17 @@
         assertThatThrownBy(() -> fetches.get(0).ended(Outcome.ERROR, LoadReport.NONE, null))
             .hasMessageContaining("fetch ended twice");
     }
+
+    /** A keyed req that has been sent binds the cell that it went to, until it is answered. */
+    @Test
+    void keyedReqBindsItsCellWhileItIsOpen() {
+        take();
+        assertThat(core.boundCells()).isEmpty();
+        core.take(new ReqContent("r2", "/file", "key", new byte[0]), new Job(1, 0, 1, 0, 0, false), 100_000,
+            this);
+        turn();
+        assertThat(core.boundCells()).containsExactly(0);
+        fetches.get(1).ended(Outcome.SERVED, LoadReport.NONE, "yes");
+        assertThat(core.boundCells()).isEmpty();
+    }
 }
