--- a/src/main/java/cresschute/cli/DrainCommand.java
+++ b/src/main/java/cresschute/cli/DrainCommand.java
@@ -1,16 +1,13 @@
 package cresschute.cli;
 
-import cresschute.console.ControlLink;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.Map;
-import java.util.UUID;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
-import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
 /** Drains a worker from a script. */
@@ -22,10 +19,7 @@
 final class DrainCommand implements Callable<Integer> {
 
     @Mixin
-    private ControlSocket node;
-
-    @Parameters(paramLabel = "WORKER", description = "its name, as the list has it")
-    private String worker;
+    private Operating operating;
 
     @Option(names = "--for", paramLabel = "TIME",
         description = "how long, such as 90s, 30m, 2h, 7d (default: until it is undone)")
@@ -40,29 +34,16 @@
     @Option(names = "--wait", description = "return once nothing is out at the worker any more")
     private boolean wait;
 
-    @Option(names = "--operation", paramLabel = "ID",
-        description = "the mark of the operation: the same one again has no second effect (default: drawn)")
-    private String operation;
-
-    @Option(names = "--json", description = "print the node's answer as one JSON object")
-    private boolean json;
-
     @Spec
     private CommandSpec spec;
 
     @Override
     public Integer call() throws InterruptedException {
-        final Map<String, Object> fields = new LinkedHashMap<>();
-        fields.put("op", operation == null ? UUID.randomUUID().toString() : operation);
-        fields.put("worker", worker);
-        fields.put("who", ControlSocket.who(System.getenv()));
-        fields.put("reason", reason);
-        fields.put("force", force);
+        final Map<String, Object> fields = new HashMap<>(Map.of("reason", reason, "force", force));
         if (duration != null) {
             fields.put("for_ms", forMs());
         }
-        return Operating.run(spec, node.find(spec, System.getenv()),
-            ControlLink.request("1", "drain", fields), wait, json);
+        return operating.run(spec, "drain", fields, wait);
     }
 
     private long forMs() {
--- a/src/main/java/cresschute/cli/Operating.java
+++ b/src/main/java/cresschute/cli/Operating.java
@@ -6,14 +6,35 @@
 import cresschute.console.SiteModel;
 import java.io.PrintWriter;
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.UUID;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
 
-/** Sends one operation to a node, again if the connection breaks, until its outcome is known. */
+/**
+ * The words that draining and its undoing share, and how both are carried out: one operation is sent to the
+ * node, again if the connection breaks, until its outcome is known.
+ */
 final class Operating {
 
+    @Mixin
+    private ControlSocket node;
+
+    @Parameters(paramLabel = "WORKER", description = "its name, as the list has it")
+    private String worker;
+
+    @Option(names = "--operation", paramLabel = "ID",
+        description = "the mark of the operation: the same one again has no second effect (default: drawn)")
+    private String operation;
+
+    @Option(names = "--json", description = "print the node's answer as one JSON object")
+    private boolean json;
+
     /** How long a node may be away, as while it starts again, before the outcome counts as unknown. */
     private static final long PATIENCE_MS = 15_000;
     private static final long AGAIN_MS = 300;
@@ -21,9 +42,6 @@
     private static final Map<String, Long> UNITS = Map.of("ms", 1L, "s", 1_000L, "m", 60_000L, "h",
         3_600_000L, "d", 86_400_000L);
 
-    private Operating() {
-    }
-
     /** A time such as 90s or 2h in milliseconds; anything else is an {@link IllegalArgumentException}. */
     static long durationMs(String text) {
         final Matcher matcher = DURATION.matcher(text);
@@ -33,9 +51,20 @@
         return Long.parseLong(matcher.group(1)) * UNITS.get(matcher.group(2));
     }
 
-    /** Carries it out and tells how it ended; with {@code wait}, once nothing is out at the worker. */
-    static int run(CommandSpec spec, Path socket, JsonObject request, boolean wait, boolean json)
+    /**
+     * Carries it out and tells how it ended; with {@code wait}, once nothing is out at the worker.
+     *
+     * @param what {@code drain} or {@code undrain}
+     * @param further fields of the request
+     */
+    int run(CommandSpec spec, String what, Map<String, Object> further, boolean wait)
         throws InterruptedException {
+        final Map<String, Object> fields = new LinkedHashMap<>(further);
+        fields.put("op", operation == null ? UUID.randomUUID().toString() : operation);
+        fields.put("worker", worker);
+        fields.put("who", ControlSocket.who(System.getenv()));
+        final JsonObject request = ControlLink.request("1", what, fields);
+        final Path socket = node.find(spec, System.getenv());
         final PrintWriter out = spec.commandLine().getOut();
         final PrintWriter err = spec.commandLine().getErr();
         final long untilMs = System.currentTimeMillis() + PATIENCE_MS;
