--- a/src/test/java/cresschute/control/socket/ControlServerTest.java
+++ b/src/test/java/cresschute/control/socket/ControlServerTest.java
@@ -90,8 +90,8 @@
     }
 
     /**
-     * Guards the heap: a few hundred requests in one packet, none of whose answers is read, once made the node
-     * hold every answer.
+     * Guards the heap: a few hundred requests in one packet, none of whose answers is read, once made the
+     * node hold every answer.
      */
     @Test
     void requestsAreAnsweredOnlyAsFastAsAnswersAreRead() throws Exception {
@@ -117,7 +117,7 @@
         }
     }
 
-    /** News wait in the board and not in a queue: whoever reads again is told the newest of each row, once. */
+    /** News wait in the board and in no queue: whoever reads again is told the newest of each row, once. */
     @Test
     void consoleThatReadsAgainIsToldTheNewestOnly() throws Exception {
         try (ControlPeer peer = new ControlPeer(socket)) {
