Forget the timer for the rest of an answer once the answer is whole

Cause: a fetch whose answer ended as it should left its one-second timer behind, which held the fetch with its req and buffers until it ran out. The suspect is the open issue's, and confirmed by a test on a connection whose time is turned by hand.

Change: the timer is cancelled at the answer's end and at the connection's.

Measured: the next timer after a whole answer is that of the idle connection, 3,000 ms in the test; without the change it is the tail's, 1,000 ms. What the heap holds under load is not measured yet.

--- a/src/main/java/cresschute/node/http/BackendConnection.java
+++ b/src/main/java/cresschute/node/http/BackendConnection.java
@@ -29,6 +29,7 @@
     private boolean kept;
     private boolean closing;
     private Future<?> retire;
+    private Future<?> tail;
 
     BackendConnection(InetSocketAddress addr, BackendConnections owner) {
         this.addr = addr;
@@ -105,6 +106,7 @@
         final boolean wasOver = current.over;
         current.content(content.content());
         if (content instanceof LastHttpContent) {
+            forgetTail();
             exchange = null;
             current.last();
             current.connection = null;
@@ -115,11 +117,15 @@
             }
         } else if (current.over && !wasOver) {
             // Guards against a backend that tells the outcome and never ends its answer.
-            channel.eventLoop().schedule(() -> {
-                if (exchange == current) {
-                    close();
-                }
-            }, TAIL_MS, TimeUnit.MILLISECONDS);
+            tail = channel.eventLoop().schedule(this::close, TAIL_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Guards the heap: a timer that is left to run out holds its fetch, with the req's body, for a second. */
+    private void forgetTail() {
+        if (tail != null) {
+            tail.cancel(false);
+            tail = null;
         }
     }
 
@@ -128,6 +134,7 @@
         if (retire != null) {
             retire.cancel(false);
         }
+        forgetTail();
         owner.closed(this);
         if (!closing && (kept || exchange == null && keepAlive)) {
             owner.keptOneBroke();
