--- a/src/test/java/cresschute/cli/ConsoleProgramTest.java
+++ b/src/test/java/cresschute/cli/ConsoleProgramTest.java
@@ -7,6 +7,7 @@
 import cresschute.lab.Fleet;
 import cresschute.lab.FleetReport;
 import cresschute.lab.Trouble;
+import cresschute.lab.WideSite;
 import cresschute.node.Json;
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -175,6 +176,32 @@
         }
     }
 
+    /** A thousand workers, 200 of which change in a second: the one that is meant is found and drained. */
+    @Test
+    void oneOfAThousandIsDrainedWhileTheListChangesUnderTheScreen() throws Exception {
+        try (WideSite site = new WideSite(1_000, 1, socket);
+             VirtualScreen screen = console(100, 30, Map.of())) {
+            screen.await("1/1000");
+            site.churn(200);
+            screen.type("s");
+            screen.await("STATE*");
+            screen.type("/w512");
+            screen.await("/w512_");
+            screen.type("\r");
+            screen.await("w512 alone", text -> row(screen, "w512").startsWith(">")
+                && row(screen, "w513").isEmpty());
+            screen.type("d");
+            screen.await("Drain w512? ");
+            screen.type("y");
+            screen.await("w512 is draining");
+            screen.type("\u001b");
+            screen.await("LIVE");
+            assertThat(worker("w512").has("drain")).isTrue();
+            // The cursor is still on it, in the middle of a thousand rows that go on changing.
+            screen.await("the cursor on w512", text -> row(screen, "w512").startsWith(">"));
+        }
+    }
+
     @Test
     void dumbTerminalGetsLines() throws Exception {
         try (Fleet fleet = fleet("")) {
