Load nothing of the operator's on the platform, and test that

Need: the platform's small node has no control socket, and its memory is not to pay for one.

Change: whether there is a desk is asked of the configuration; a test lists the classes of a start.

--- a/src/main/java/cresschute/node/ControlDesk.java
+++ b/src/main/java/cresschute/node/ControlDesk.java
@@ -94,11 +94,6 @@
             config.settings().coldStart().warmWithinUs()), aims);
     }
 
-    /** Whether a node has such a place. */
-    static boolean isWanted(NodeConfig config) {
-        return config.controlSocket() != null || config.stateFolder() != null;
-    }
-
     // ---- Start and stop ----
 
     /** Takes up the drains that were kept, before the first list is told. Reads files, so not on the loop. */
--- a/src/main/java/cresschute/node/NodeConfig.java
+++ b/src/main/java/cresschute/node/NodeConfig.java
@@ -103,6 +103,11 @@
         }
     }
 
+    /** Whether there is anything for an operator: without it, none of that is so much as loaded. */
+    boolean hasDesk() {
+        return controlSocket != null || stateFolder != null;
+    }
+
     /** The parts in which another configuration differs and that a running node cannot take over. */
     List<String> changedFor(NodeConfig next) {
         final List<String> changed = new ArrayList<>();
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -62,7 +62,7 @@
         final RateLimitedLog troubles = new RateLimitedLog(System.getLogger("cresschute.trouble"), clock);
         final int sockets = Math.max(2, config.sockets() - OTHER_SOCKETS);
         final int forClients = (int) (sockets * CLIENT_PART);
-        desk = ControlDesk.isWanted(config) ? new ControlDesk(config, loop, clock) : null;
+        desk = config.hasDesk() ? new ControlDesk(config, loop, clock) : null;
         core = new Core(config, loop, clock, troubles, desk == null ? CoreWatcher.NONE : desk, module);
         front = new ClientFront(loop, core, config, forClients);
         backends = new BackendConnections(loop, troubles, config.connectTimeoutUs(), config.connIdleUs(),
--- a/src/test/java/cresschute/cli/ProgramTest.java
+++ b/src/test/java/cresschute/cli/ProgramTest.java
@@ -199,4 +199,28 @@
         assertThat(lines).noneMatch(line -> line.contains(" picocli.") || line.contains(" ch.qos.logback")
             || line.contains(" org.slf4j") || line.contains(" org.antlr"));
     }
+
+    /** Nor what is for an operator: the small node has no memory for a desk that nobody can come to. */
+    @Test
+    void platformNodeLoadsNothingOfTheOperators() throws Exception {
+        final ProcessBuilder builder = program("serve");
+        builder.command().add(3, "-Xlog:class+load:stdout");
+        builder.environment().put("BALANCER_CONFIG", "deploy/rehearsal.json");
+        final Process node = start(builder.redirectErrorStream(true));
+        try (BufferedReader out = node.inputReader()) {
+            final List<String> lines = new ArrayList<>();
+            String line = out.readLine();
+            while (line != null && !line.contains(" listens on ")) {
+                lines.add(line);
+                line = out.readLine();
+            }
+            assertThat(line).isNotNull();
+            assertThat(lines).anyMatch(each -> each.contains("cresschute.node.NodeServer "));
+            assertThat(lines).noneMatch(each -> each.contains("cresschute.node.ControlDesk ")
+                || each.contains("cresschute.control.") || each.contains("cresschute.health.")
+                || each.contains("org.HdrHistogram"));
+        } finally {
+            node.destroyForcibly();
+        }
+    }
 }
