--- /dev/null
+++ b/src/main/java/cresschute/flow/Budget.java
@@ -0,0 +1,160 @@
+package cresschute.flow;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * The bytes that all bodies of a node may hold at a time. A body that is admitted owns a window that nobody
+ * can take, so that none starves; what is left is lent beyond the windows, to those that asked first, a
+ * piece at a time. What is given back goes first to whoever waits, in the order of asking.
+ *
+ * <p>Pure: no clock, no I/O and no bytes, only their numbers. Its owner is one thread.
+ */
+public final class Budget {
+
+    private final long total;
+    private final long window;
+    private final long mostLent;
+    private final long mostOfAClient;
+    private final Map<String, Long> windowsOfClients = new HashMap<>();
+    private final Deque<Account> waiting = new ArrayDeque<>();
+    private long inWindows;
+    private long lent;
+
+    /**
+     * An empty budget.
+     *
+     * @param total bytes at a time, all bodies together
+     * @param window bytes that a body owns while it is open
+     * @param mostLent bytes that one body may hold beyond its window
+     * @param mostOfAClient bytes of windows of one client's bodies together
+     */
+    public Budget(long total, long window, long mostLent, long mostOfAClient) {
+        if (window <= 0 || total < window || mostLent < 0 || mostOfAClient < window) {
+            throw new IllegalArgumentException("a budget has room for one window at least");
+        }
+        this.total = total;
+        this.window = window;
+        this.mostLent = mostLent;
+        this.mostOfAClient = mostOfAClient;
+    }
+
+    /** Why a body is not admitted. */
+    public enum Refusal { NODE_FULL, CLIENT_FULL }
+
+    /** Either an account or the reason why there is none. */
+    public record Admission(Account account, Refusal refusal) {
+    }
+
+    /**
+     * Opens an account for a body, if its window fits.
+     *
+     * @param granted told whenever credit that was asked for in vain has come; may ask again at once
+     */
+    public Admission open(String client, Runnable granted) {
+        final long held = windowsOfClients.getOrDefault(client, 0L);
+        if (held + window > mostOfAClient) {
+            return new Admission(null, Refusal.CLIENT_FULL);
+        }
+        // Lent bytes are somebody's and come back by themselves; a window must be there from the start.
+        if (inWindows + lent + window > total) {
+            return new Admission(null, Refusal.NODE_FULL);
+        }
+        inWindows += window;
+        windowsOfClients.put(client, held + window);
+        return new Admission(new Account(client, granted), null);
+    }
+
+    /** Bytes that are owned or lent now; never more than the total. */
+    public long inUse() {
+        return inWindows + lent;
+    }
+
+    /** Bodies that asked for more than there was. */
+    public int waiting() {
+        return waiting.size();
+    }
+
+    private void lendToWaiting() {
+        // Each of those that wait now is served once at the most: one that asks again goes behind the others.
+        for (int left = waiting.size(); left > 0 && inUse() < total && !waiting.isEmpty(); left--) {
+            final Account next = waiting.pollFirst();
+            next.queued = false;
+            next.granted.run();
+        }
+    }
+
+    /** What one body holds. */
+    public final class Account {
+
+        private final String client;
+        private final Runnable granted;
+        private long held;
+        private boolean queued;
+        private boolean closed;
+
+        private Account(String client, Runnable granted) {
+            this.client = client;
+            this.granted = Objects.requireNonNull(granted);
+        }
+
+        private long lentHere() {
+            return Math.max(0, held - window);
+        }
+
+        /**
+         * Takes room for up to so many bytes and returns for how many there was. If there was none, the body
+         * is told once there is.
+         */
+        public long take(long wanted) {
+            if (closed || wanted <= 0) {
+                return 0;
+            }
+            final long own = Math.max(0, window - held);
+            final long borrowed = Math.max(0, Math.min(wanted - own,
+                Math.min(mostLent - lentHere(), total - inUse())));
+            final long taken = Math.min(wanted, own) + borrowed;
+            held += taken;
+            lent += borrowed;
+            // Bytes of its own that it gives back wake it by itself; only lent ones are worth queueing for.
+            if (taken == 0 && lentHere() < mostLent && !queued) {
+                queued = true;
+                waiting.addLast(this);
+            }
+            return taken;
+        }
+
+        /** Gives room back: so many bytes are no longer held. */
+        public void give(long bytes) {
+            if (bytes < 0 || bytes > held) {
+                throw new IllegalArgumentException("gives back " + bytes + " of " + held);
+            }
+            final long before = lentHere();
+            held -= bytes;
+            lent -= before - lentHere();
+            lendToWaiting();
+        }
+
+        /** Bytes that it holds. */
+        public long held() {
+            return held;
+        }
+
+        /** Ends it: all that it holds, and its window, are free. Any number of times. */
+        public void close() {
+            if (closed) {
+                return;
+            }
+            closed = true;
+            waiting.remove(this);
+            lent -= lentHere();
+            held = 0;
+            inWindows -= window;
+            windowsOfClients.merge(client, -window, (old, less) -> old + less == 0 ? null : old + less);
+            lendToWaiting();
+        }
+    }
+}
--- a/src/test/java/cresschute/LayoutTest.java
+++ b/src/test/java/cresschute/LayoutTest.java
@@ -47,6 +47,7 @@
         mayUse(of("cresschute.node", "cresschute.node.http"), "cresschute", "cresschute.benchlink",
             "cresschute.settings", "cresschute.logs", "cresschute.health", "cresschute.control..");
         mayUse(of("cresschute.health"), "cresschute");
+        mayUse(of("cresschute.flow"));
         mayUse(of("cresschute.control"), "cresschute");
         mayUse(of("cresschute.control.socket", "cresschute.control.files"), "cresschute.control",
             "cresschute.logs");
@@ -82,7 +83,7 @@
     @Test
     void pureClassesDoNoInputOrOutput() {
         noClasses().that().resideInAnyPackage("cresschute.settings..", "cresschute.control",
-            "cresschute.health")
+            "cresschute.health", "cresschute.flow")
             .and().doNotHaveSimpleName("SettingsFile")
             .should().dependOnClassesThat().resideInAnyPackage("java.io", "java.nio.file", "io.netty..")
             .check(CLASSES);
