--- a/src/main/java/cresschute/flow/Body.java
+++ b/src/main/java/cresschute/flow/Body.java
@@ -62,7 +62,7 @@
         if (room < wanted) {
             long more = account.take(wanted - room);
             if (more == 0 && room == 0 && spooling && isStuck()) {
-                // Nothing can come free but what is kept for a further fetch: going on is worth more than that.
+                // Nothing can come free but what is kept for a further fetch: going on is worth more.
                 stopSpooling();
                 more = account.take(wanted);
             }
--- a/src/main/java/cresschute/node/http/BackendConnection.java
+++ b/src/main/java/cresschute/node/http/BackendConnection.java
@@ -121,7 +121,7 @@
         }
     }
 
-    /** Guards the heap: a timer that is left to run out holds its fetch, with the req's body, for a second. */
+    /** Guards the heap: a timer left to run out holds its fetch, with the req's body, for a second. */
     private void forgetTail() {
         if (tail != null) {
             tail.cancel(false);
