Measure what a small req costs a node: trial reqs

Need: the open issue on long bodies tells of full collections and a p99.9 of 70 ms at 10,000 small reqs a second; that is to be measured here, before and after each change.

Change: clients that send at even times and are counted from these, workers that answer at once, and a node in a process of its own with the platform's memory bounds; times, CPU a req and collections for each run.

--- a/src/main/java/cresschute/cli/TrialCommand.java
+++ b/src/main/java/cresschute/cli/TrialCommand.java
@@ -6,19 +6,25 @@
 import cresschute.console.ScreenCost;
 import cresschute.lab.Fleet;
 import cresschute.lab.FleetReport;
+import cresschute.lab.SmallReqs;
 import cresschute.lab.WideSite;
 import cresschute.logs.LogFinder;
 import cresschute.logs.structured.StructuredLog;
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.HdrHistogram.Histogram;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -30,11 +36,11 @@
 @Command(name = "trial", mixinStandardHelpOptions = true,
     description = "Measures what drains and consoles cost, on loopback, and prints tables.",
     footer = {"", "Trials: drains (how soon new work stops), consoles (the node's CPU with 0, 1 and 8 of "
-        + "them), screen (drawing 1,000 workers).", "", "Example: cresschute trial drains --count 200"})
+        + "them), screen (drawing 1,000 workers), reqs (very many small ones).", "", "Example: cresschute trial drains --count 200"})
 final class TrialCommand implements Callable<Integer> {
 
     /** What may be measured. */
-    enum Trial { drains, consoles, screen }
+    enum Trial { drains, consoles, screen, reqs }
 
     private static final double RATE = 25;
     private static final int WORKERS = 8;
@@ -42,6 +48,7 @@
     private static final long BETWEEN_MS = 200;
     private static final int WIDE = 1_000;
     private static final int CHURN = 200;
+    private static final int CLIENTS = 200;
 
     @Parameters(paramLabel = "TRIAL", description = "${COMPLETION-CANDIDATES}")
     private Trial trial;
@@ -62,6 +69,10 @@
         description = "for all chance (default: ${DEFAULT-VALUE})")
     private long seed;
 
+    @Option(names = "--rate", paramLabel = "R", defaultValue = "10000",
+        description = "small reqs in a second (default: ${DEFAULT-VALUE})")
+    private int rate;
+
     @Spec
     private CommandSpec spec;
 
@@ -77,6 +88,7 @@
                 case drains -> drains(out, folder);
                 case consoles -> consoles(out, folder);
                 case screen -> screen(out);
+                case reqs -> reqs(out, folder);
             };
         } finally {
             log.close();
@@ -234,4 +246,66 @@
         }
         return ExitCodes.DONE;
     }
+
+    // ---- What a small req costs ----
+
+    /** A node in a process of its own, with the memory bounds of the platform's command line. */
+    private int reqs(PrintWriter out, Path folder) throws IOException, InterruptedException {
+        final Path script = folder.resolve("site.star");
+        final Path collections = folder.resolve("gc.log");
+        try (SmallReqs load = new SmallReqs()) {
+            final StringBuilder site = new StringBuilder("""
+                node(name = "small", listen = "127.0.0.1:0", seed = 1)
+                job_class(name = "small", worth = 1, aim = 1 * s, deadline = 5 * s, effect = "safe")
+                limits(sockets = 4096)
+                """);
+            int number = 0;
+            for (final InetSocketAddress each : load.startWorkers(WORKERS)) {
+                site.append("worker(id = \"w").append(++number).append("\", address = \"127.0.0.1:")
+                    .append(each.getPort()).append("\")\n");
+            }
+            Files.writeString(script, site);
+            final Process node = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
+                .toString(), "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms24m", "-Xmx64m", "-Xss512k",
+                "-XX:MaxMetaspaceSize=40m", "-XX:ReservedCodeCacheSize=16m", "-XX:MaxDirectMemorySize=16m",
+                "-Dio.netty.allocator.type=pooled", "-Xlog:gc:file=" + collections, "-cp",
+                System.getProperty("java.class.path"), "cresschute.cli.Main", "serve", "--settings",
+                script.toString()).start();
+            try {
+                final Matcher address = Pattern.compile("listens on /127\\.0\\.0\\.1:([0-9]+)")
+                    .matcher("");
+                final BufferedReader log = node.errorReader();
+                String line = log.readLine();
+                while (line != null && !address.reset(line).find()) {
+                    line = log.readLine();
+                }
+                if (line == null) {
+                    throw new IOException("the node did not start");
+                }
+                load.connect(new InetSocketAddress("127.0.0.1", Integer.parseInt(address.group(1))), CLIENTS);
+                out.println("| run of " + seconds + " s at " + rate + " reqs a second | ms p50 | p99 | p99.9 |"
+                    + " max | not served | node's CPU, us a req | full collections | young ones |\n"
+                    + "| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+                for (int round = 0; round <= rounds; round++) {
+                    final List<String> before = Files.readAllLines(collections);
+                    final Duration cpu = node.info().totalCpuDuration().orElse(Duration.ZERO);
+                    final Histogram us = load.run(rate, seconds * 1_000L);
+                    final Duration used = node.info().totalCpuDuration().orElse(cpu).minus(cpu);
+                    final List<String> logged = Files.readAllLines(collections);
+                    final List<String> during = logged.subList(before.size(), logged.size());
+                    out.println(String.format(Locale.ROOT, "| %s | %.2f | %.2f | %.2f | %.2f | %d | %d | %d |"
+                        + " %d |", round == 0 ? "warming" : "" + round, us.getValueAtPercentile(50) / 1e3,
+                        us.getValueAtPercentile(99) / 1e3, us.getValueAtPercentile(99.9) / 1e3,
+                        us.getMaxValue() / 1e3, load.notServed(),
+                        used.toNanos() / 1_000 / Math.max(1, rate * (long) seconds),
+                        during.stream().filter(each -> each.contains("Pause Full")).count(),
+                        during.stream().filter(each -> each.contains("Pause Young")).count()));
+                    out.flush();
+                }
+            } finally {
+                node.destroyForcibly();
+            }
+        }
+        return ExitCodes.DONE;
+    }
 }
