--- a/src/main/java/cresschute/cli/TrialCommand.java
+++ b/src/main/java/cresschute/cli/TrialCommand.java
@@ -36,7 +36,8 @@
 @Command(name = "trial", mixinStandardHelpOptions = true,
     description = "Measures what drains and consoles cost, on loopback, and prints tables.",
     footer = {"", "Trials: drains (how soon new work stops), consoles (the node's CPU with 0, 1 and 8 of "
-        + "them), screen (drawing 1,000 workers), reqs (very many small ones).", "", "Example: cresschute trial drains --count 200"})
+        + "them), screen (drawing 1,000 workers), reqs (very many small ones).",
+        "", "Example: cresschute trial drains --count 200"})
 final class TrialCommand implements Callable<Integer> {
 
     /** What may be measured. */
