Take rows of forgotten workers off the board; ask for events by the run they are of

Cause: found by reading the change again. A worker that is forgotten ten minutes after it left the list has no change of its own, so its row stayed on the board and on screens for good. And a console that came back to a restarted node asked for events after a number of the run before, and missed the new run's first ones.

Change: the board loses the rows that are not known any more; events carry the run as rows do.

--- a/src/main/java/cresschute/console/Console.java
+++ b/src/main/java/cresschute/console/Console.java
@@ -141,6 +141,7 @@
             link.send(follow);
             final JsonObject events = ControlLink.request("events", "events");
             events.addProperty("after", model.lastEvent());
+            events.addProperty("boot", model.boot());
             link.send(events);
             // Whether the node heard them before the cut is not known, and by their ids does not matter.
             for (final JsonObject each : unanswered.values()) {
--- a/src/main/java/cresschute/control/socket/ControlSession.java
+++ b/src/main/java/cresschute/control/socket/ControlSession.java
@@ -98,7 +98,9 @@
                 write(news(request.id(), news, null));
             }
             case EVENTS -> {
-                final EventRing.Read read = desk.events().after(request.after());
+                // Nor does one of another run's events; a script that names no run means this one.
+                final EventRing.Read read = desk.events().after(request.boot().isEmpty()
+                    || request.boot().equals(desk.boot()) ? request.after() : 0);
                 events = true;
                 toldEvents = desk.events().last();
                 write(news(request.id(), null, read));
--- a/src/main/java/cresschute/node/ControlDesk.java
+++ b/src/main/java/cresschute/node/ControlDesk.java
@@ -76,6 +76,8 @@
     private long keptUpTo;
     private IOException keepFailed;
     private int looks;
+    /** Workers that have a row. */
+    private Set<Integer> shown = Set.of();
     private boolean stopping;
 
     /** An answer that waits until a snapshot is kept. */
@@ -353,9 +355,11 @@
                 board.put("w/" + core.roster().name(worker), row(nowUs, worker));
             }
         }
-        changed.removeAll(known);
-        changed.forEach(worker -> board.remove("w/" + core.roster().name(worker)));
         changed.clear();
+        // Guards against rows that stay for good: a worker that is forgotten has no change of its own.
+        shown.stream().filter(worker -> !known.contains(worker))
+            .forEach(worker -> board.remove("w/" + core.roster().name(worker)));
+        shown = known;
         for (int i = 0; i < config.classes().size(); i++) {
             board.put("c/" + config.classes().get(i), classRow(nowUs, i));
         }
