Derive what was held twice: running times, board news, folders, wording of errors

Change: how long a job ran is known to the watch alone, and the core keeps no start of its own; a drain looks at conditions and no longer draws every row, which the next look does for those who follow; private folders, the error lines of a session, counts in tables and the drains that a fleet notes are each made in one place; a body without a sender has let nothing go, so that nothing is summed to see it. Tests no longer close folders that are closed by their making. Behaviour is as before.

--- a/src/main/java/cresschute/console/ScreenView.java
+++ b/src/main/java/cresschute/console/ScreenView.java
@@ -326,7 +326,7 @@
         return ms < 0 ? "-" : ms < 9_950 ? Math.round(ms) + "ms" : Math.round(ms / S_MS) + "s";
     }
 
-    private static String count(double count) {
+    static String count(double count) {
         return count < 0 ? "-" : String.valueOf(Math.round(count));
     }
 
--- a/src/main/java/cresschute/console/WorkerTable.java
+++ b/src/main/java/cresschute/console/WorkerTable.java
@@ -21,17 +21,14 @@
                 ScreenView.clean(ScreenState.text(row, "id")), ScreenState.text(row, "state"),
                 row.get("in_flight").getAsInt(), ScreenState.number(row, "rate"),
                 ScreenView.ms(ScreenState.number(row, "p50_ms")),
-                ScreenView.ms(ScreenState.number(row, "p99_ms")), figure(row, "queue"), figure(row, "free"),
+                ScreenView.ms(ScreenState.number(row, "p99_ms")),
+                ScreenView.count(ScreenState.number(row, "queue")),
+                ScreenView.count(ScreenState.number(row, "free")),
                 ScreenView.clean(why(row, nowMs))).stripTrailing());
         }
         return lines;
     }
 
-    private static String figure(JsonObject row, String field) {
-        final double value = ScreenState.number(row, field);
-        return value < 0 ? "-" : String.valueOf(Math.round(value));
-    }
-
     private static String why(JsonObject row, long nowMs) {
         final String why = ScreenState.text(row, "why");
         return why.isEmpty() ? "" : why + ", for " + ScreenView.age(nowMs - row.get("since_ms").getAsLong());
--- a/src/main/java/cresschute/control/Board.java
+++ b/src/main/java/cresschute/control/Board.java
@@ -1,7 +1,6 @@
 package cresschute.control;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -73,11 +72,8 @@
                 newer.put(key, row.text());
             }
         });
-        final List<String> left = new ArrayList<>();
-        if (!whole) {
-            gone.stream().filter(each -> each.number() > from && !rows.containsKey(each.key()))
-                .forEach(each -> left.add(each.key()));
-        }
+        final List<String> left = whole ? List.of() : gone.stream()
+            .filter(each -> each.number() > from && !rows.containsKey(each.key())).map(Gone::key).toList();
         return new News(whole, number, newer, left);
     }
 }
--- a/src/main/java/cresschute/control/EventRing.java
+++ b/src/main/java/cresschute/control/EventRing.java
@@ -1,7 +1,6 @@
 package cresschute.control;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 
@@ -50,8 +49,7 @@
         if (number >= last) {
             return new Read(List.of(), 0);
         }
-        final List<Happening> read = new ArrayList<>();
-        kept.stream().filter(each -> each.number() > number).forEach(read::add);
+        final List<Happening> read = kept.stream().filter(each -> each.number() > number).toList();
         return new Read(read, Math.max(0, read.get(0).number() - 1 - Math.max(0, number)));
     }
 }
--- a/src/main/java/cresschute/control/Snapshot.java
+++ b/src/main/java/cresschute/control/Snapshot.java
@@ -5,6 +5,7 @@
 import cresschute.control.Drains.Drain;
 import cresschute.control.Drains.Remembered;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -41,8 +42,7 @@
         final byte[] body = GSON.toJson(new Body(drains, operations)).getBytes(StandardCharsets.UTF_8);
         final byte[] head = ("cresschute-drains 1 generation=" + generation + " bytes=" + body.length
             + " crc32c=" + checksum(generation, body) + "\n").getBytes(StandardCharsets.US_ASCII);
-        final byte[] all = new byte[head.length + body.length];
-        System.arraycopy(head, 0, all, 0, head.length);
+        final byte[] all = Arrays.copyOf(head, head.length + body.length);
         System.arraycopy(body, 0, all, head.length, body.length);
         return all;
     }
@@ -61,8 +61,7 @@
         if (bytes.length - end - 1 != length) {
             throw new Damaged("it holds " + (bytes.length - end - 1) + " bytes of " + length);
         }
-        final byte[] body = new byte[length];
-        System.arraycopy(bytes, end + 1, body, 0, length);
+        final byte[] body = Arrays.copyOfRange(bytes, end + 1, bytes.length);
         final long generation = Long.parseLong(head.group(1));
         if (!checksum(generation, body).equals(head.group(3))) {
             throw new Damaged("its checksum is not that of its content");
--- a/src/main/java/cresschute/control/files/StateFolder.java
+++ b/src/main/java/cresschute/control/files/StateFolder.java
@@ -14,7 +14,6 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
-import java.nio.file.attribute.PosixFilePermissions;
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.Executor;
@@ -51,10 +50,7 @@
 
     /** Takes a folder, which is made if it is not there; one that another process has is an error. */
     public static StateFolder open(Path folder) throws IOException {
-        if (!Files.isDirectory(folder)) {
-            Files.createDirectories(folder,
-                PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rwx------")));
-        }
+        PrivateFolder.make(folder);
         final FileChannel channel = FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE,
             StandardOpenOption.WRITE);
         try {
--- a/src/main/java/cresschute/control/socket/ControlServer.java
+++ b/src/main/java/cresschute/control/socket/ControlServer.java
@@ -1,6 +1,7 @@
 package cresschute.control.socket;
 
 import cresschute.control.ControlRequest;
+import cresschute.control.files.PrivateFolder;
 import cresschute.logs.LogEvent;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -60,10 +61,7 @@
     /** Listens; the error of one that cannot says why. Blocks, so not on the loop. */
     public void listen() throws IOException {
         final Path folder = file.toAbsolutePath().getParent();
-        if (!Files.isDirectory(folder)) {
-            Files.createDirectories(folder,
-                PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rwx------")));
-        }
+        PrivateFolder.make(folder);
         final Set<PosixFilePermission> open = EnumSet.copyOf(OTHERS);
         open.retainAll(Files.getPosixFilePermissions(folder));
         if (!open.isEmpty()) {
--- a/src/main/java/cresschute/control/socket/ControlSession.java
+++ b/src/main/java/cresschute/control/socket/ControlSession.java
@@ -9,7 +9,6 @@
 import cresschute.control.EventRing;
 import cresschute.control.EventRing.Happening;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -53,10 +52,17 @@
 
     /** Says why and ends. */
     void refuse(String why) {
+        channel.writeAndFlush(line(error(null, why))).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    private static String error(String re, String why) {
         final JsonObject answer = new JsonObject();
+        if (re != null) {
+            answer.addProperty("re", re);
+        }
         answer.addProperty("ok", false);
         answer.addProperty("error", why);
-        channel.writeAndFlush(line(answer.toString())).addListener(ChannelFutureListener.CLOSE);
+        return answer.toString();
     }
 
     void close() {
@@ -72,13 +78,7 @@
             desk.audit(number, request);
             answer(request);
         } catch (Unusable e) {
-            final JsonObject answer = new JsonObject();
-            if (e.id() != null) {
-                answer.addProperty("re", e.id());
-            }
-            answer.addProperty("ok", false);
-            answer.addProperty("error", e.getMessage());
-            write(answer.toString());
+            write(error(e.id(), e.getMessage()));
         }
     }
 
@@ -186,7 +186,7 @@
     }
 
     private ByteBuf line(String text) {
-        final ByteBuf bytes = channel.alloc().buffer(ByteBufUtil.utf8MaxBytes(text.length() + 1) / 3 + 16);
+        final ByteBuf bytes = channel.alloc().buffer(text.length() + 1);
         bytes.writeCharSequence(text, StandardCharsets.UTF_8);
         return bytes.writeByte('\n');
     }
--- a/src/main/java/cresschute/flow/Body.java
+++ b/src/main/java/cresschute/flow/Body.java
@@ -128,11 +128,8 @@
 
     /** Whether a new sender could begin at byte 0. */
     public boolean canBeSentAnew() {
-        return state != State.CLOSED && (spooling || sender == null && read == heldBytes());
-    }
-
-    private long heldBytes() {
-        return held.stream().mapToLong(Piece::bytes).sum();
+        // Without a sender nothing was sent, and so nothing was let go.
+        return state != State.CLOSED && (spooling || sender == null);
     }
 
     /**
@@ -184,8 +181,7 @@
 
         /** Whether all of the body has come and is written. */
         public boolean isDone() {
-            return isCurrent() && state == State.WHOLE && next == held.size() && (!spooling && held.isEmpty()
-                || spooling && sent == held.size());
+            return isCurrent() && state == State.WHOLE && sent == held.size();
         }
     }
 
--- a/src/main/java/cresschute/lab/Fleet.java
+++ b/src/main/java/cresschute/lab/Fleet.java
@@ -249,19 +249,14 @@
         return workers.stream().filter(each -> each.make().id().equals(id)).findFirst().orElseThrow();
     }
 
-    /** Notes for the checker of the rules that the node has confirmed an operator's drain just now. */
-    void confirmed(String worker, boolean drained) {
-        recorder.add(new OperatorDrained(recorder.nowUs(), worker, drained));
-    }
-
-    /** Notes that an operator's drain was taken at this time, Unix time in microseconds. */
+    /** Notes for the checker of the rules that an operator's drain holds from this time on, Unix time, us. */
     public void drainedAt(String worker, long us) {
         recorder.add(new OperatorDrained(us, worker, true));
     }
 
     /** Notes that an operator's drain is undone from now on: work may come. */
     public void undrained(String worker) {
-        confirmed(worker, false);
+        recorder.add(new OperatorDrained(recorder.nowUs(), worker, false));
     }
 
     /** When the first byte of the newest send to a worker came, Unix time in microseconds, or 0. */
--- a/src/main/java/cresschute/node/ControlDesk.java
+++ b/src/main/java/cresschute/node/ControlDesk.java
@@ -200,7 +200,7 @@
                 heard(nowUs, core.roster().listed().get(number));
             }
         }
-        look();
+        lookAtConditions();
     }
 
     private void expire() {
@@ -296,6 +296,11 @@
                 job.ended(atUs, outcome, report);
                 changed.add(backend);
             }
+
+            @Override
+            public long ranUs(long atUs) {
+                return job.ranUs(atUs);
+            }
         };
     }
 
--- a/src/main/java/cresschute/node/Core.java
+++ b/src/main/java/cresschute/node/Core.java
@@ -216,9 +216,7 @@
         return new Backends.FetchListener() {
             @Override
             public void progressed(double shareDone) {
-                final long nowUs = clock.nowUs();
-                fetch.startedUs = fetch.startedUs == 0 ? nowUs : fetch.startedUs;
-                fetch.watch.told(nowUs);
+                fetch.watch.told(clock.nowUs());
                 gather(fetch.req, now -> module.jobProgressed(now, fetch.req.id, fetch.number, fetch.backend,
                     shareDone));
             }
@@ -248,8 +246,7 @@
         final long endedUs = clock.nowUs();
         fetch.watch.ended(endedUs, outcome, report);
         if (outcome == Outcome.SERVED && !req.closed) {
-            answer(req, CoreWatcher.Answer.SERVED,
-                endedUs - (fetch.startedUs == 0 ? fetch.sentUs : fetch.startedUs),
+            answer(req, CoreWatcher.Answer.SERVED, fetch.watch.ranUs(endedUs),
                 () -> req.client.served(result));
         }
         req.fetchesOut--;
--- a/src/main/java/cresschute/node/CoreWatcher.java
+++ b/src/main/java/cresschute/node/CoreWatcher.java
@@ -33,6 +33,11 @@
         /** Its end, once. */
         default void ended(long nowUs, Outcome outcome, LoadReport report) {
         }
+
+        /** How long its job has run; from its send on where no start was told. */
+        default long ranUs(long nowUs) {
+            return 0;
+        }
     }
 
     /** The state that the module is to hear of a backend; never a better one than the list's. */
--- a/src/main/java/cresschute/node/Fetch.java
+++ b/src/main/java/cresschute/node/Fetch.java
@@ -8,8 +8,6 @@
     final int number;
     final int backend;
     final long sentUs;
-    /** When its start was told, or 0. */
-    long startedUs;
     CoreWatcher.FetchWatch watch;
     Backends.Call call;
     Future<?> giveUp;
--- a/src/test/java/cresschute/cli/ConsoleProgramTest.java
+++ b/src/test/java/cresschute/cli/ConsoleProgramTest.java
@@ -20,7 +20,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.attribute.PosixFilePermissions;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -45,8 +44,7 @@
     private Path socket;
 
     @BeforeEach
-    void closeFolder() throws IOException {
-        Files.setPosixFilePermissions(folder, PosixFilePermissions.fromString("rwx------"));
+    void nameSocket() {
         socket = folder.resolve("s");
     }
 
--- a/src/test/java/cresschute/control/socket/ControlServerTest.java
+++ b/src/test/java/cresschute/control/socket/ControlServerTest.java
@@ -12,9 +12,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.attribute.PosixFilePermissions;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -76,7 +74,6 @@
 
     @BeforeEach
     void listen() throws Exception {
-        Files.setPosixFilePermissions(folder, PosixFilePermissions.fromString("rwx------"));
         socket = folder.resolve("s");
         board.put("w/w1", "{\"text\":\"" + "x".repeat(ROW) + "\"}");
         server = new ControlServer(loop, socket, new LargeDesk());
--- a/src/test/java/cresschute/lab/ControlledFleetTest.java
+++ b/src/test/java/cresschute/lab/ControlledFleetTest.java
@@ -36,7 +36,6 @@
 
     @BeforeEach
     void start() throws IOException {
-        Files.setPosixFilePermissions(folder, PosixFilePermissions.fromString("rwx------"));
         socket = folder.resolve("s");
         fleet = new Fleet(new Fleet.Plan(6, 20, 1, List.of(), socket.toString(),
             folder.resolve("state").toString()));
@@ -93,12 +92,12 @@
 
     private void drain(ControlPeer peer, String op, String worker) throws IOException {
         assertThat(peer.operate("drain", op, worker)).isEqualTo("done: ");
-        fleet.confirmed(worker, true);
+        fleet.drainedAt(worker, fleet.nowUs());
     }
 
     private void undrain(ControlPeer peer, String op, String worker) throws IOException {
         // Before it is asked for: from then on work may come.
-        fleet.confirmed(worker, false);
+        fleet.undrained(worker);
         assertThat(peer.operate("undrain", op, worker)).isEqualTo("done: ");
     }
 
@@ -275,6 +274,11 @@
             assertThat(peer.ask("\"do\":\"subscribe\",\"from\":" + number + ",\"boot\":\"x\"").get("whole")
                 .getAsBoolean()).isTrue();
             undrain(peer, "o2", "w1");
+            // Events of another run have other numbers: to whoever comes from there, all of these are news.
+            assertThat(peer.ask("\"do\":\"events\",\"after\":500").getAsJsonArray("events"))
+                .isEmpty();
+            assertThat(peer.ask("\"do\":\"events\",\"after\":500,\"boot\":\"x\"")
+                .getAsJsonArray("events")).isNotEmpty();
         }
     }
 
--- a/src/test/java/cresschute/lab/WideSiteTest.java
+++ b/src/test/java/cresschute/lab/WideSiteTest.java
@@ -4,9 +4,7 @@
 
 import com.google.gson.JsonObject;
 import cresschute.ControlPeer;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.attribute.PosixFilePermissions;
 import java.util.HashMap;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -30,7 +28,6 @@
 
     @Test
     void newsOfAThousandWorkersAddUp() throws Exception {
-        Files.setPosixFilePermissions(folder, PosixFilePermissions.fromString("rwx------"));
         final Path socket = folder.resolve("s");
         try (WideSite site = new WideSite(1_000, 1, socket); ControlPeer peer = new ControlPeer(socket)) {
             final Map<String, JsonObject> held = new HashMap<>();
