Measure the other workers' shares while one is drained

Need: a drain is to leave every other worker's share undisturbed, and that had no figure.

Change: the drain trial counts what each worker is sent while another one is drained and while none is.

--- a/src/main/java/cresschute/cli/TrialCommand.java
+++ b/src/main/java/cresschute/cli/TrialCommand.java
@@ -19,6 +19,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -46,7 +47,6 @@
     private static final double RATE = 25;
     private static final int WORKERS = 8;
     private static final long SETTLED_MS = 500;
-    private static final long BETWEEN_MS = 200;
     private static final int WIDE = 1_000;
     private static final int CHURN = 200;
     private static final int CLIENTS = 200;
@@ -103,6 +103,8 @@
         final Path socket = folder.resolve("s");
         final Histogram confirmed = new Histogram(3);
         final Histogram stopped = new Histogram(3);
+        final Spans othersDrained = new Spans();
+        final Spans nobodyDrained = new Spans();
         int more = 0;
         final FleetReport report;
         try (Fleet fleet = new Fleet(new Fleet.Plan(WORKERS, RATE, seed, List.of(), socket.toString(),
@@ -121,9 +123,12 @@
                     confirmed.recordValue(doneUs - askedUs);
                     stopped.recordValue(lastUs);
                     more += lastUs > 0 ? 1 : 0;
+                    othersDrained.add(fleet, worker, doneUs);
                     fleet.undrained(worker);
                     operate(talk, "undrain", i, worker);
-                    Thread.sleep(BETWEEN_MS);
+                    final long undoneUs = fleet.nowUs();
+                    Thread.sleep(SETTLED_MS);
+                    nobodyDrained.add(fleet, null, undoneUs);
                 }
             }
             fleet.stop();
@@ -136,10 +141,40 @@
             + ", worth kept " + String.format(Locale.ROOT, "%.3f", report.outcomes().worthKept())
             + ", rules broken: " + report.breaches().size() + ", invariants broken: "
             + report.invariantBreaches() + ".");
+        out.println("\n| worker | sends a second while none is drained | while another one is | ratio |\n"
+            + "| --- | --- | --- | --- |");
+        for (int i = 1; i <= WORKERS; i++) {
+            final double calm = nobodyDrained.perS("w" + i);
+            final double drained = othersDrained.perS("w" + i);
+            out.println(String.format(Locale.ROOT, "| w%d | %.2f | %.2f | %.2f |", i, calm, drained,
+                drained / calm));
+        }
         report.breaches().forEach(each -> out.println("- " + each.what()));
         return report.isSound() ? ExitCodes.DONE : ExitCodes.FAILED;
     }
 
+    /** What workers were sent over many spans of time, each of which leaves out one worker at the most. */
+    private static final class Spans {
+        private final Map<String, Long> sends = new HashMap<>();
+        private final Map<String, Long> us = new HashMap<>();
+
+        void add(Fleet fleet, String drained, long fromUs) {
+            final long toUs = fleet.nowUs();
+            final Map<String, Long> sent = fleet.sends(fromUs, toUs);
+            for (int i = 1; i <= WORKERS; i++) {
+                final String worker = "w" + i;
+                if (!worker.equals(drained)) {
+                    sends.merge(worker, sent.getOrDefault(worker, 0L), Long::sum);
+                    us.merge(worker, toUs - fromUs, Long::sum);
+                }
+            }
+        }
+
+        double perS(String worker) {
+            return sends.get(worker) * 1e6 / us.get(worker);
+        }
+    }
+
     private static void operate(NodeTalk talk, String what, int number, String worker) throws NoAnswer,
         InterruptedException {
         final JsonObject answer = talk.ask(ControlLink.request(what + number, what,
--- a/src/main/java/cresschute/lab/Fleet.java
+++ b/src/main/java/cresschute/lab/Fleet.java
@@ -21,7 +21,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -275,10 +275,11 @@
         return node.loopCpuNs();
     }
 
-    /** Names of the workers that were sent something since a time, Unix time in microseconds. */
-    public Set<String> workersSentToSince(long us) {
+    /** How much each worker was sent within a span of Unix time in microseconds; none is not there. */
+    public Map<String, Long> sends(long fromUs, long toUs) {
         return recorder.seen().stream().filter(SendCame.class::isInstance).map(SendCame.class::cast)
-            .filter(each -> each.firstByteUs() > us).map(SendCame::worker).collect(Collectors.toSet());
+            .filter(each -> each.firstByteUs() > fromUs && each.firstByteUs() <= toUs)
+            .collect(Collectors.groupingBy(SendCame::worker, Collectors.counting()));
     }
 
     /** The director forgets what it has told, so that its next answer is a whole list. */
--- a/src/test/java/cresschute/cli/ConsoleProgramTest.java
+++ b/src/test/java/cresschute/cli/ConsoleProgramTest.java
@@ -112,9 +112,9 @@
                 screen.await("the drain", text -> row(screen, "w3").contains("draining"));
                 screen.type("jj");
                 screen.await("drained by wanjiru");
-                final Set<String> busy = new HashSet<>(fleet.workersSentToSince(drainedUs + 400_000));
+                final Set<String> busy = new HashSet<>();
                 screen.await("work at all others", text -> {
-                    busy.addAll(fleet.workersSentToSince(drainedUs + 400_000));
+                    busy.addAll(fleet.sends(drainedUs + 400_000, Long.MAX_VALUE).keySet());
                     return busy.size() >= 4;
                 });
                 assertThat(busy).containsExactlyInAnyOrder("w1", "w2", "w4", "w5");
