--- a/src/main/java/cresschute/flow/Body.java
+++ b/src/main/java/cresschute/flow/Body.java
@@ -1,6 +1,7 @@
 package cresschute.flow;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 import java.util.function.Consumer;
@@ -9,11 +10,11 @@
  * A body on its way from whoever sends it to us to whoever we send it to, in pieces, with no more of it held
  * than there is room for.
  *
- * <p>While no more than a bound has been read, all of it is kept from byte 0 on, and a new sender may begin
- * anew: that is what a further fetch needs. Once more has been read, what was sent is let go, and the body
- * can be sent on by its present sender alone.
+ * <p>While no more than a bound has been read, all of it is kept from byte 0 on, and any number of senders
+ * may go over it, each for itself: that is what a further fetch or a second copy needs. Once more has been
+ * read, the sender that is furthest goes on alone, the others are cut off, and what was sent is let go.
  *
- * <p>Pure: pieces are of any kind and counted by their bytes; {@code release} is called once for each when
+ * <p>Pure: pieces are of any kind and counted by what they cost; {@code release} is called once for each when
  * it is no longer held here. A sender that passes a piece on keeps a hold of its own on it until it is
  * written. Owned by one thread.
  *
@@ -24,14 +25,16 @@
     /** How far the body has come in. */
     public enum State { OPEN, WHOLE, BROKEN, CLOSED }
 
-    private record Piece<P>(P content, long bytes) {
+    private record Piece<P>(P content, long cost) {
     }
 
     private final Budget.Account account;
     private final long spoolBound;
     private final Consumer<P> release;
     private final List<Piece<P>> held = new ArrayList<>();
-    private Sender sender;
+    private final List<Sender> senders = new ArrayList<>();
+    /** Pieces let go of so far: the number of the first that is held. */
+    private int letGo;
     private long room;
     private long read;
     private boolean spooling = true;
@@ -41,7 +44,7 @@
      * A body of which nothing is read.
      *
      * @param account its room, which is closed with it
-     * @param spoolBound bytes up to which it can be sent anew; no more than its account can hold at all
+     * @param spoolBound cost up to which it can be sent anew; no more than its account can hold at all
      */
     public Body(Budget.Account account, long spoolBound, Consumer<P> release) {
         this.account = Objects.requireNonNull(account);
@@ -52,41 +55,52 @@
     // ---- In ----
 
     /**
-     * Room to read up to so many bytes now. Without any, the account tells when there is some; what was
-     * given and not used stays good.
+     * Room to read up to so much now. Without any, the account tells when there is some; what was given and
+     * not used stays good.
      */
     public long room(long wanted) {
         if (state != State.OPEN) {
             return 0;
         }
-        if (room < wanted) {
-            long more = account.take(wanted - room);
-            if (more == 0 && room == 0 && spooling && isStuck()) {
-                // Nothing can come free but what is kept for a further fetch: going on is worth more.
-                stopSpooling();
-                more = account.take(wanted);
-            }
-            room += more;
+        takeRoom(wanted);
+        if (room < wanted && spooling && isStuck()) {
+            // Nothing can come free but what is kept for a further fetch: going on is worth more.
+            stopSpooling();
+            takeRoom(wanted);
         }
         return Math.min(room, wanted);
     }
 
-    /** Whether all that is held has been sent, so that no sender will ever give room back. */
+    /** Asks until there is enough or nothing: only an account that was given nothing is told of more. */
+    private void takeRoom(long wanted) {
+        long more = Long.MAX_VALUE;
+        while (room < wanted && more > 0) {
+            more = account.take(wanted - room);
+            room += more;
+        }
+    }
+
+    /** Whether all that is held has been sent by one sender, so that no room comes back by its going on. */
     private boolean isStuck() {
-        return !held.isEmpty() && sender != null && sender.sent == held.size();
+        return !held.isEmpty() && !senders.isEmpty() && furthest().sent == letGo + held.size();
+    }
+
+    private Sender furthest() {
+        return senders.stream().max(Comparator.comparingInt(each -> each.sent)).orElseThrow();
     }
 
     /** A piece that was read, within the room that was given. */
-    public void add(P content, long bytes) {
-        if (state != State.OPEN || bytes > room) {
-            throw new IllegalStateException("a piece of " + bytes + " with room for " + room + ", " + state);
+    public void add(P content, long cost) {
+        if (state != State.OPEN || cost > room) {
+            throw new IllegalStateException("a piece of " + cost + " with room for " + room + ", " + state);
         }
-        held.add(new Piece<>(content, bytes));
-        room -= bytes;
-        read += bytes;
+        held.add(new Piece<>(content, cost));
+        room -= cost;
+        read += cost;
         if (spooling && read > spoolBound) {
             stopSpooling();
         }
+        tellSenders();
     }
 
     /** All of it has come. */
@@ -104,63 +118,76 @@
             state = how;
             account.give(room);
             room = 0;
+            tellSenders();
         }
     }
 
+    private void tellSenders() {
+        List.copyOf(senders).forEach(each -> each.news.run());
+    }
+
     private void stopSpooling() {
         spooling = false;
-        if (sender != null) {
-            for (int left = sender.sent; left > 0; left--) {
-                letGoOfFirst();
-            }
-            sender.next -= sender.sent;
-            sender.sent = 0;
+        if (senders.isEmpty()) {
+            return;
         }
+        final Sender goesOn = furthest();
+        final List<Sender> cut = new ArrayList<>(senders);
+        cut.remove(goesOn);
+        senders.retainAll(List.of(goesOn));
+        while (letGo < goesOn.sent) {
+            letGoOfFirst();
+        }
+        cut.forEach(each -> each.news.run());
     }
 
     private void letGoOfFirst() {
         final Piece<P> first = held.remove(0);
+        letGo++;
         release.accept(first.content());
-        account.give(first.bytes());
+        account.give(first.cost());
     }
 
     // ---- Out ----
 
     /** Whether a new sender could begin at byte 0. */
     public boolean canBeSentAnew() {
-        // Without a sender nothing was sent, and so nothing was let go.
-        return state != State.CLOSED && (spooling || sender == null);
+        return state != State.CLOSED && (spooling || letGo == 0 && senders.isEmpty());
     }
 
     /**
-     * A sender that begins at byte 0, in place of the one before it, which is told nothing more; or null
-     * where part of the body is gone.
+     * A sender that begins at byte 0, or null where part of the body is gone or goes with another sender.
+     *
+     * @param news told whenever there is more to send, no more will come, or the sender is cut off
      */
-    public Sender send() {
+    public Sender send(Runnable news) {
         if (!canBeSentAnew()) {
             return null;
         }
-        sender = new Sender();
+        final Sender sender = new Sender(news);
+        senders.add(sender);
         return sender;
     }
 
     /** One way out. */
     public final class Sender {
 
+        private final Runnable news;
         private int next;
         private int sent;
 
-        private Sender() {
+        private Sender(Runnable news) {
+            this.news = Objects.requireNonNull(news);
         }
 
-        /** Whether it is this one that sends the body now. */
+        /** Whether it may go on: false once it left, was cut off, or the body is closed. */
         public boolean isCurrent() {
-            return sender == this && state != State.CLOSED;
+            return state != State.CLOSED && senders.contains(this);
         }
 
-        /** The next piece, or null where none has come yet or it is not current. */
+        /** The next piece, or null where none has come yet or it may not go on. */
         public P next() {
-            return isCurrent() && next < held.size() ? held.get(next++).content() : null;
+            return isCurrent() && next < letGo + held.size() ? held.get(next++ - letGo).content() : null;
         }
 
         /** The first piece that was taken and not yet sent is written. */
@@ -171,17 +198,25 @@
             if (sent >= next) {
                 throw new IllegalStateException("more is sent than was taken");
             }
-            if (spooling) {
-                sent++;
-            } else {
-                next--;
+            sent++;
+            if (!spooling) {
                 letGoOfFirst();
             }
         }
 
+        /** Whether all of the body has come and was taken by it. */
+        public boolean hasTakenAll() {
+            return isCurrent() && state == State.WHOLE && next == letGo + held.size();
+        }
+
         /** Whether all of the body has come and is written. */
         public boolean isDone() {
-            return isCurrent() && state == State.WHOLE && sent == held.size();
+            return isCurrent() && state == State.WHOLE && sent == letGo + held.size();
+        }
+
+        /** Goes no further. Any number of times. */
+        public void leave() {
+            senders.remove(this);
         }
     }
 
@@ -192,7 +227,7 @@
         return state;
     }
 
-    /** Bytes that have come in so far. */
+    /** Cost of what has come in so far. */
     public long read() {
         return read;
     }
@@ -205,6 +240,8 @@
             held.clear();
             room = 0;
             account.close();
+            tellSenders();
+            senders.clear();
         }
     }
 }
--- a/src/main/java/cresschute/node/Backends.java
+++ b/src/main/java/cresschute/node/Backends.java
@@ -29,6 +29,15 @@
         /** The job has started (share 0), or how much of it is done. */
         void progressed(double shareDone);
 
+        /**
+         * The job makes a long result, and the end of the fetch is told by this: what follows is its result
+         * alone. {@link ResultStream#NOWHERE} where nobody wants it any more, null where none is expected.
+         */
+        ResultStream resultBegins(String type, long length, LoadReport report);
+
+        /** The end of a long result. */
+        void resultEnded(boolean whole);
+
         /** The end; {@code result} is there where the outcome is served. */
         void ended(Outcome outcome, LoadReport report, String result);
     }
--- a/src/main/java/cresschute/node/Core.java
+++ b/src/main/java/cresschute/node/Core.java
@@ -12,11 +12,13 @@
 import cresschute.DispatchApi.Worker;
 import cresschute.DispatchApi.WorkerState;
 import cresschute.logs.LogEvent;
+import cresschute.settings.ApplianceSettings.ClassBodies;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -41,6 +43,8 @@
     static final long ANSWER_MARGIN_US = 15_000;
     /** Past its due time by this, us, a req that the module left unanswered is failed by the node. */
     static final long OVERDUE_US = 10_000;
+    /** When to come back with what the node itself turns away, us, where advice is allowed. */
+    private static final long OWN_RETRY_US = 1_000_000;
     private static final long US_A_MS = 1_000;
     private static final Logger LOG = System.getLogger("cresschute.core");
 
@@ -51,6 +55,11 @@
     private final Roster roster;
     private final List<String> classes;
     private final List<RequestClass> classSettings;
+    private final boolean fullMayHaveRun;
+    /** For each class, whether the first byte of a long result is what must be in time. */
+    private final List<Boolean> deadlineToFirst;
+    /** Advice of the node's own refusals, us. */
+    private final long retryAfterUs;
     private final CoreWatcher watcher;
     private final Events module;
     private final Map<Integer, Req> open = new HashMap<>();
@@ -83,6 +92,10 @@
         this.roster = new Roster(config.zones(), config.kinds());
         this.classes = config.classes();
         this.classSettings = config.settings().classes();
+        this.deadlineToFirst = config.bodies() == null ? Collections.nCopies(classes.size(), false)
+            : config.bodies().classes().stream().map(ClassBodies::deadlineToFirst).toList();
+        this.fullMayHaveRun = config.settings().fullMayHaveRun();
+        this.retryAfterUs = Math.min(OWN_RETRY_US, config.settings().limits().maxRetryAfterUs());
         this.watcher = watcher;
         this.module = module.apply(new GatheredActions());
     }
@@ -123,12 +136,20 @@
     /** The client of a req has gone: nothing is owed any more, but its fetches run on. */
     public void clientLeft(Req req) {
         if (!req.closed) {
+            hangUp(req);
             close(req);
             watched(req, CoreWatcher.Answer.LEFT, 0);
             gather(req, now -> module.clientLeft(now, req.id));
         }
     }
 
+    /** Nobody reads a long result any more. */
+    private static void hangUp(Req req) {
+        if (req.streaming != null) {
+            req.streaming.call.giveUp();
+        }
+    }
+
     private void watched(Req req, CoreWatcher.Answer answer, long ranUs) {
         final long nowUs = clock.nowUs();
         watcher.answered(nowUs, req.requestClass, answer, req.fetchesStarted, nowUs - req.takenUs, ranUs);
@@ -168,12 +189,17 @@
 
     private void forgetIfDone(Req req) {
         // Guards against numbering a send wrongly: the module may act for a req whose end it has not heard.
-        if (req.closed && req.fetchesOut == 0 && req.untold == 0) {
+        if (req.closed && req.out.isEmpty() && req.untold == 0) {
             open.remove(req.id);
             openIds.remove(req.content.requestId());
         }
     }
 
+    /** What a refusal of the node's own advises, us; 0 where no advice is allowed. */
+    public long retryAfterUs() {
+        return retryAfterUs;
+    }
+
     /** Reqs that are owed an answer. */
     public int owed() {
         return owed;
@@ -187,16 +213,18 @@
         if (!invariant.holds(req != null && addr != null, "send of or to nobody")) {
             return;
         }
-        if (req.closed) {
-            // The client left, or was answered, in the turn in which the module chose: nothing is sent.
+        if (req.closed || req.streaming != null || !req.content.canBeSentAnew()) {
+            // The client left, or was answered, in the turn in which the module chose: nothing is sent. Nor
+            // is a second copy whose body is partly gone; that is no loss of the backend's: cancelled.
             final int number = req.fetchesStarted++;
-            gather(req, now -> module.ended(now, reqId, number, backend, Outcome.NOT_SENT, 0, true,
-                LoadReport.NONE));
+            final boolean closed = req.closed;
+            gather(req, now -> module.ended(now, reqId, number, backend,
+                closed ? Outcome.NOT_SENT : Outcome.CANCELLED, 0, closed, LoadReport.NONE));
             return;
         }
         final long nowUs = clock.nowUs();
         final Fetch fetch = new Fetch(req, req.fetchesStarted++, backend, nowUs);
-        req.fetchesOut++;
+        req.out.add(fetch);
         req.firstBackend = req.firstBackend < 0 ? backend : req.firstBackend;
         fetch.watch = watcher.sent(nowUs, backend, req.requestClass);
         final long waitUs = Math.max(0, Math.min(giveUpUs, req.giveUpUs) - nowUs);
@@ -221,6 +249,16 @@
                     shareDone));
             }
 
+            @Override
+            public ResultStream resultBegins(String type, long length, LoadReport report) {
+                return Core.this.resultBegins(fetch, type, length, report);
+            }
+
+            @Override
+            public void resultEnded(boolean whole) {
+                Core.this.resultEnded(fetch, whole);
+            }
+
             @Override
             public void ended(Outcome outcome, LoadReport report, String result) {
                 end(fetch, outcome, report, result);
@@ -245,15 +283,83 @@
         }
         final long endedUs = clock.nowUs();
         fetch.watch.ended(endedUs, outcome, report);
-        if (outcome == Outcome.SERVED && !req.closed) {
+        if (outcome == Outcome.SERVED && !req.closed && req.streaming == null) {
             answer(req, CoreWatcher.Answer.SERVED, fetch.watch.ranUs(endedUs),
                 () -> req.client.served(result));
         }
-        req.fetchesOut--;
+        req.out.remove(fetch);
+        req.mayHaveRun |= mayHaveRun(outcome);
+        final boolean bound = req.streaming != null;
+        if (!req.closed && !bound && req.out.isEmpty() && !req.content.canBeSentAnew()) {
+            answerWhatCannotBeSentAnew(req);
+        }
         forgetIfDone(req);
         final long elapsedUs = clock.nowUs() - fetch.sentUs;
+        // Nothing is owed by the module once a result is on its way.
         gather(req, now -> module.ended(now, req.id, fetch.number, fetch.backend, outcome, elapsedUs,
-            req.closed, report));
+            req.closed || req.streaming != null, report));
+    }
+
+    /**
+     * A job makes a long result, which is the answer from here on: other copies are given up. For the module
+     * the fetch ends here, as served. From now on its pace is the client's, and a worker would be taken for
+     * slow, and the class for long, by how fast somebody reads.
+     */
+    private ResultStream resultBegins(Fetch fetch, String type, long length, LoadReport report) {
+        final Req req = fetch.req;
+        if (req.closed) {
+            end(fetch, Outcome.SERVED, report, null);
+            return ResultStream.NOWHERE;
+        }
+        req.result = req.client.streams(type, length);
+        if (req.result == null) {
+            return null;
+        }
+        req.streaming = fetch;
+        for (final Fetch other : List.copyOf(req.out)) {
+            if (other != fetch) {
+                other.call.giveUp();
+                end(other, Outcome.CANCELLED, LoadReport.NONE, null);
+            }
+        }
+        req.overdue.cancel(false);
+        if (deadlineToFirst.get(req.requestClass)) {
+            req.dueUs = Long.MAX_VALUE;
+        } else {
+            req.overdue = after(Math.max(0, req.giveUpUs - clock.nowUs()), () -> {
+                hangUp(req);
+                resultEnded(fetch, false);
+            });
+        }
+        end(fetch, Outcome.SERVED, report, null);
+        return req.result;
+    }
+
+    private void resultEnded(Fetch fetch, boolean whole) {
+        final Req req = fetch.req;
+        if (!req.closed) {
+            final ResultStream result = req.result;
+            answer(req, whole ? CoreWatcher.Answer.SERVED : CoreWatcher.Answer.FAILED, 0,
+                () -> result.finish(whole));
+        }
+    }
+
+    /** A fetch is cancelled only before its last byte went out. */
+    private boolean mayHaveRun(Outcome outcome) {
+        return outcome != Outcome.CONNECT_FAILED && outcome != Outcome.NOT_SENT
+            && outcome != Outcome.CANCELLED && (outcome != Outcome.FULL || fullMayHaveRun);
+    }
+
+    /**
+     * Guards against repeats that would end one by one, each told as a loss at a backend that saw nothing of
+     * them: where the body is partly gone, no choice is left to the module, which hears that it is closed.
+     */
+    private void answerWhatCannotBeSentAnew(Req req) {
+        if (req.mayHaveRun) {
+            answer(req, CoreWatcher.Answer.FAILED, 0, req.client::failed);
+        } else {
+            answer(req, CoreWatcher.Answer.REFUSED, 0, () -> req.client.syntheticAnswer(retryAfterUs));
+        }
     }
 
     private static String word(Outcome outcome) {
@@ -404,6 +510,7 @@
     /** Fails a req that the module did not answer, and tells the module that nothing is owed any more. */
     private void failUnasked(Req req) {
         gather(req, now -> module.clientLeft(now, req.id));
+        hangUp(req);
         answer(req, CoreWatcher.Answer.FAILED, 0, req.client::failed);
     }
 
--- a/src/main/java/cresschute/node/NodeConfig.java
+++ b/src/main/java/cresschute/node/NodeConfig.java
@@ -7,6 +7,7 @@
 import cresschute.DispatchApi.WorkerState;
 import cresschute.benchlink.SettingsParser;
 import cresschute.settings.ApplianceSettings;
+import cresschute.settings.ApplianceSettings.Bodies;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -32,11 +33,12 @@
  * @param known the list as this node last had it; it may be old
  * @param controlSocket the file of the socket for consoles, or null
  * @param stateFolder the folder for what outlives the process, or null
+ * @param bodies the room for long bodies, or null where there are none
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress director, long seed,
                          Settings settings, List<String> classes, List<String> zones, List<String> kinds,
                          long connectTimeoutUs, long connIdleUs, int sockets, DirectorList known,
-                         String controlSocket, String stateFolder) {
+                         String controlSocket, String stateFolder, Bodies bodies) {
 
     private static final String DISCOVERY = "BALANCER_DISCOVERY";
     private static final long DEFAULT_CONNECT_TIMEOUT_US = 250_000;
@@ -53,7 +55,7 @@
             settings.module(),
             settings.classes(), settings.zones(), settings.kinds(), settings.connectTimeoutUs(),
             settings.idleTimeoutUs(), settings.sockets(), new DirectorList(-1, true, workers),
-            settings.controlSocket(), settings.stateFolder());
+            settings.controlSocket(), settings.stateFolder(), settings.bodies());
     }
 
     /** Reads the environment and the file that it names. */
@@ -96,7 +98,7 @@
                 (long) Json.number(limits, "connectTimeoutUs", DEFAULT_CONNECT_TIMEOUT_US),
                 (long) Json.number(limits, "connIdleUs", DEFAULT_CONN_IDLE_US),
                 (int) Json.number(machine, "sockets", DEFAULT_SOCKETS),
-                known, null, null);
+                known, null, null, null);
         } catch (JsonParseException | IllegalArgumentException e) {
             throw new ConfigException("configuration: " + String.valueOf(e.getMessage()).lines().findFirst()
                 .orElse("unusable"));
@@ -120,6 +122,7 @@
         note(changed, "workers", (director == null) == (next.director == null)
             && (director != null || known.entries().equals(next.known.entries())));
         note(changed, "control", Objects.equals(controlSocket, next.controlSocket));
+        note(changed, "bodies", Objects.equals(bodies, next.bodies));
         note(changed, "state", Objects.equals(stateFolder, next.stateFolder));
         return changed;
     }
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -66,7 +66,7 @@
         core = new Core(config, loop, clock, troubles, desk == null ? CoreWatcher.NONE : desk, module);
         front = new ClientFront(loop, core, config, forClients);
         backends = new BackendConnections(loop, troubles, config.connectTimeoutUs(), config.connIdleUs(),
-            sockets - forClients);
+            sockets - forClients, config.bodies() != null);
         director = config.director() == null ? null
             : new DirectorClient(loop, config.director(), core, troubles);
     }
@@ -213,6 +213,11 @@
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
 
+    /** Bytes that long bodies hold now; on the loop. */
+    long bodyBytes() {
+        return front.bodyBytes();
+    }
+
     Core core() {
         return core;
     }
@@ -223,9 +228,11 @@
 
     private void logStatus() {
         LogEvent.of("status", "status: " + core.owed() + " reqs open, " + front.open() + " client and "
-            + backends.opened() + " backend connections, list version " + core.listVersion())
+            + backends.opened() + " backend connections, " + front.bodyBytes()
+            + " bytes of long bodies, list version " + core.listVersion())
             .with("reqs", core.owed()).with("client_connections", front.open())
-            .with("backend_connections", backends.opened()).with("list_version", core.listVersion())
+            .with("backend_connections", backends.opened()).with("body_bytes", front.bodyBytes())
+            .with("list_version", core.listVersion())
             .log(LOG, Level.INFO);
         if (core.invariant().total() > breachesLogged) {
             breachesLogged = core.invariant().total();
--- a/src/main/java/cresschute/node/Req.java
+++ b/src/main/java/cresschute/node/Req.java
@@ -1,5 +1,7 @@
 package cresschute.node;
 
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.concurrent.Future;
 
 /** A client's req: owed one answer until closed, held until its fetches have ended and the module knows. */
@@ -9,15 +11,20 @@
     final String className;
     final int requestClass;
     final long takenUs;
-    final long dueUs;
+    long dueUs;
     final long giveUpUs;
     final ReqClient client;
     Future<?> overdue;
     int fetchesStarted;
     /** Where its first fetch went, or -1. */
     int firstBackend = -1;
-    int fetchesOut;
+    final Set<Fetch> out = new LinkedHashSet<>();
+    /** The fetch whose long result is on its way to the client, or null, and what it goes by. */
+    Fetch streaming;
+    ResultStream result;
     int untold;
+    /** Whether a fetch of it has ended that may have had its effect. */
+    boolean mayHaveRun;
     boolean closed;
     boolean answered;
 
--- a/src/main/java/cresschute/node/ReqClient.java
+++ b/src/main/java/cresschute/node/ReqClient.java
@@ -6,6 +6,15 @@
     /** Served with the result that a backend made for it. */
     void served(String result);
 
+    /**
+     * Its answer begins: a result that a backend goes on making. One of the others follows only where it
+     * breaks, as {@link #failed}. Null where no long result is expected.
+     *
+     * @param type what the backend calls its content, or null
+     * @param length its bytes, or -1 where that is not known
+     */
+    ResultStream streams(String type, long length);
+
     /** A synthetic answer: refused, a retry does no harm. Advice of 0 is none. */
     void syntheticAnswer(long retryAfterUs);
 
--- /dev/null
+++ b/src/main/java/cresschute/node/ResultStream.java
@@ -0,0 +1,12 @@
+package cresschute.node;
+
+/** A long result on its way to the client of its req. On the loop. */
+@FunctionalInterface
+public interface ResultStream {
+
+    /** For a result whose client is gone. */
+    ResultStream NOWHERE = whole -> { };
+
+    /** No more comes: it is whole, or it must not look so to the client. */
+    void finish(boolean whole);
+}
--- a/src/main/java/cresschute/node/Trouble.java
+++ b/src/main/java/cresschute/node/Trouble.java
@@ -13,6 +13,10 @@
     BACKEND_CONNECTION("backend connection"),
     /** A connection from a client did. */
     CLIENT_CONNECTION("client connection"),
+    /** There was no room for a long body. */
+    NO_ROOM_FOR_BODY("no room for a long body"),
+    /** One side of a long body moved too little. */
+    BODY_TOO_SLOW("a long body was too slow"),
     /** All connections to backends are in use. */
     NO_CONNECTION_LEFT("no connection left");
 
--- a/src/main/java/cresschute/node/http/BackendConnection.java
+++ b/src/main/java/cresschute/node/http/BackendConnection.java
@@ -1,11 +1,12 @@
 package cresschute.node.http;
 
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -50,7 +51,7 @@
         }
         exchange = next;
         next.connection = this;
-        final FullHttpRequest request;
+        final HttpRequest request;
         try {
             request = next.request();
         } catch (IllegalArgumentException e) {
@@ -58,12 +59,44 @@
             exceptionCaught(null, e);
             return;
         }
+        final BodyPump body = next.body();
         channel.writeAndFlush(request).addListener(sent -> {
-            next.written = sent.isSuccess();
+            next.written = sent.isSuccess() && body == null;
             if (!sent.isSuccess()) {
                 channel.close();
             }
         });
+        if (body != null) {
+            body.start(channel);
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (exchange != null) {
+            exchange.readComplete();
+        }
+        ctx.fireChannelReadComplete();
+    }
+
+    /** From now on each read is asked for, or it is read on whenever there is something. */
+    void readByHand(boolean byHand) {
+        channel.config().setAutoRead(!byHand);
+    }
+
+    void read() {
+        channel.read();
+    }
+
+    ByteBufAllocator allocator() {
+        return channel.alloc();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (exchange != null && exchange.body() != null) {
+            exchange.body().pump();
+        }
     }
 
     /** Closes this connection after it has been idle for that long. */
@@ -105,10 +138,10 @@
         final Exchange current = exchange;
         final boolean wasOver = current.over;
         current.content(content.content());
-        if (content instanceof LastHttpContent) {
+        if (content instanceof LastHttpContent last) {
             forgetTail();
             exchange = null;
-            current.last();
+            current.last(last.trailingHeaders());
             current.connection = null;
             if (keepAlive && current.written) {
                 owner.idle(this);
--- a/src/main/java/cresschute/node/http/BackendConnections.java
+++ b/src/main/java/cresschute/node/http/BackendConnections.java
@@ -46,9 +46,10 @@
      * None are open at first.
      *
      * @param most how many may be open at a time
+     * @param longResults whether results may come that are passed on as they are made
      */
     public BackendConnections(EventLoop loop, RateLimitedLog troubles, long connectTimeoutUs, long connIdleUs,
-                              int most) {
+                              int most, boolean longResults) {
         this.loop = loop;
         this.troubles = troubles;
         this.retireUs = (long) (connIdleUs * RETIRE_AT);
@@ -56,6 +57,9 @@
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutUs / 1000));
+        if (longResults) {
+            bootstrap.option(ChannelOption.RECVBUF_ALLOCATOR, LongStream.reads());
+        }
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/cresschute/node/http/BodyPump.java
@@ -0,0 +1,145 @@
+package cresschute.node.http;
+
+import cresschute.flow.Body;
+import cresschute.flow.Pace;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
+
+/**
+ * Carries a long body to one peer, no faster than its connection takes it: what is not written stays in the
+ * body, where it is counted. On the loop.
+ */
+final class BodyPump {
+
+    /** How it ends; at most one of these is called, once. */
+    interface Ends {
+
+        /** The last byte is written. */
+        void written();
+
+        /** The rest will not come, or goes another way. */
+        void lost();
+
+        /** The peer takes too little. */
+        void tooSlow();
+    }
+
+    private final LongStream body;
+    private final Ends ends;
+    private final Body<ByteBuf>.Sender sender;
+    private final Pace peer;
+    private Channel channel;
+    private int underWay;
+    private boolean lastIsOut;
+    private boolean pumping;
+    private boolean over;
+
+    BodyPump(LongStream body, Ends ends) {
+        this.body = body;
+        this.ends = ends;
+        this.peer = body.newPace();
+        this.sender = body.send(this::news);
+    }
+
+    /** Begins, on a connection to which the head was written. */
+    void start(Channel to) {
+        channel = to;
+        pump();
+    }
+
+    private void news() {
+        if (channel == null) {
+            return;
+        }
+        if (isLost()) {
+            // Later: the news may come out of the end of another fetch of the same req.
+            channel.eventLoop().execute(this::pump);
+        } else {
+            pump();
+        }
+    }
+
+    private boolean isLost() {
+        return !lastIsOut && (sender == null || !sender.isCurrent() || body.isLost());
+    }
+
+    /** Writes what there is as long as the connection takes it. */
+    void pump() {
+        if (channel == null || over || pumping) {
+            return;
+        }
+        if (isLost()) {
+            stop();
+            ends.lost();
+            return;
+        }
+        pumping = true;
+        while (channel.isWritable() && !over) {
+            final ByteBuf piece = sender.next();
+            if (piece == null) {
+                break;
+            }
+            underWay++;
+            final int count = piece.readableBytes();
+            channel.writeAndFlush(new DefaultHttpContent(piece.retainedDuplicate()))
+                .addListener(done -> sent(done, count));
+        }
+        if (!over && !lastIsOut && sender.hasTakenAll()) {
+            lastIsOut = true;
+            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(this::sentLast);
+        }
+        pumping = false;
+        peer.turn(underWay > 0, LongStream.nowUs());
+    }
+
+    private void sent(Future<? super Void> done, int count) {
+        underWay--;
+        if (over) {
+            return;
+        }
+        if (!done.isSuccess()) {
+            channel.close();
+            return;
+        }
+        peer.moved(count, LongStream.nowUs());
+        peer.turn(underWay > 0, LongStream.nowUs());
+        sender.sent();
+        body.sentSome();
+        pump();
+    }
+
+    private void sentLast(Future<? super Void> done) {
+        if (over) {
+            return;
+        }
+        stop();
+        if (done.isSuccess()) {
+            ends.written();
+        } else {
+            channel.close();
+        }
+    }
+
+    /** Gives up a peer that takes too little; called by the sweep. */
+    void judge() {
+        if (!over && peer.isTooSlow(LongStream.nowUs())) {
+            body.owner.tooSlow(String.valueOf(channel.remoteAddress()), "it took too little");
+            stop();
+            ends.tooSlow();
+        }
+    }
+
+    /** Carries no more. Any number of times. */
+    void stop() {
+        if (!over) {
+            over = true;
+            if (sender != null) {
+                sender.leave();
+            }
+            body.left(this);
+        }
+    }
+}
--- a/src/main/java/cresschute/node/http/ClientConnection.java
+++ b/src/main/java/cresschute/node/http/ClientConnection.java
@@ -3,13 +3,17 @@
 import cresschute.node.Req;
 import cresschute.node.ReqClient;
 import cresschute.node.ReqContent;
+import cresschute.node.ResultStream;
 import cresschute.node.Trouble;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -22,6 +26,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Arrays;
@@ -37,6 +42,7 @@
     private static final int MOST_AHEAD = 16;
     /** How long an unwanted body's rest is read away, ms: an early reset could eat the answer. */
     private static final long LINGER_MS = 1_000;
+    private static final int KIB = 1024;
     private static final byte[] NO_BODY = new byte[0];
     private static final String READY = "/health/ready";
 
@@ -47,6 +53,9 @@
     private ReqHead head;
     private byte[] body = NO_BODY;
     private int bodyBytes;
+    /** The body that is being read where it is long, and whether a read of it is asked for. */
+    private LongBody longBody;
+    private boolean awaiting;
     private boolean deaf;
     private boolean proven;
     /** When it became the client's turn; bytes that make no whole req do not count. */
@@ -69,6 +78,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         front.closed(this);
+        longBody = null;
         answers.forEach(Answer::clientLeft);
         answers.clear();
     }
@@ -101,7 +111,7 @@
     /** Guards against a wait for reqs before it: what cannot be read ends the connection now. */
     private void malformed() {
         if (reading == null) {
-            reading = new Answer(false);
+            reading = new Answer(false, false);
             answers.add(reading);
         }
         if (answers.size() > 1) {
@@ -116,7 +126,8 @@
         if (answers.isEmpty() && proven) {
             turnNs = System.nanoTime();
         }
-        reading = new Answer(HttpUtil.isKeepAlive(request));
+        reading = new Answer(HttpUtil.isKeepAlive(request),
+            request.protocolVersion().equals(HttpVersion.HTTP_1_0));
         answers.add(reading);
         head = null;
         bodyBytes = 0;
@@ -139,8 +150,9 @@
             return;
         }
         // Guards against reading on for a body that is too large by its own word.
-        if (HttpUtil.getContentLength(request, 0L) > MOST_BODY_BYTES) {
-            deafWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over 64 KiB");
+        final long length = HttpUtil.getContentLength(request, 0L);
+        if (length > front.longestBody()) {
+            tooLarge(front.longestBody());
             return;
         }
         final int pathEnd = request.uri().indexOf('?');
@@ -152,6 +164,13 @@
         }
         try {
             head = front.parser().parse(request);
+            if (length > front.longestBody(head.job().requestClass())) {
+                tooLarge(front.longestBody(head.job().requestClass()));
+                return;
+            }
+            if (length > MOST_BODY_BYTES && !openLong(length)) {
+                return;
+            }
             if (HttpUtil.is100ContinueExpected(request)) {
                 context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                     HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
@@ -163,8 +182,26 @@
 
     private void collect(ByteBuf content) {
         final int count = content.readableBytes();
-        if (bodyBytes + count > MOST_BODY_BYTES) {
-            deafWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over 64 KiB");
+        if (longBody == null && bodyBytes + count > MOST_BODY_BYTES) {
+            final long longest = head == null || reading.isComplete() ? MOST_BODY_BYTES
+                : front.longestBody(head.job().requestClass());
+            if (longest <= MOST_BODY_BYTES) {
+                tooLarge(longest);
+                return;
+            }
+            // Chunked, and longer than what is held whole: from here on it is passed on.
+            if (!openLong(-1)) {
+                return;
+            }
+            longBody.collect(Unpooled.wrappedBuffer(body, 0, bodyBytes), context.alloc(), longest);
+            body = NO_BODY;
+            bodyBytes = 0;
+        }
+        if (longBody != null) {
+            final long longest = front.longestBody(head.job().requestClass());
+            if (!longBody.collect(content, context.alloc(), longest)) {
+                abandon(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over " + longest / KIB + " KiB");
+            }
             return;
         }
         if (bodyBytes + count > body.length) {
@@ -175,8 +212,124 @@
         bodyBytes += count;
     }
 
+    private void tooLarge(long longest) {
+        deafWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over " + longest / KIB + " KiB");
+    }
+
+    // ---- Long bodies ----
+
+    /** Opens the body of the req that is being read; false where it was answered instead. */
+    private boolean openLong(long length) {
+        final InetSocketAddress from = (InetSocketAddress) context.channel().remoteAddress();
+        longBody = front.bodies().open(from.getAddress().getHostAddress(), head.job().requestClass(), length,
+            this::roomForBody);
+        if (longBody == null) {
+            deafWith(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused", front.core().retryAfterUs());
+            return false;
+        }
+        reading.body = longBody;
+        // From now on each read is asked for.
+        context.channel().config().setAutoRead(false);
+        awaiting = true;
+        return true;
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (longBody != null) {
+            awaiting = false;
+            longBody.endPiece(ctx.alloc());
+            if (longBody.isBeyondSpool()) {
+                takeLong();
+            }
+            readOn();
+        }
+        ctx.fireChannelReadComplete();
+    }
+
+    private void roomForBody() {
+        if (longBody != null && !awaiting) {
+            readOn();
+        }
+    }
+
+    private void readOn() {
+        if (longBody == null) {
+            return;
+        }
+        if (longBody.hasRoom()) {
+            awaiting = true;
+            context.read();
+        } else {
+            // Guards against a wait without end: without a fetch no room comes free.
+            takeLong();
+        }
+    }
+
+    /** The req is taken: all of its body is here, or as much as is kept. */
+    private void takeLong() {
+        final Answer answer = reading;
+        if (answer.req != null || answer.isComplete()) {
+            return;
+        }
+        if (front.core().isOpen(head.requestId())) {
+            abandon(HttpResponseStatus.CONFLICT, "X-Request-Id is in use");
+            return;
+        }
+        if (!answer.reserve()) {
+            deafWith(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused", front.core().retryAfterUs());
+            return;
+        }
+        proven = true;
+        answer.req = front.core().take(new ReqContent(head.requestId(), head.target(),
+            head.idempotencyKey(), NO_BODY, longBody), head.job(), head.waitUs(), answer);
+    }
+
+    /** A long body that is given up for its client's fault, whether its req was taken or not. */
+    private void abandon(HttpResponseStatus status, String why) {
+        reading.clientLeft();
+        if (!reading.isComplete()) {
+            deafWith(status, why);
+        }
+    }
+
+    /** Reads no more of a long body than to let its client see the answer. */
+    private void endLong() {
+        longBody = null;
+        context.channel().config().setAutoRead(true);
+    }
+
+    boolean isInLongBody() {
+        return longBody != null;
+    }
+
+    /** Whether the req whose body is being read was taken, and is owed its answer. */
+    boolean hasTakenWhatItReads() {
+        return reading != null && reading.req != null;
+    }
+
+    /** Gives up the long body that is being read where its client sends too little; told by the sweep. */
+    void judgeBody() {
+        if (longBody.isSenderTooSlow()) {
+            front.bodies().tooSlow(String.valueOf(context.channel().remoteAddress()), "it sent too little");
+            abandon(HttpResponseStatus.REQUEST_TIMEOUT, "the body came too slowly");
+        }
+    }
+
+    // ---- Taking ----
+
     /** The req's last byte is here: from now on it is owed an answer. */
     private void finish() {
+        if (longBody != null) {
+            longBody.whole(context.alloc());
+            takeLong();
+            if (longBody != null) {
+                endLong();
+                context.channel().config().setAutoRead(answers.size() < MOST_AHEAD);
+            }
+            reading = null;
+            return;
+        }
         final Answer answer = reading;
         reading = null;
         if (head != null && !answer.isComplete()) {
@@ -187,6 +340,11 @@
                 answer.complete(HttpResponseStatus.CONFLICT, "X-Request-Id is in use\n", 0);
                 return;
             }
+            if (!answer.reserve()) {
+                body = NO_BODY;
+                answer.syntheticAnswer(front.core().retryAfterUs());
+                return;
+            }
             proven = true;
             final ReqContent content = new ReqContent(head.requestId(), head.target(), head.idempotencyKey(),
                 body.length == bodyBytes ? body : Arrays.copyOf(body, bodyBytes));
@@ -198,9 +356,13 @@
 
     /** Answers what cannot be read on, and closes; the rest of it is read away for a while. */
     private void deafWith(HttpResponseStatus status, String why) {
+        deafWith(status, why, 0);
+    }
+
+    private void deafWith(HttpResponseStatus status, String why, long retryAfterUs) {
         deaf = true;
         reading.keepAlive = false;
-        reading.complete(status, why + "\n", 0);
+        reading.complete(status, why + "\n", retryAfterUs);
         linger();
     }
 
@@ -227,22 +389,42 @@
             if (!keepAlive) {
                 answer.response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
-            final var written = context.writeAndFlush(answer.response);
-            if (!keepAlive && !deaf) {
-                // The client asked for the end here; what it may have sent after that is not answered.
-                deaf = true;
-                answers.forEach(Answer::clientLeft);
-                answers.clear();
-                written.addListener(ChannelFutureListener.CLOSE);
-            }
+            written(context.writeAndFlush(answer.response), keepAlive);
+        }
+        if (!answers.isEmpty()) {
+            answers.peek().startResult();
         }
         turnNs = System.nanoTime();
         front.answered();
-        if (answers.size() < MOST_AHEAD && context.channel().isActive()) {
+        if (answers.size() < MOST_AHEAD && longBody == null && context.channel().isActive()) {
             context.channel().config().setAutoRead(true);
         }
     }
 
+    /** An answer is out, or about to be. */
+    private void written(ChannelFuture written, boolean keepAlive) {
+        if (!keepAlive && !deaf) {
+            // The client asked for the end here; what it may have sent after that is not answered.
+            deaf = true;
+            answers.forEach(Answer::clientLeft);
+            answers.clear();
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (isStreaming()) {
+            answers.peek().pump.pump();
+        }
+        ctx.fireChannelWritabilityChanged();
+    }
+
+    /** A long result is on its way to the client. */
+    boolean isStreaming() {
+        return !answers.isEmpty() && answers.peek().pump != null;
+    }
+
     /** Nothing is being read, answered or written here. */
     boolean isIdle() {
         return answers.isEmpty() && reading == null && context.channel().unsafe().outboundBuffer() != null
@@ -292,14 +474,23 @@
     }
 
     /** The answer to one req, in its place among those of this connection. */
-    private final class Answer implements ReqClient {
+    private final class Answer implements ReqClient, BodyPump.Ends {
 
+        private final boolean isOld;
         private boolean keepAlive;
         private Req req;
+        /** The req's body where it is long. */
+        private LongBody body;
+        /** Room for its result where that may be long, whether that has begun, and what writes it. */
+        private LongResult result;
+        private boolean streams;
+        private BodyPump pump;
         private FullHttpResponse response;
 
-        Answer(boolean keepAlive) {
+        /** Of a client that does not know chunks, or of a usual one. */
+        Answer(boolean keepAlive, boolean isOld) {
             this.keepAlive = keepAlive;
+            this.isOld = isOld;
         }
 
         boolean isComplete() {
@@ -310,6 +501,106 @@
             if (req != null) {
                 front.core().clientLeft(req);
             }
+            letGo();
+        }
+
+        /** Nothing more is wanted of what came, or still comes, for this answer. */
+        private void letGo() {
+            if (pump != null) {
+                pump.stop();
+            }
+            if (result != null) {
+                result.drop();
+            }
+            if (body != null) {
+                body.retire();
+            }
+        }
+
+        // ---- Long results ----
+
+        /** Takes the room for a long result, where its class has such; false where there is none. */
+        boolean reserve() {
+            final int requestClass = head.job().requestClass();
+            if (front.hasLongResults(requestClass)) {
+                final InetSocketAddress from = (InetSocketAddress) context.channel().remoteAddress();
+                result = front.bodies().openResult(from.getAddress().getHostAddress(), requestClass,
+                    context.alloc());
+                return result != null;
+            }
+            return true;
+        }
+
+        @Override
+        public ResultStream streams(String type, long length) {
+            if (result == null) {
+                return null;
+            }
+            streams = true;
+            result.begin(type, length);
+            flush();
+            return result;
+        }
+
+        /** Its turn has come: the head goes out, and what there is of the result. */
+        void startResult() {
+            if (!streams || pump != null || isComplete()) {
+                return;
+            }
+            if (result.isLost()) {
+                // Broken before any of it went out: the client need not find that out by itself.
+                failed();
+                return;
+            }
+            final DefaultHttpResponse started = new DefaultHttpResponse(HttpVersion.HTTP_1_1,
+                HttpResponseStatus.OK);
+            if (result.type() != null) {
+                started.headers().set(HttpHeaderNames.CONTENT_TYPE, result.type());
+            }
+            if (result.stated() >= 0) {
+                started.headers().set(HttpHeaderNames.CONTENT_LENGTH, result.stated());
+            } else if (isOld) {
+                keepAlive = false;
+            } else {
+                started.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            }
+            if (front.isClosing() && answers.size() == 1 && reading == null) {
+                keepAlive = false;
+            }
+            if (!keepAlive) {
+                started.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            context.writeAndFlush(started);
+            pump = result.pump(this);
+            pump.start(context.channel());
+        }
+
+        @Override
+        public void written() {
+            answers.remove(this);
+            if (body != null && body == longBody) {
+                // Its client is still sending what nobody waits for.
+                endLong();
+                keepAlive = false;
+            }
+            letGo();
+            ClientConnection.this.written(context.writeAndFlush(Unpooled.EMPTY_BUFFER), keepAlive);
+            flush();
+        }
+
+        /** Guards against a broken result that looks whole: its end, or part of its length, is missing. */
+        @Override
+        public void lost() {
+            if (isOld && result.stated() < 0) {
+                context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+            }
+            letGo();
+            context.close();
+        }
+
+        @Override
+        public void tooSlow() {
+            context.close();
         }
 
         @Override
@@ -324,6 +615,10 @@
 
         @Override
         public void failed() {
+            if (pump != null) {
+                result.finish(false);
+                return;
+            }
             complete(HttpResponseStatus.INTERNAL_SERVER_ERROR, "failed\n", 0);
         }
 
@@ -337,6 +632,16 @@
             if (retryAfterUs > 0) {
                 response.headers().set(HttpHeaderNames.RETRY_AFTER, RetryAfter.format(retryAfterUs));
             }
+            if (body != null && body == longBody) {
+                // Answered before its last byte: what is left of it is read away, for a while.
+                endLong();
+                if (!deaf) {
+                    deaf = true;
+                    keepAlive = false;
+                    linger();
+                }
+            }
+            letGo();
             flush();
         }
     }
--- a/src/main/java/cresschute/node/http/ClientFront.java
+++ b/src/main/java/cresschute/node/http/ClientFront.java
@@ -39,6 +39,8 @@
     private final Core core;
     private final ReqHead.Parser parser;
     private final int most;
+    /** Null where bodies are short. */
+    private final LongBodies bodies;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel server;
     private boolean stopping;
@@ -54,12 +56,17 @@
         this.core = core;
         this.parser = new ReqHead.Parser(config.classes(), config.settings().classes());
         this.most = most;
+        this.bodies = config.bodies() == null ? null : new LongBodies(config.bodies(), core);
     }
 
     /** Listens on this address only. */
     public ChannelFuture listen(EventLoopGroup group, InetSocketAddress addr) {
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
-        final ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        final ServerBootstrap bootstrap = new ServerBootstrap();
+        if (bodies != null) {
+            bootstrap.childOption(ChannelOption.RECVBUF_ALLOCATOR, LongStream.reads());
+        }
+        final ChannelFuture bound = bootstrap.group(group).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new ChannelInitializer<Channel>() {
@@ -100,6 +107,25 @@
         return parser;
     }
 
+    /** The room for long bodies, or null where there is none. */
+    LongBodies bodies() {
+        return bodies;
+    }
+
+    /** Bytes of the longest body that any class allows. */
+    long longestBody() {
+        return bodies == null ? ClientConnection.MOST_BODY_BYTES : bodies.longest();
+    }
+
+    /** Bytes of the longest body that a class allows. */
+    long longestBody(int requestClass) {
+        return bodies == null ? ClientConnection.MOST_BODY_BYTES : bodies.of(requestClass).longest();
+    }
+
+    boolean hasLongResults(int requestClass) {
+        return bodies != null && bodies.of(requestClass).longResults();
+    }
+
     void opened(ClientConnection connection) {
         connections.add(connection);
         if (connections.size() >= most && !makeRoom(connection)) {
@@ -137,7 +163,17 @@
 
     /** Guards against clients that went silent: no wait for one is without end. */
     private void sweep() {
+        if (bodies != null) {
+            bodies.sweep();
+        }
         for (final ClientConnection connection : List.copyOf(connections)) {
+            if (connection.isStreaming()) {
+                continue;
+            }
+            if (connection.isInLongBody() && (!closing || connection.hasTakenWhatItReads())) {
+                connection.judgeBody();
+                continue;
+            }
             final long limitMs = closing ? CLOSING_MS : !connection.isProven() ? UNPROVEN_MS
                 : connection.isIdle() ? QUIET_MS : PARTIAL_MS;
             if (connection.isWaitingForClient()
@@ -147,6 +183,11 @@
         }
     }
 
+    /** Bytes that long bodies hold, or own, of their budget. */
+    public long bodyBytes() {
+        return bodies == null ? 0 : bodies.inUse();
+    }
+
     /** Connections from clients that are open. */
     public int open() {
         return connections.size();
--- a/src/main/java/cresschute/node/http/Exchange.java
+++ b/src/main/java/cresschute/node/http/Exchange.java
@@ -1,7 +1,8 @@
 package cresschute.node.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 
 /** One request to a backend and its answer, on a connection of its own while it lasts. */
@@ -14,14 +15,24 @@
     /** The connection in use, or null before one is up. */
     BackendConnection connection;
 
-    abstract FullHttpRequest request();
+    /** The request: whole, or its head where {@link #body()} carries the rest. */
+    abstract HttpRequest request();
+
+    /** What carries a body that is passed on as it arrives, or null. */
+    BodyPump body() {
+        return null;
+    }
 
     abstract void head(HttpResponse response);
 
     abstract void content(ByteBuf content);
 
-    /** The answer is whole. */
-    abstract void last();
+    /** All that was ready has been read. */
+    void readComplete() {
+    }
+
+    /** The answer is whole; what stood behind it. */
+    abstract void last(HttpHeaders trailers);
 
     /** The connection never came up or is gone; an answer may have come in part. */
     abstract void broken();
--- a/src/main/java/cresschute/node/http/Headers.java
+++ b/src/main/java/cresschute/node/http/Headers.java
@@ -13,6 +13,9 @@
     static final AsciiString LOAD = AsciiString.cached("X-Load");
     static final AsciiString NOT_RUN = AsciiString.cached("X-Not-Run");
 
+    /** Behind a long result: whether it is whole. */
+    static final AsciiString JOB_STATE = AsciiString.cached("X-Job-State");
+
     private Headers() {
     }
 }
--- a/src/main/java/cresschute/node/http/HttpFetch.java
+++ b/src/main/java/cresschute/node/http/HttpFetch.java
@@ -7,19 +7,23 @@
 import cresschute.node.Backends.FetchListener;
 import cresschute.node.RateLimitedLog;
 import cresschute.node.ReqContent;
+import cresschute.node.ResultStream;
 import cresschute.node.Trouble;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 
 /** A fetch: the req as the client sent it, and an answer that comes in lines. */
-final class HttpFetch extends Exchange implements Call {
+final class HttpFetch extends Exchange implements Call, BodyPump.Ends, LongResult.Source {
 
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
@@ -31,6 +35,11 @@
     private final FetchListener listener;
     private final RateLimitedLog troubles;
     private final JobLines lines = new JobLines();
+    /** What carries a long body, or null. */
+    private final BodyPump pump;
+    /** A long result from its first byte on, or null. */
+    private LongResult result;
+    private boolean awaiting;
     private Outcome unstreamed;
     private LoadReport load = LoadReport.NONE;
 
@@ -40,23 +49,60 @@
         this.waitUs = waitUs;
         this.listener = listener;
         this.troubles = troubles;
+        this.pump = content.longBody() instanceof LongBody body ? body.pump(this) : null;
     }
 
     @Override
-    FullHttpRequest request() {
-        final FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
-            content.target(), Unpooled.wrappedBuffer(content.body()));
+    HttpRequest request() {
+        final HttpRequest request = pump != null
+            ? new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, content.target())
+            : new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, content.target(),
+                Unpooled.wrappedBuffer(content.body()));
         request.headers()
             .set(HttpHeaderNames.HOST, host)
             .set(Headers.REQUEST_ID, content.requestId())
-            .set(Headers.DEADLINE, Deadline.format(waitUs))
-            .set(HttpHeaderNames.CONTENT_LENGTH, content.body().length);
+            .set(Headers.DEADLINE, Deadline.format(waitUs));
+        final long length = content.longBody() instanceof LongBody body ? body.length()
+            : content.body().length;
+        if (length >= 0) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+        } else {
+            request.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        }
         if (content.idempotencyKey() != null) {
             request.headers().set(Headers.IDEMPOTENCY_KEY, content.idempotencyKey());
         }
         return request;
     }
 
+    @Override
+    BodyPump body() {
+        return pump;
+    }
+
+    @Override
+    public void written() {
+        written = true;
+    }
+
+    /** No fault of the backend's, and it cannot have run: its last byte never went out. */
+    @Override
+    public void lost() {
+        drop();
+        listener.ended(Outcome.CANCELLED, LoadReport.NONE, null);
+    }
+
+    @Override
+    public void tooSlow() {
+        if (result != null) {
+            troubles.trouble(Trouble.BODY_TOO_SLOW, host, "it made too little of a result");
+            breakOff();
+            return;
+        }
+        drop();
+        listener.ended(Outcome.CONNECT_FAILED, LoadReport.NONE, null);
+    }
+
     @Override
     void head(HttpResponse response) {
         try {
@@ -79,19 +125,92 @@
         if (over || unstreamed != null) {
             return;
         }
+        if (result != null) {
+            pass(chunk);
+            return;
+        }
         if (!lines.add(chunk)) {
             bad(new JsonParseException("a line is too long"));
             return;
         }
-        for (String line = lines.next(); line != null && !over; line = lines.next()) {
+        for (String line = lines.next(); line != null; line = lines.next()) {
             line(line);
+            if (over) {
+                return;
+            }
+            if (result != null) {
+                pass(lines.rawRest());
+                return;
+            }
+        }
+    }
+
+    // ---- A long result ----
+
+    private void beginResult(JobLine line) {
+        final ResultStream begun = listener.resultBegins(line.result(), line.follows(),
+            line.load() == LoadReport.NONE ? load : line.load());
+        if (begun instanceof LongResult ours) {
+            result = ours;
+            result.from(this);
+            // From now on each read is asked for.
+            awaiting = true;
+            connection.readByHand(true);
+        } else if (begun == null) {
+            bad(new JsonParseException("a long result of a class that has none"));
+        } else {
+            drop();
+        }
+    }
+
+    private void pass(ByteBuf chunk) {
+        final long most = result.stated() < 0 ? Long.MAX_VALUE : result.stated();
+        if (!result.collect(chunk, connection.allocator(), most)) {
+            troubles.trouble(Trouble.BAD_BACKEND_ANSWER, host, "a result is longer than it said");
+            breakOff();
+        }
+    }
+
+    @Override
+    void readComplete() {
+        awaiting = false;
+        if (result != null && !over) {
+            result.endPiece(connection.allocator());
+            readOn();
+        }
+    }
+
+    @Override
+    public void readOn() {
+        if (!over && !awaiting && result.hasRoom()) {
+            awaiting = true;
+            connection.read();
+        }
+    }
+
+    private void breakOff() {
+        endResult(false);
+        drop();
+    }
+
+    private void endResult(boolean whole) {
+        if (!over) {
+            over = true;
+            if (connection != null) {
+                connection.readByHand(false);
+            }
+            listener.resultEnded(whole);
         }
     }
 
+    // ---- Lines ----
+
     private void line(String text) {
         try {
             final JobLine line = JobLine.parse(text, content.requestId());
-            if (line.outcome() == null) {
+            if (line.follows() != null) {
+                beginResult(line);
+            } else if (line.outcome() == null) {
                 listener.progressed(line.share());
             } else {
                 end(line.outcome(), line.load() == LoadReport.NONE ? load : line.load(), line.result());
@@ -102,7 +221,13 @@
     }
 
     @Override
-    void last() {
+    void last(HttpHeaders trailers) {
+        if (result != null) {
+            final String state = trailers.get(Headers.JOB_STATE);
+            endResult(result.isAsLongAsStated() && (state == null ? result.stated() >= 0
+                : state.equals("done")));
+            return;
+        }
         final String rest = over || unstreamed != null ? "" : lines.rest();
         if (!rest.isEmpty()) {
             line(rest);
@@ -113,6 +238,10 @@
     /** Guards against guessing: what an answer's head says stands, else the request's last byte decides. */
     @Override
     void broken() {
+        if (result != null) {
+            endResult(false);
+            return;
+        }
         end(unstreamed != null ? unstreamed : written ? Outcome.BROKEN : Outcome.CONNECT_FAILED, load, null);
     }
 
@@ -125,6 +254,9 @@
     private void end(Outcome outcome, LoadReport report, String result) {
         if (!over) {
             over = true;
+            if (pump != null) {
+                pump.stop();
+            }
             listener.ended(outcome, report, result);
         }
     }
@@ -132,6 +264,10 @@
     @Override
     public Outcome giveUp() {
         drop();
-        return written ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED;
+        if (pump != null) {
+            pump.stop();
+        }
+        // Guards backends' good name against clients that send a long body slowly.
+        return written ? Outcome.TIMED_OUT : pump != null ? Outcome.CANCELLED : Outcome.CONNECT_FAILED;
     }
 }
--- a/src/main/java/cresschute/node/http/HttpProbe.java
+++ b/src/main/java/cresschute/node/http/HttpProbe.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -67,7 +68,7 @@
     }
 
     @Override
-    void last() {
+    void last(HttpHeaders trailers) {
         final boolean alive = response.status().equals(HttpResponseStatus.OK);
         try {
             final String header = response.headers().get(Headers.LOAD);
--- a/src/main/java/cresschute/node/http/JobLine.java
+++ b/src/main/java/cresschute/node/http/JobLine.java
@@ -11,9 +11,16 @@
  *
  * @param outcome how the fetch ended, or null where it goes on
  * @param share how much is done, where it goes on
- * @param result what the client gets, where it is served
+ * @param result what the client gets, where it is served; the type of what follows, where that is a result
+ * @param follows bytes of the result that follows this line, -1 where that is not told; null where none does
  */
-record JobLine(Outcome outcome, double share, LoadReport load, String result) {
+record JobLine(Outcome outcome, double share, LoadReport load, String result, Long follows) {
+
+    private static final double MOST_BYTES = 1L << 50;
+
+    JobLine(Outcome outcome, double share, LoadReport load, String result) {
+        this(outcome, share, load, result, null);
+    }
 
     /** Reads a line about this req; any flaw is a {@link JsonParseException}. */
     static JobLine parse(String text, String requestId) {
@@ -27,6 +34,7 @@
             case "started" -> new JobLine(null, 0, load, null);
             case "running" -> new JobLine(null, share(json), load, null);
             case "done" -> new JobLine(Outcome.SERVED, 1, load, Json.string(json, "result"));
+            case "result" -> new JobLine(null, 1, load, type(json), length(json));
             case "failed" -> new JobLine(Outcome.ERROR, 0, load, null);
             case "returned" -> new JobLine(Outcome.FULL, 0, load, null);
             case "lost" -> new JobLine(Outcome.BROKEN, 0, load, null);
@@ -34,6 +42,23 @@
         };
     }
 
+    /** A type that can stand in a head. */
+    private static String type(JsonObject json) {
+        final String type = json.has("type") ? Json.string(json, "type") : null;
+        if (type != null && !type.chars().allMatch(each -> each >= ' ' && each <= '~')) {
+            throw new JsonParseException("type is unusable");
+        }
+        return type;
+    }
+
+    private static long length(JsonObject json) {
+        final double length = Json.number(json, "length", -1);
+        if (json.has("length") && !(length >= 0 && length <= MOST_BYTES && length == Math.rint(length))) {
+            throw new JsonParseException("length is unusable");
+        }
+        return (long) length;
+    }
+
     private static double share(JsonObject json) {
         final double share = Json.number(json, "share", 0);
         if (!(share >= 0 && share <= 1)) {
--- a/src/main/java/cresschute/node/http/JobLines.java
+++ b/src/main/java/cresschute/node/http/JobLines.java
@@ -1,6 +1,7 @@
 package cresschute.node.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 
 /** Cuts chunks, however split or joined, into lines. The buffer grows as needed and is compacted in place. */
@@ -48,6 +49,14 @@
         return null;
     }
 
+    /** What has come after the lines that were taken, as it is; nothing of it is left here. */
+    ByteBuf rawRest() {
+        final ByteBuf rest = Unpooled.wrappedBuffer(bytes, start, end - start);
+        start = end;
+        scanned = end;
+        return rest;
+    }
+
     /** What has come without a line's end yet; the end of an answer ends its last line. */
     String rest() {
         final String rest = new String(bytes, start, end - start, StandardCharsets.UTF_8).strip();
--- /dev/null
+++ b/src/main/java/cresschute/node/http/LongBodies.java
@@ -0,0 +1,112 @@
+package cresschute.node.http;
+
+import cresschute.flow.Budget;
+import cresschute.flow.Budget.Account;
+import cresschute.flow.Budget.Admission;
+import cresschute.node.Core;
+import cresschute.node.Trouble;
+import cresschute.settings.ApplianceSettings.Bodies;
+import cresschute.settings.ApplianceSettings.ClassBodies;
+import io.netty.buffer.ByteBufAllocator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/** The long bodies of a node: the budget that they share, and what watches their pace. On the loop. */
+final class LongBodies {
+
+    private final Bodies settings;
+    private final Budget budget;
+    private final Core core;
+    private final Set<BodyPump> pumps = new LinkedHashSet<>();
+    private final Set<LongResult> results = new LinkedHashSet<>();
+
+    LongBodies(Bodies settings, Core core) {
+        this.settings = settings;
+        this.core = core;
+        this.budget = new Budget(settings.budget(), settings.window(), settings.lent(), settings.ofAClient());
+    }
+
+    ClassBodies of(int requestClass) {
+        return settings.classes().get(requestClass);
+    }
+
+    /** The longest that any class allows, bytes. */
+    long longest() {
+        return settings.classes().stream().mapToLong(ClassBodies::longest).max().orElse(0);
+    }
+
+    /**
+     * Opens a body, or returns null where there is no room for its window.
+     *
+     * @param client the address that its client comes from
+     * @param length what its head says, or -1
+     * @param room told when more of it can be read than before
+     */
+    LongBody open(String client, int requestClass, long length, Runnable room) {
+        final Account account = open(client, room);
+        return account == null ? null
+            : new LongBody(this, account, of(requestClass), settings.spool(), length, room);
+    }
+
+    /** Opens the room for a result, or returns null where there is none. */
+    LongResult openResult(String client, int requestClass, ByteBufAllocator allocator) {
+        final Waker waker = new Waker();
+        final Account account = open(client, waker);
+        waker.result = account == null ? null
+            : new LongResult(this, account, of(requestClass), allocator);
+        return waker.result;
+    }
+
+    /** An account tells of room from the start on, and a result needs its account to begin with. */
+    private static final class Waker implements Runnable {
+        private LongResult result;
+
+        @Override
+        public void run() {
+            result.hasRoomAgain();
+        }
+    }
+
+    private Account open(String client, Runnable room) {
+        final Admission admission = budget.open(client, room);
+        if (admission.account() == null) {
+            core.troubles().trouble(Trouble.NO_ROOM_FOR_BODY, client, switch (admission.refusal()) {
+                case NODE_FULL -> "the budget of " + settings.budget() + " bytes is in use";
+                case CLIENT_FULL -> "its bodies own " + settings.ofAClient() + " bytes already";
+            });
+        }
+        return admission.account();
+    }
+
+    /** Bytes in use of the budget. */
+    long inUse() {
+        return budget.inUse();
+    }
+
+    void add(BodyPump pump) {
+        pumps.add(pump);
+    }
+
+    void remove(BodyPump pump) {
+        pumps.remove(pump);
+    }
+
+    void add(LongResult result) {
+        results.add(result);
+    }
+
+    void remove(LongResult result) {
+        results.remove(result);
+    }
+
+    /** Gives up what goes too slowly: peers that take too little, backends that make too little. */
+    void sweep() {
+        List.copyOf(pumps).forEach(BodyPump::judge);
+        List.copyOf(results).forEach(LongResult::judge);
+    }
+
+    void tooSlow(String who, String what) {
+        core.troubles().trouble(Trouble.BODY_TOO_SLOW, who, what);
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/node/http/LongBody.java
@@ -0,0 +1,34 @@
+package cresschute.node.http;
+
+import cresschute.flow.Budget;
+import cresschute.node.ReqBody;
+import cresschute.settings.ApplianceSettings.ClassBodies;
+
+/** A req's long body on its way from its client's connection to its fetches. On the loop. */
+final class LongBody extends LongStream implements ReqBody {
+
+    private final long spool;
+    private final Runnable room;
+
+    LongBody(LongBodies owner, Budget.Account account, ClassBodies limits, long spool, long length,
+             Runnable room) {
+        super(owner, account, limits, spool, length);
+        this.spool = spool;
+        this.room = room;
+    }
+
+    @Override
+    void hasRoomAgain() {
+        room.run();
+    }
+
+    /** Whether more has come than is kept, so that there is no use in waiting for the rest. */
+    boolean isBeyondSpool() {
+        return read() > spool;
+    }
+
+    @Override
+    public boolean canBeSentAnew() {
+        return canBeSentAgain();
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/node/http/LongResult.java
@@ -0,0 +1,90 @@
+package cresschute.node.http;
+
+import cresschute.flow.Budget;
+import cresschute.node.ResultStream;
+import cresschute.settings.ApplianceSettings.ClassBodies;
+import io.netty.buffer.ByteBufAllocator;
+
+/**
+ * A long result on its way from its fetch to the connection of its req's client. Its room is owned from the
+ * time when the req is taken: a job that has run is never lost for want of it. On the loop.
+ */
+final class LongResult extends LongStream implements ResultStream {
+
+    /** Who makes it. */
+    interface Source {
+
+        /** There may be room for another read. */
+        void readOn();
+
+        /** The backend makes too little of it. */
+        void tooSlow();
+    }
+
+    private final ByteBufAllocator allocator;
+    private String type;
+    private long stated = -1;
+    private Source source;
+
+    LongResult(LongBodies owner, Budget.Account account, ClassBodies limits, ByteBufAllocator allocator) {
+        super(owner, account, limits, 0, -1);
+        this.allocator = allocator;
+    }
+
+    /** Its first byte is about to come. */
+    void begin(String contentType, long length) {
+        type = contentType;
+        stated = length;
+        owner.add(this);
+    }
+
+    void from(Source maker) {
+        source = maker;
+    }
+
+    /** What the backend calls its content, or null. */
+    String type() {
+        return type;
+    }
+
+    /** Bytes that the backend tells, or -1. */
+    long stated() {
+        return stated;
+    }
+
+    /** Whether all has come that was told. */
+    boolean isAsLongAsStated() {
+        return stated < 0 || bytes() == stated;
+    }
+
+    @Override
+    void hasRoomAgain() {
+        if (source != null) {
+            source.readOn();
+        }
+    }
+
+    void judge() {
+        if (source != null && isSenderTooSlow()) {
+            source.tooSlow();
+        }
+    }
+
+    @Override
+    public void finish(boolean isWhole) {
+        owner.remove(this);
+        source = null;
+        if (isWhole) {
+            whole(allocator);
+        } else {
+            broken();
+        }
+    }
+
+    /** Nobody wants it, or it is out. */
+    void drop() {
+        owner.remove(this);
+        source = null;
+        retire();
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/node/http/LongStream.java
@@ -0,0 +1,203 @@
+package cresschute.node.http;
+
+import cresschute.flow.Body;
+import cresschute.flow.Budget;
+import cresschute.flow.Pace;
+import cresschute.settings.ApplianceSettings.ClassBodies;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.RecvByteBufAllocator;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A long body on its way, a req's or a result. Read in pieces that are copied out of what the codec hands on,
+ * so that what is held is what is counted, however small the chunks; written by pumps. On the loop.
+ */
+abstract class LongStream {
+
+    /** The most that is read at a time. */
+    static final int READ_BYTES = 16 * 1024;
+    private static final int LEAST_READ_BYTES = 64;
+    private static final int FIRST_READ_BYTES = 2048;
+    /** What holding a piece takes beside its bytes. */
+    private static final int PIECE_BYTES = 256;
+    private static final int MOST_COST = READ_BYTES + PIECE_BYTES;
+
+    final LongBodies owner;
+    final ClassBodies limits;
+    private final long length;
+    private final Body<ByteBuf> body;
+    private final Pace from;
+    private ByteBuf filling;
+    private long bytes;
+    private boolean retired;
+    private int pumps;
+
+    /**
+     * A body of which nothing is read.
+     *
+     * @param spool what is kept of it for a further sender, bytes
+     * @param length what its head tells, or -1
+     */
+    LongStream(LongBodies owner, Budget.Account account, ClassBodies limits, long spool, long length) {
+        this.owner = owner;
+        this.limits = limits;
+        this.length = length;
+        this.body = new Body<>(account, spool, ByteBuf::release);
+        this.from = newPace();
+    }
+
+    static long nowUs() {
+        return TimeUnit.NANOSECONDS.toMicros(System.nanoTime());
+    }
+
+    final Pace newPace() {
+        return new Pace(limits.leastRate(), limits.stallUs(), nowUs());
+    }
+
+    /** Bytes that its head tells, or -1. */
+    final long length() {
+        return length;
+    }
+
+    /** Bytes that have come. */
+    final long bytes() {
+        return bytes;
+    }
+
+    /** For connections on which such bodies come: one read brings no more than there is room for. */
+    static RecvByteBufAllocator reads() {
+        return new AdaptiveRecvByteBufAllocator(LEAST_READ_BYTES, FIRST_READ_BYTES, READ_BYTES);
+    }
+
+    // ---- In ----
+
+    /** Takes in what was read; false where none may come, or more than the most. */
+    final boolean collect(ByteBuf content, ByteBufAllocator allocator, long most) {
+        final int count = content.readableBytes();
+        if (bytes + count > most || body.state() != Body.State.OPEN) {
+            return false;
+        }
+        bytes += count;
+        from.moved(count, nowUs());
+        while (content.isReadable()) {
+            if (filling == null) {
+                filling = allocator.directBuffer(READ_BYTES, READ_BYTES);
+            }
+            filling.writeBytes(content, Math.min(content.readableBytes(), filling.writableBytes()));
+            if (!filling.isWritable()) {
+                endPiece(allocator);
+            }
+        }
+        return true;
+    }
+
+    /** What was read so far goes on its way. */
+    final void endPiece(ByteBufAllocator allocator) {
+        if (filling == null) {
+            return;
+        }
+        ByteBuf piece = filling;
+        filling = null;
+        if (body.state() != Body.State.OPEN) {
+            piece.release();
+            return;
+        }
+        if (piece.readableBytes() < READ_BYTES / 2) {
+            // Guards the bound: a large buffer is not held for a few bytes.
+            final ByteBuf small = allocator.directBuffer(piece.readableBytes(), piece.readableBytes());
+            small.writeBytes(piece);
+            piece.release();
+            piece = small;
+        }
+        final int cost = piece.capacity() + PIECE_BYTES;
+        body.room(cost);
+        body.add(piece, cost);
+    }
+
+    /** Whether another read has room; where it has not, {@link #hasRoomAgain} is called once it may have. */
+    final boolean hasRoom() {
+        final boolean fits = body.room(MOST_COST) >= MOST_COST;
+        from.turn(fits, nowUs());
+        return fits;
+    }
+
+    /** There may be room for another read. */
+    abstract void hasRoomAgain();
+
+    /** What it has come to cost so far. */
+    final long read() {
+        return body.read();
+    }
+
+    /** Its last byte is here. */
+    final void whole(ByteBufAllocator allocator) {
+        endPiece(allocator);
+        body.whole();
+    }
+
+    /** The rest of it will not come. */
+    final void broken() {
+        body.broken();
+    }
+
+    final boolean isSenderTooSlow() {
+        return body.state() == Body.State.OPEN && from.isTooSlow(nowUs());
+    }
+
+    // ---- Out ----
+
+    final boolean canBeSentAgain() {
+        return body.canBeSentAnew();
+    }
+
+    /** A way on; it may find at its start that it cannot be begun any more. */
+    final BodyPump pump(BodyPump.Ends ends) {
+        pumps++;
+        final BodyPump pump = new BodyPump(this, ends);
+        owner.add(pump);
+        return pump;
+    }
+
+    final Body<ByteBuf>.Sender send(Runnable news) {
+        return body.send(news);
+    }
+
+    final boolean isLost() {
+        return body.state() == Body.State.BROKEN || body.state() == Body.State.CLOSED;
+    }
+
+    /** A piece is out. */
+    final void sentSome() {
+        if (body.state() == Body.State.OPEN) {
+            hasRoomAgain();
+        }
+    }
+
+    final void left(BodyPump pump) {
+        owner.remove(pump);
+        if (--pumps == 0 && retired) {
+            close();
+        }
+    }
+
+    /**
+     * Nobody will begin to send it any more. Where all of it has come, pumps that are at work go on;
+     * otherwise it ends here.
+     */
+    final void retire() {
+        retired = true;
+        if (pumps == 0 || body.state() != Body.State.WHOLE) {
+            close();
+        }
+    }
+
+    private void close() {
+        if (filling != null) {
+            filling.release();
+            filling = null;
+        }
+        body.close();
+    }
+}
--- a/src/main/java/cresschute/settings/ApplianceSettings.java
+++ b/src/main/java/cresschute/settings/ApplianceSettings.java
@@ -19,13 +19,37 @@
  * @param logLevel {@code debug}, {@code info}, {@code warning} or {@code error}
  * @param controlSocket the control socket's file, or null
  * @param stateFolder the folder for state, or null
+ * @param bodies the room for long bodies, or null where no class allows any
  * @param shown the settings in force as a script of their own, with all that holds without being stated
  */
 public record ApplianceSettings(String name, InetSocketAddress listen, Long seed, Settings module,
                                 List<String> classes, List<String> zones, List<String> kinds,
                                 List<WorkerEntry> workers, InetSocketAddress director, long connectTimeoutUs,
                                 long idleTimeoutUs, int sockets, String logFormat, String logLevel,
-                                String controlSocket, String stateFolder, String shown) {
+                                String controlSocket, String stateFolder, Bodies bodies,
+                                String shown) {
+
+    /**
+     * The room for long bodies, all in bytes.
+     *
+     * @param classes what each class allows, in their order
+     */
+    public record Bodies(long budget, long window, long lent, long spool, long ofAClient,
+                         List<ClassBodies> classes) {
+    }
+
+    /**
+     * What a class allows of bodies.
+     *
+     * @param longest bytes
+     * @param leastRate bytes a second, over the longest stall
+     * @param stallUs the longest time without a byte
+     * @param longResults whether a result may come as it is made
+     * @param deadlineToFirst whether the deadline of such a result counts to its first byte
+     */
+    public record ClassBodies(long longest, long leastRate, long stallUs, boolean longResults,
+                              boolean deadlineToFirst) {
+    }
 
     /** A worker of the list. */
     public record WorkerEntry(String id, InetSocketAddress address, String zone, String kind, int cell,
--- a/src/main/java/cresschute/settings/Kind.java
+++ b/src/main/java/cresschute/settings/Kind.java
@@ -77,6 +77,19 @@
         return us == 0 ? "0 * ms" : Values.text(new Quantity(Dimension.TIME, us));
     }
 
+    /** A size within bounds in bytes, held in bytes. */
+    static Kind<Long> size(long least, long most) {
+        return new Kind<>("a size from " + size(least) + " to " + size(most) + ", such as 2 * MiB",
+            value -> value instanceof Quantity quantity && quantity.dimension() == Dimension.SIZE
+                && quantity.amount() >= least && quantity.amount() <= most
+                ? (Long) Math.round(quantity.amount()) : null,
+            Kind::size);
+    }
+
+    static String size(long bytes) {
+        return Values.text(new Quantity(Dimension.SIZE, bytes));
+    }
+
     /** An IP address with a port, held as both. */
     static Kind<InetSocketAddress> address() {
         return new Kind<>("an IP address with a port, such as \"127.0.0.1:9000\"",
--- a/src/main/java/cresschute/settings/Schema.java
+++ b/src/main/java/cresschute/settings/Schema.java
@@ -16,6 +16,9 @@
     private static final int MOST_ATTEMPTS = 5;
     private static final int MANY = 10_000;
     private static final long MOST_SOCKETS = 1_000_000;
+    private static final long KIB = 1024;
+    private static final long MIB = KIB * KIB;
+    private static final long GIB = KIB * MIB;
     private static final long HOUR_US = seconds(3600);
 
     static final Field<String> NODE_NAME = required("name", Kind.name(),
@@ -51,9 +54,20 @@
         "the only zones that its reqs are sent to; all of them if empty");
     static final Field<List<String>> CLASS_KINDS = optional("kinds", Kind.names(), List.of(),
         "the only kinds of worker that its reqs are sent to; all of them if empty");
+    static final Field<Long> LONGEST_BODY = optional("longest_body", Kind.size(64 * KIB, 1024 * GIB),
+        64 * KIB, "the longest body of its reqs; one beyond 64 KiB is passed on as it arrives, see `bodies`");
+    static final Field<Long> LEAST_RATE = optional("least_rate", Kind.size(1, GIB), KIB,
+        "a long body that moves less than this in a second, over `stall`, is given up");
+    static final Field<Long> STALL = optional("stall", Kind.time(ms(100), seconds(600)), seconds(10),
+        "a long body of which nothing moves for so long is given up; must not be above `deadline`");
+    static final Field<Boolean> LONG_RESULTS = optional("long_results", Kind.truth(), false,
+        "whether workers may pass results on as they make them, see `bodies`");
+    static final Field<String> DEADLINE_TO = optional("deadline_to", Kind.choice("last", "first"), "last",
+        "the byte of a long result by which `deadline` must be met");
     static final Block JOB_CLASS = new Block("job_class", 1, 64, "a class of reqs",
         List.of(CLASS_NAME, WORTH, AIM, STRETCH, DEADLINE, EFFECT, REPEAT_SCOPE, REPEAT_WINDOW,
-            CLASS_ATTEMPTS, CLASS_ZONES, CLASS_KINDS));
+            CLASS_ATTEMPTS, CLASS_ZONES, CLASS_KINDS, LONGEST_BODY, LEAST_RATE, STALL, LONG_RESULTS,
+            DEADLINE_TO));
 
     static final Field<String> WORKER_ID = required("id", Kind.name(), "its name");
     static final Field<InetSocketAddress> WORKER_ADDRESS = required("address", Kind.address(),
@@ -101,6 +115,20 @@
         "whether workers tell when a job starts");
     static final Field<Long> PROGRESS = optional("progress", Kind.time(0, seconds(600)), 0L,
         "how often workers tell of a running job's progress; 0 * s is never");
+    static final Field<Long> BUDGET = optional("budget", Kind.size(128 * KIB, 64 * GIB), 32 * MIB,
+        "memory of all long bodies and results together");
+    static final Field<Long> WINDOW = optional("window", Kind.size(128 * KIB, GIB), 128 * KIB,
+        "memory that each owns while its req is open; without room for it, the req is refused");
+    static final Field<Long> LENT = optional("lent", Kind.size(0, GIB), 512 * KIB,
+        "memory beyond `window` that one may be lent while there is some");
+    static final Field<Long> SPOOL = optional("spool", Kind.size(0, GIB), 256 * KIB,
+        "a body is kept up to this, so that it can be sent to a further worker; not above `window` + `lent`");
+    static final Field<Long> OF_A_CLIENT = optional("of_a_client", Kind.size(128 * KIB, 64 * GIB), 8 * MIB,
+        "memory that the reqs from one address may own so; not above `budget`");
+    static final Block BODIES = new Block("bodies", 0, 1,
+        "memory for long bodies and long results, where a class has such",
+        List.of(BUDGET, WINDOW, LENT, SPOOL, OF_A_CLIENT));
+
     static final Block REPORTS = new Block("reports", 0, 1, "what workers tell",
         List.of(LOAD, STARTS, PROGRESS));
 
@@ -140,8 +168,8 @@
     static final Block STATE = new Block("state", 0, 1,
         "where the operators' drains are kept; without it, they end with the process", List.of(FOLDER));
 
-    static final List<Block> BLOCKS = List.of(NODE, JOB_CLASS, WORKER, DIRECTOR, LIMITS, REPORTS, COLD_START,
-        GOAL, LOGS, CONTROL, STATE);
+    static final List<Block> BLOCKS = List.of(NODE, JOB_CLASS, WORKER, DIRECTOR, LIMITS, BODIES, REPORTS,
+        COLD_START, GOAL, LOGS, CONTROL, STATE);
 
     private Schema() {
     }
--- a/src/main/java/cresschute/settings/SettingsChecks.java
+++ b/src/main/java/cresschute/settings/SettingsChecks.java
@@ -9,6 +9,8 @@
 import cresschute.DispatchApi.RequestClass;
 import cresschute.DispatchApi.Settings;
 import cresschute.DispatchApi.WeightSource;
+import cresschute.settings.ApplianceSettings.Bodies;
+import cresschute.settings.ApplianceSettings.ClassBodies;
 import cresschute.settings.ApplianceSettings.WorkerEntry;
 import cresschute.settings.script.Position;
 import cresschute.settings.script.Values;
@@ -51,6 +53,7 @@
         unique(all(Schema.WORKER), Schema.WORKER_ADDRESS);
         all(Schema.JOB_CLASS).stream().filter(Statement::isWhole).forEach(this::jobClass);
         all(Schema.GOAL).stream().filter(Statement::isWhole).forEach(this::goal);
+        all(Schema.BODIES).stream().filter(Statement::isWhole).forEach(this::bodies);
     }
 
     private void unique(List<Statement> statements, Field<?> field) {
@@ -72,6 +75,11 @@
                 stated.get(Schema.DEADLINE)) + " is below aim " + Schema.AIM.show(stated.get(Schema.AIM))
                 + "; clients would leave before an answer in time");
         }
+        if (isLong(stated) && stated.get(Schema.STALL) > stated.get(Schema.DEADLINE)) {
+            problem(stated.at(Schema.STALL), name + ": stall " + Schema.STALL.show(stated.get(Schema.STALL))
+                + " is above deadline " + Schema.DEADLINE.show(stated.get(Schema.DEADLINE))
+                + "; it would never count");
+        }
         final boolean keyed = stated.get(Schema.EFFECT).equals("keyed");
         if (keyed && stated.get(Schema.REPEAT_WINDOW) == 0) {
             problem(stated.at(Schema.EFFECT), name + ": effect \"keyed\" needs repeat_window; allowed: "
@@ -114,6 +122,20 @@
         }
     }
 
+    private void bodies(Statement bodies) {
+        atMost(bodies, Schema.WINDOW, "budget", bodies.get(Schema.BUDGET));
+        atMost(bodies, Schema.OF_A_CLIENT, "budget", bodies.get(Schema.BUDGET));
+        atMost(bodies, Schema.WINDOW, "of_a_client", bodies.get(Schema.OF_A_CLIENT));
+        atMost(bodies, Schema.SPOOL, "window + lent", bodies.get(Schema.WINDOW) + bodies.get(Schema.LENT));
+    }
+
+    private void atMost(Statement bodies, Field<Long> field, String bound, long most) {
+        if (bodies.get(field) > most) {
+            problem(bodies.at(field), "bodies: " + field.name() + " " + field.show(bodies.get(field))
+                + " is above " + bound + ", which is " + field.show(most));
+        }
+    }
+
     private void problem(Position at, String message) {
         problems.add(new Problem(at, message));
     }
@@ -147,7 +169,25 @@
                 limits.get(Schema.CONNECT_TIMEOUT),
             limits.get(Schema.IDLE_TIMEOUT), limits.get(Schema.SOCKETS).intValue(),
             one(Schema.LOGS).get(Schema.LOG_FORMAT), one(Schema.LOGS).get(Schema.LOG_LEVEL),
-            one(Schema.CONTROL).get(Schema.SOCKET), one(Schema.STATE).get(Schema.FOLDER), shown());
+            one(Schema.CONTROL).get(Schema.SOCKET), one(Schema.STATE).get(Schema.FOLDER),
+            bodies(), shown());
+    }
+
+    private static boolean isLong(Statement jobClass) {
+        return jobClass.get(Schema.LONGEST_BODY) > Schema.LONGEST_BODY.otherwise()
+            || jobClass.get(Schema.LONG_RESULTS);
+    }
+
+    private Bodies bodies() {
+        if (all(Schema.JOB_CLASS).stream().noneMatch(SettingsChecks::isLong)) {
+            return null;
+        }
+        final Statement stated = one(Schema.BODIES);
+        return new Bodies(stated.get(Schema.BUDGET), stated.get(Schema.WINDOW), stated.get(Schema.LENT),
+            stated.get(Schema.SPOOL), stated.get(Schema.OF_A_CLIENT),
+            all(Schema.JOB_CLASS).stream().map(each -> new ClassBodies(each.get(Schema.LONGEST_BODY),
+                each.get(Schema.LEAST_RATE), each.get(Schema.STALL), each.get(Schema.LONG_RESULTS),
+                each.get(Schema.DEADLINE_TO).equals("first"))).toList());
     }
 
     /** All names that a node, its workers and its classes use, each once, in the order of the script. */
--- a/src/test/java/cresschute/node/CoreTest.java
+++ b/src/test/java/cresschute/node/CoreTest.java
@@ -105,6 +105,12 @@
         return req;
     }
 
+    @Override
+    public ResultStream streams(String type, long length) {
+        heard.add("streams " + type + " " + length);
+        return whole -> heard.add(whole ? "whole" : "broken");
+    }
+
     @Override
     public void served(String result) {
         heard.add("served " + result);
--- /dev/null
+++ b/src/test/java/cresschute/node/LongBodyRulesTest.java
@@ -0,0 +1,295 @@
+package cresschute.node;
+
+import static cresschute.node.LongBodyNode.KIB;
+import static cresschute.node.LongBodyNode.MIB;
+import static cresschute.node.LongBodyNode.MOST_OF_ONE;
+import static cresschute.node.LongBodyNode.PATIENT_US;
+import static cresschute.node.LongBodyNode.beside;
+import static cresschute.node.LongBodyNode.bodies;
+import static cresschute.node.LongBodyNode.head;
+import static cresschute.node.LongBodyNode.held;
+import static cresschute.node.LongBodyNode.untilFree;
+import static cresschute.node.TestNode.answer;
+import static cresschute.node.TestNode.req;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import cresschute.settings.ApplianceSettings.ClassBodies;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Long bodies over real sockets, one rule each: passed on as they arrive, within a bound. */
+@Timeout(60)
+class LongBodyRulesTest {
+
+    private static final String DONE =
+        answer("200 OK", "", "{\"id\":\"r1\",\"state\":\"done\",\"result\":\"yes\"}\n");
+
+    private static TestNode node(int sends) throws Exception {
+        return bodies(PATIENT_US, sends);
+    }
+
+    @Test
+    void passesOnWhatHasComeBeforeTheRestIsThere() throws Exception {
+        try (TestNode node = node(1); Peer client = node.client()) {
+            client.write(head("r1", MIB, "")).writeBytes(0, MIB / 2);
+            try (Peer backend = node.backend()) {
+                assertThat(backend.readHead()).startsWith("POST /check?obj=2a HTTP/1.1\r\n")
+                    .containsIgnoringCase("Content-Length: " + MIB + "\r\n");
+                backend.readBytes(0, MIB / 2 - 32 * KIB);
+                client.writeBytes(MIB / 2, MIB / 2);
+                backend.readBytes(MIB / 2 - 32 * KIB, MIB / 2 + 32 * KIB);
+                backend.write(DONE);
+                assertThat(client.read()).startsWith("HTTP/1.1 200 OK\r\n").endsWith("yes");
+                // The connection goes on with the next req, a short one, and so does the backend's.
+                client.write(req("r1", "", "short"));
+                assertThat(backend.read()).endsWith("short");
+                backend.write(DONE);
+                assertThat(client.read()).startsWith("HTTP/1.1 200 OK\r\n");
+            }
+            untilFree(node);
+        }
+    }
+
+    /** Its length is told by nobody: it becomes long on its way, and goes on in chunks. */
+    @Test
+    void takesChunkedBodyThatOutgrowsWhatIsHeldWhole() throws Exception {
+        try (TestNode node = node(1); Peer client = node.client()) {
+            final int chunk = 10_000;
+            client.write(head("r1", -1, ""));
+            final CompletableFuture<Void> writing = beside(() -> {
+                for (int i = 0; i < 100; i++) {
+                    // Extensions and a trailer are read past.
+                    client.write(Integer.toHexString(chunk) + ";note=" + i + "\r\n")
+                        .writeBytes((long) i * chunk, chunk).write("\r\n");
+                }
+                client.write("0\r\nX-Sum: 1\r\n\r\n");
+            });
+            try (Peer backend = node.backend()) {
+                assertThat(backend.readHead()).containsIgnoringCase("Transfer-Encoding: chunked\r\n");
+                backend.readChunks(100L * chunk);
+                backend.write(DONE);
+                assertThat(client.read()).startsWith("HTTP/1.1 200 OK\r\n");
+            }
+            writing.join();
+        }
+    }
+
+    /** What is held is within the budget, however fast the client and however slow the backend. */
+    @Test
+    void holdsNoMoreThanItsBoundWhileTheBackendReadsNothing() throws Exception {
+        final long length = 24L * MIB;
+        try (TestNode node = node(1); Peer client = node.client()) {
+            client.write(head("r1", length, ""));
+            final CompletableFuture<Void> writing = beside(() -> {
+                client.writeBytes(0, length);
+            });
+            try (Peer backend = node.backend()) {
+                backend.readHead();
+                long held = 0;
+                // Its window and what it may be lent, as nobody else wants any: then reading has stopped.
+                while (held <= MOST_OF_ONE - 64 * KIB) {
+                    held = held(node);
+                    assertThat(held).isLessThanOrEqualTo(MOST_OF_ONE);
+                }
+                for (long at = 0; at < length; at += MIB) {
+                    backend.readBytes(at, MIB);
+                    assertThat(held(node)).isLessThanOrEqualTo(MOST_OF_ONE);
+                }
+                backend.write(DONE);
+                assertThat(client.read()).startsWith("HTTP/1.1 200 OK\r\n");
+            }
+            writing.join();
+            untilFree(node);
+        }
+    }
+
+    /** A body that is kept goes to a further fetch from its first byte. */
+    @Test
+    void sendsKeptBodyAnewAfterABreak() throws Exception {
+        try (TestNode node = node(2); Peer client = node.client()) {
+            client.write(head("r1", 100 * KIB, "")).writeBytes(0, 100 * KIB);
+            try (Peer first = node.backend()) {
+                first.readHead();
+                first.readBytes(0, 50 * KIB);
+                first.reset();
+            }
+            try (Peer second = node.backend()) {
+                second.readHead();
+                second.readBytes(0, 100 * KIB).write(DONE);
+                assertThat(client.read()).startsWith("HTTP/1.1 200 OK\r\n");
+            }
+            untilFree(node);
+        }
+    }
+
+    /** Beyond the spool nothing is sent again; as the last byte never went out, it cannot have run. */
+    @Test
+    void refusesWhatBrokeBeyondItsSpool() throws Exception {
+        try (TestNode node = node(2); Peer client = node.client()) {
+            client.write(head("r1", MIB, "")).writeBytes(0, MIB / 2);
+            assertThat(node.event()).startsWith("requested 1");
+            try (Peer backend = node.backend()) {
+                backend.readHead();
+                backend.readBytes(0, MIB / 2 - 32 * KIB);
+                backend.reset();
+            }
+            assertThat(node.event()).startsWith("ended 1 0 CONNECT_FAILED closed true");
+            assertThat(client.read()).startsWith("HTTP/1.1 503 ").containsIgnoringCase("Retry-After: 1\r\n")
+                .containsIgnoringCase("Connection: close\r\n");
+            untilFree(node);
+        }
+    }
+
+    @Test
+    void clientThatLeavesInTheMiddleEndsItsFetchWithoutBlame() throws Exception {
+        try (TestNode node = node(2)) {
+            final Peer client = node.client();
+            client.write(head("r1", MIB, "")).writeBytes(0, MIB / 2);
+            try (Peer backend = node.backend()) {
+                backend.readHead();
+                backend.readBytes(0, MIB / 4);
+                client.close();
+                assertThat(node.event()).startsWith("requested 1");
+                assertThat(node.event()).isEqualTo("left 1");
+                assertThat(node.event()).startsWith("ended 1 0 CANCELLED closed true");
+                untilFree(node);
+            }
+        }
+    }
+
+    /** Before any of it is read, also where the client waits to be told to go on. */
+    @Test
+    void refusesBodyWithoutRoomAtOnce() throws Exception {
+        try (TestNode node = node(1); Peer first = node.client(); Peer second = node.client();
+            Peer third = node.client(); Peer fourth = node.client()) {
+            for (final Peer each : List.of(first, second, third)) {
+                each.write(head("r" + each.hashCode(), MIB, "Expect: 100-continue\r\n"));
+                assertThat(each.read()).startsWith("HTTP/1.1 100 ");
+            }
+            fourth.write(head("r4", MIB, "Expect: 100-continue\r\n"));
+            assertThat(fourth.read()).startsWith("HTTP/1.1 503 ").containsIgnoringCase("Retry-After: 1\r\n");
+            assertThat(node.events).noneMatch(event -> event.startsWith("requested"));
+            // Short bodies need none of that room.
+            try (Peer other = node.client()) {
+                other.write(req("r1", "", "short"));
+                try (Peer backend = node.backend()) {
+                    backend.read();
+                    backend.write(DONE);
+                    assertThat(other.read()).startsWith("HTTP/1.1 200 OK\r\n");
+                }
+            }
+        }
+    }
+
+    @Test
+    void endsBodyThatGrowsBeyondItsClassWithItsFetch() throws Exception {
+        final ClassBodies small = new ClassBodies(300 * KIB, KIB, PATIENT_US, false, false);
+        try (TestNode node = new TestNode(LongBodyNode.bodies(small), 1); Peer client = node.client();
+            Peer told = node.client()) {
+            told.write(head("r2", 300 * KIB + 1, ""));
+            assertThat(told.read()).startsWith("HTTP/1.1 413 ").endsWith("body over 300 KiB\n");
+            client.write(head("r1", -1, "")).write(Integer.toHexString(MIB) + "\r\n")
+                .writeBytes(0, 290 * KIB);
+            try (Peer backend = node.backend()) {
+                backend.readHead();
+                client.writeBytes(290 * KIB, 11 * KIB);
+                assertThat(client.read()).startsWith("HTTP/1.1 413 ");
+                assertThat(node.event()).startsWith("requested 1");
+                assertThat(node.event()).isEqualTo("left 1");
+                assertThat(node.event()).startsWith("ended 1 0 CANCELLED closed true");
+            }
+            untilFree(node);
+        }
+    }
+
+    /** Nothing for the longest stall, while it is the client's turn. */
+    @Test
+    void givesUpClientThatSendsNothing() throws Exception {
+        try (TestNode node = bodies(300_000, 1); Peer client = node.client()) {
+            client.write(head("r1", MIB, "")).writeBytes(0, MIB / 4);
+            assertThat(client.read()).startsWith("HTTP/1.1 408 ");
+            untilFree(node);
+        }
+    }
+
+    /** A backend that takes nothing is at fault, its client is not. */
+    @Test
+    void givesUpBackendThatTakesNothing() throws Exception {
+        final long length = 32L * MIB;
+        try (TestNode node = bodies(2_000_000, 1); Peer client = node.client()) {
+            client.write(head("r1", length, ""));
+            final CompletableFuture<Void> writing = beside(() -> client.writeBytes(0, length));
+            assertThat(node.event()).startsWith("requested 1");
+            try (Peer backend = node.backend()) {
+                backend.readHead();
+                assertThat(node.event()).startsWith("ended 1 0 CONNECT_FAILED closed true");
+                untilFree(node);
+            }
+            // The node may have answered and closed before all was written.
+            writing.exceptionally(closed -> null).join();
+        }
+    }
+
+    /** Told to stop, the node carries what it took to its end. */
+    @Test
+    void stopWaitsForBodiesUnderWay() throws Exception {
+        try (TestNode node = node(1); Peer client = node.client()) {
+            client.write(head("r1", MIB, "")).writeBytes(0, MIB / 2);
+            try (Peer backend = node.backend()) {
+                backend.readHead();
+                final CompletableFuture<Void> stopped = node.server.stop();
+                backend.readBytes(0, MIB / 4);
+                // Until no more is accepted; the connection that is at work stays.
+                while (!refuses(node)) {
+                    Thread.onSpinWait();
+                }
+                assertThat(stopped).isNotDone();
+                client.writeBytes(MIB / 2, MIB / 2);
+                backend.readBytes(MIB / 4, 3 * MIB / 4);
+                backend.write(DONE);
+                assertThat(client.read()).startsWith("HTTP/1.1 200 OK\r\n")
+                    .containsIgnoringCase("Connection: close\r\n");
+                stopped.get(8, TimeUnit.SECONDS);
+            }
+        }
+    }
+
+    private static boolean refuses(TestNode node) {
+        try {
+            node.client().close();
+            return false;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    /** Chunks of one byte: what is held for each of them is counted, not only its byte. */
+    @Test
+    void floodOfSmallChunksStaysWithinTheBound() throws Exception {
+        final int thousands = 400;
+        try (TestNode node = node(1); Peer client = node.client()) {
+            client.write(head("r1", -1, ""));
+            final CompletableFuture<Void> writing = beside(() -> {
+                for (int i = 0; i < thousands; i++) {
+                    client.write("1;x=y\r\na\r\n".repeat(1000));
+                }
+                client.write("0\r\n\r\n");
+            });
+            try (Peer backend = node.backend()) {
+                backend.readHead();
+                while (held(node) <= MOST_OF_ONE - 64 * KIB && !writing.isDone()) {
+                    Thread.onSpinWait();
+                }
+                assertThat(held(node)).isLessThanOrEqualTo(MOST_OF_ONE);
+                backend.write(DONE);
+                assertThat(client.read()).startsWith("HTTP/1.1 200 OK\r\n");
+            }
+            client.reset();
+            writing.exceptionally(gone -> null).join();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cresschute/node/LongResultRulesTest.java
@@ -0,0 +1,320 @@
+package cresschute.node;
+
+import static cresschute.node.LongBodyNode.KIB;
+import static cresschute.node.LongBodyNode.MIB;
+import static cresschute.node.LongBodyNode.MOST_OF_ONE;
+import static cresschute.node.LongBodyNode.PATIENT_US;
+import static cresschute.node.LongBodyNode.beside;
+import static cresschute.node.LongBodyNode.held;
+import static cresschute.node.LongBodyNode.results;
+import static cresschute.node.LongBodyNode.untilFree;
+import static cresschute.node.TestNode.answer;
+import static cresschute.node.TestNode.req;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Long results over real sockets, one rule each: passed on as they are made, and never broken but whole. */
+@Timeout(60)
+class LongResultRulesTest {
+
+    private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    private static String line(String id, String rest) {
+        final String line = "{\"id\":\"" + id + "\"," + rest + "}\n";
+        return Integer.toHexString(line.length()) + "\r\n" + line + "\r\n";
+    }
+
+    private static String result(String rest) {
+        return CHUNKED + line("r1", "\"state\":\"started\"") + line("r1", "\"state\":\"result\"" + rest);
+    }
+
+    /** A client whose req is at the backend, which has read it. */
+    private static Peer asked(TestNode node, String headers) throws Exception {
+        return node.client().write(req("r1", headers, "body"));
+    }
+
+    @Test
+    void passesOnWhatIsMadeBeforeTheRestIsThere() throws Exception {
+        try (TestNode node = results(PATIENT_US, false); Peer client = asked(node, "")) {
+            try (Peer backend = node.backend()) {
+                backend.read();
+                backend.write(result(",\"type\":\"text/csv\"")).writeChunk(0, 40 * KIB);
+                assertThat(client.readHead()).startsWith("HTTP/1.1 200 OK\r\n")
+                    .containsIgnoringCase("content-type: text/csv\r\n")
+                    .containsIgnoringCase("transfer-encoding: chunked\r\n");
+                assertThat(node.event()).startsWith("requested 1");
+                assertThat(node.event()).startsWith("progressed 1 0 0.0");
+                // For the module the job has run; its answer is still on its way.
+                assertThat(node.event()).startsWith("ended 1 0 SERVED closed true");
+                backend.writeChunk(40 * KIB, 10 * KIB).write("0\r\nX-Job-State: done\r\n\r\n");
+                client.readChunks(50 * KIB);
+                untilFree(node);
+                // Both connections go on with the next req.
+                client.write(req("r1", "", "again"));
+                backend.read();
+                backend.write(answer("200 OK", "", "{\"id\":\"r1\",\"state\":\"done\",\"result\":\"y\"}\n"));
+                assertThat(client.read()).startsWith("HTTP/1.1 200 OK\r\n").endsWith("y");
+            }
+        }
+    }
+
+    /** What is held is within the bound, however fast the backend and however slow the client. */
+    @Test
+    void holdsNoMoreThanItsBoundWhileTheClientReadsNothing() throws Exception {
+        final long length = 24L * MIB;
+        try (TestNode node = results(PATIENT_US, false); Peer client = asked(node, "")) {
+            try (Peer backend = node.backend()) {
+                backend.read();
+                backend.write(result(",\"length\":" + length));
+                final CompletableFuture<Void> writing = beside(() -> {
+                    for (long at = 0; at < length; at += MIB) {
+                        backend.writeChunk(at, MIB);
+                    }
+                    backend.write("0\r\n\r\n");
+                });
+                while (held(node) <= MOST_OF_ONE - 64 * KIB) {
+                    Thread.onSpinWait();
+                }
+                assertThat(client.readHead()).containsIgnoringCase("content-length: " + length + "\r\n");
+                for (long at = 0; at < length; at += MIB) {
+                    client.readBytes(at, MIB);
+                    assertThat(held(node)).isLessThanOrEqualTo(MOST_OF_ONE);
+                }
+                writing.join();
+                untilFree(node);
+            }
+        }
+    }
+
+    /** Whatever ends a result early: its client sees no end of it, or fewer bytes than were told. */
+    @ParameterizedTest
+    @ValueSource(strings = {"break", "0\r\n\r\n", "0\r\nX-Job-State: failed\r\n\r\n"})
+    void brokenResultNeverLooksWhole(String end) throws Exception {
+        try (TestNode node = results(PATIENT_US, false); Peer client = asked(node, "")) {
+            try (Peer backend = node.backend()) {
+                backend.read();
+                backend.write(result("")).writeChunk(0, 100);
+                assertThat(client.readHead()).containsIgnoringCase("transfer-encoding: chunked\r\n");
+                if (end.equals("break")) {
+                    backend.reset();
+                } else {
+                    backend.write(end);
+                }
+                assertThat(new String(client.readToEnd(), StandardCharsets.ISO_8859_1))
+                    .doesNotEndWith("\r\n0\r\n\r\n");
+                untilFree(node);
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"100, 99", "100, 101"})
+    void resultOfAnotherLengthThanToldIsBroken(int told, int came) throws Exception {
+        try (TestNode node = results(PATIENT_US, false); Peer client = asked(node, "")) {
+            try (Peer backend = node.backend()) {
+                backend.read();
+                backend.write(result(",\"length\":" + told)).writeChunk(0, came).write("0\r\n\r\n");
+                client.readHead();
+                assertThat(client.readToEnd()).hasSizeLessThan(told);
+                untilFree(node);
+            }
+        }
+    }
+
+    /** A client that knows no chunks learns of the end by the close, and of a break by a reset. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void oldClientSeesWhetherItIsWhole(boolean whole) throws Exception {
+        try (TestNode node = results(PATIENT_US, false); Peer client = node.client()) {
+            client.write(req("r1", "", "body").replace("HTTP/1.1", "HTTP/1.0"));
+            try (Peer backend = node.backend()) {
+                backend.read();
+                backend.write(result("")).writeChunk(0, 100);
+                client.readHead();
+                client.readBytes(0, 100);
+                backend.write("0\r\nX-Job-State: " + (whole ? "done" : "lost") + "\r\n\r\n");
+                assertThat(client.readToEnd()).isEqualTo(whole ? new byte[0] : null);
+            }
+        }
+    }
+
+    /** The first byte of one copy's result gives up the other copy, without blame on its worker. */
+    @Test
+    void firstResultGivesUpTheOtherCopy() throws Exception {
+        try (TestNode node = results(PATIENT_US, false); Peer client = asked(node, "")) {
+            assertThat(node.event()).startsWith("requested 1");
+            node.act(actions -> actions.send(1, 0, Long.MAX_VALUE));
+            try (Peer first = node.backend(); Peer second = node.backend()) {
+                first.read();
+                second.read();
+                second.write(result("")).writeChunk(0, 100);
+                assertThat(first.isClosedByOther()).isTrue();
+                second.write("0\r\nX-Job-State: done\r\n\r\n");
+                client.readHead();
+                client.readChunks(100);
+                final List<String> ends = new ArrayList<>();
+                for (int i = 0; ends.size() < 2 && i < 10; i++) {
+                    final String event = node.event();
+                    if (event.startsWith("ended")) {
+                        ends.add(event.substring("ended 1 0 ".length()).split(" ")[0]);
+                    }
+                }
+                assertThat(ends).containsExactlyInAnyOrder("SERVED", "CANCELLED");
+            }
+        }
+    }
+
+    @Test
+    void clientThatLeavesEndsTheResult() throws Exception {
+        try (TestNode node = results(PATIENT_US, false); Peer client = asked(node, "")) {
+            try (Peer backend = node.backend()) {
+                backend.read();
+                backend.write(result("")).writeChunk(0, 100);
+                client.readHead();
+                client.reset();
+                assertThat(backend.isClosedByOther()).isTrue();
+                untilFree(node);
+            }
+        }
+    }
+
+    /** A line of this kind from a backend of a class that has no long results is no answer. */
+    @Test
+    void longResultIsNoAnswerWhereNoneIsExpected() throws Exception {
+        try (TestNode node = LongBodyNode.bodies(PATIENT_US, 1); Peer client = asked(node, "")) {
+            try (Peer backend = node.backend()) {
+                backend.read();
+                backend.write(result("")).writeChunk(0, 100);
+                assertThat(client.read()).startsWith("HTTP/1.1 503 ");
+            }
+        }
+    }
+
+    /** Before it is taken: a job that has run is never lost for want of room. */
+    @Test
+    void refusesWhereThereIsNoRoomForTheResult() throws Exception {
+        try (TestNode node = results(PATIENT_US, false); Peer first = asked(node, "");
+            Peer second = node.client(); Peer third = node.client(); Peer fourth = node.client()) {
+            second.write(req("r2", "", "body"));
+            third.write(req("r3", "", "body"));
+            try (Peer one = node.backend(); Peer two = node.backend(); Peer three = node.backend()) {
+                fourth.write(req("r4", "", "body"));
+                assertThat(fourth.read()).startsWith("HTTP/1.1 503 ")
+                    .containsIgnoringCase("Retry-After: 1\r\n");
+                assertThat(List.of(one.read(), two.read(), three.read()))
+                    .allMatch(each -> each.endsWith("body"));
+                // The connection stays, and there is room once another is answered.
+                one.reset();
+                assertThat(first.read()).startsWith("HTTP/1.1 503 ");
+            }
+        }
+    }
+
+    /** Nothing comes for the longest stall, although there is room. */
+    @Test
+    void givesUpBackendThatMakesNothingMore() throws Exception {
+        try (TestNode node = results(300_000, false); Peer client = asked(node, "")) {
+            try (Peer backend = node.backend()) {
+                backend.read();
+                backend.write(result(",\"length\":1000")).writeChunk(0, 500);
+                client.readHead();
+                assertThat(client.readToEnd()).hasSize(500);
+                assertThat(backend.isClosedByOther()).isTrue();
+            }
+        }
+    }
+
+    /** A client that takes nothing for the longest stall is given up, and the backend is free. */
+    @Test
+    void givesUpClientThatReadsNothing() throws Exception {
+        try (TestNode node = results(1_000_000, false); Peer client = asked(node, "")) {
+            try (Peer backend = node.backend()) {
+                backend.read();
+                backend.write(result(""));
+                final CompletableFuture<Void> writing = beside(() -> {
+                    for (long at = 0; at < 64; at++) {
+                        backend.writeChunk(at * MIB, MIB);
+                    }
+                });
+                assertThat(writing.handle((done, broken) -> broken != null).get(20, TimeUnit.SECONDS))
+                    .isTrue();
+                untilFree(node);
+                assertThat(client.readHead()).startsWith("HTTP/1.1 200 OK\r\n");
+            }
+        }
+    }
+
+    /** The class says which byte of the result must be there by the deadline. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void deadlineCountsToTheByteThatTheClassSays(boolean toFirst) throws Exception {
+        try (TestNode node = results(PATIENT_US, toFirst);
+            Peer client = asked(node, "X-Deadline: 500m\r\n")) {
+            try (Peer backend = node.backend()) {
+                backend.read();
+                backend.write(result(",\"length\":200")).writeChunk(0, 100);
+                client.readHead();
+                // The node's own clock tells when the time is over.
+                node.server.loop().schedule(() -> { }, 600, TimeUnit.MILLISECONDS).get();
+                if (toFirst) {
+                    backend.writeChunk(100, 100).write("0\r\n\r\n");
+                    client.readBytes(0, 200);
+                } else {
+                    assertThat(client.readToEnd()).hasSize(100);
+                }
+            }
+        }
+    }
+
+    /** Answers keep the order of their reqs, long or not. */
+    @Test
+    void answersBehindALongResultWaitForIt() throws Exception {
+        try (TestNode node = results(PATIENT_US, false); Peer client = asked(node, "")) {
+            try (Peer first = node.backend()) {
+                first.read();
+                client.write(req("r2", "", "two"));
+                try (Peer second = node.backend()) {
+                    assertThat(second.read()).endsWith("two");
+                    second.write(CHUNKED + line("r2", "\"state\":\"result\"")).writeChunk(0, 30)
+                        .write("0\r\nX-Job-State: done\r\n\r\n");
+                    first.write(result("")).writeChunk(0, 70).write("0\r\nX-Job-State: done\r\n\r\n");
+                    client.readHead();
+                    client.readChunks(70);
+                    client.readHead();
+                    client.readChunks(30);
+                }
+            }
+            untilFree(node);
+        }
+    }
+
+    /** Told to stop, the node carries a result to its end. */
+    @Test
+    void stopWaitsForResultsUnderWay() throws Exception {
+        try (TestNode node = results(PATIENT_US, false); Peer client = asked(node, "")) {
+            try (Peer backend = node.backend()) {
+                backend.read();
+                backend.write(result("")).writeChunk(0, 100);
+                client.readHead();
+                final CompletableFuture<Void> stopped = node.server.stop();
+                node.server.loop().schedule(() -> { }, 600, TimeUnit.MILLISECONDS).get();
+                assertThat(stopped).isNotDone();
+                backend.writeChunk(100, 100).write("0\r\nX-Job-State: done\r\n\r\n");
+                client.readChunks(200);
+                // A connection that carried it while the stop was told ends with the stop, or by its client.
+                client.reset();
+                stopped.get(8, TimeUnit.SECONDS);
+            }
+        }
+    }
+}
--- a/src/test/java/cresschute/node/http/HttpFetchTest.java
+++ b/src/test/java/cresschute/node/http/HttpFetchTest.java
@@ -7,6 +7,7 @@
 import cresschute.node.Backends.FetchListener;
 import cresschute.node.RateLimitedLog;
 import cresschute.node.ReqContent;
+import cresschute.node.ResultStream;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -25,6 +26,16 @@
         throw new AssertionError("nothing came back");
     }
 
+    @Override
+    public ResultStream resultBegins(String type, long length, LoadReport report) {
+        throw new AssertionError("nothing of the kind came back");
+    }
+
+    @Override
+    public void resultEnded(boolean whole) {
+        throw new AssertionError("nothing of the kind came back");
+    }
+
     @Override
     public void ended(Outcome outcome, LoadReport report, String result) {
         ends.add(outcome);
