Play long bodies at unlike speeds in the lab, and tell the module when a slot is held for one

Need: what long bodies cost and hold was tested, not measured; and a job whose body came slowly did not start, for which its worker could be taken for silent, and its class closed there.

Change: `cresschute lab bodies` runs a node in a process of its own between clients and workers with token-bucket speeds, stalls and resets, checks every byte, puts throughput beside a plain socket copy in the same run, small reqs beside 200 slow bodies, memory per open body, and draws heap and direct memory. The first byte of a body that goes to a worker is told as progress of its job, and again each second unless the worker is what it waits for. Reads of 32 KiB in place of 16. `trial reqs` tells the bytes a req allocates and the heap that is left.

--- a/deploy/appliance.star
+++ b/deploy/appliance.star
@@ -27,3 +27,7 @@
 # Lets consoles connect, and keeps operators' drains over a restart; see docs/console.md.
 # control(socket = "/run/cresschute/control.sock")
 # state(folder = "/var/lib/cresschute")
+
+# Lets a class have bodies beyond 64 KiB and results that are passed on as they are made; see docs/bodies.md.
+# job_class(..., longest_body = 2 * GiB, long_results = True)
+# bodies(budget = 64 * MiB)
--- a/src/main/java/cresschute/cli/Commands.java
+++ b/src/main/java/cresschute/cli/Commands.java
@@ -16,7 +16,8 @@
         "Exit codes: 0 done, 1 it ran and failed, 2 it could not be used as given."},
     subcommands = {ServeCommand.class, BenchlinkCommand.class, CheckCommand.class, DemoCommand.class,
         ConsoleCommand.class, WorkersCommand.class, DrainCommand.class, UndrainCommand.class,
-        EventsCommand.class, TrialCommand.class, VersionCommand.class, CompletionCommand.class})
+        EventsCommand.class, TrialCommand.class, LabCommand.class,
+        VersionCommand.class, CompletionCommand.class})
 final class Commands implements Runnable {
 
     @Spec
--- a/src/main/java/cresschute/cli/TrialCommand.java
+++ b/src/main/java/cresschute/cli/TrialCommand.java
@@ -6,26 +6,23 @@
 import cresschute.console.ScreenCost;
 import cresschute.lab.Fleet;
 import cresschute.lab.FleetReport;
+import cresschute.lab.NodeProcess;
 import cresschute.lab.SmallReqs;
 import cresschute.lab.WideSite;
 import cresschute.logs.LogFinder;
 import cresschute.logs.structured.StructuredLog;
-import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.HdrHistogram.Histogram;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -301,45 +298,35 @@
                     .append(each.getPort()).append("\")\n");
             }
             Files.writeString(script, site);
-            final Process node = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString(), "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms24m", "-Xmx64m", "-Xss512k",
-                "-XX:MaxMetaspaceSize=40m", "-XX:ReservedCodeCacheSize=16m", "-XX:MaxDirectMemorySize=16m",
-                "-Dio.netty.allocator.type=pooled", "-Xlog:gc:file=" + collections, "-cp",
-                System.getProperty("java.class.path"), "cresschute.cli.Main", "serve", "--settings",
-                script.toString()).start();
-            try {
-                final Matcher address = Pattern.compile("listens on /127\\.0\\.0\\.1:([0-9]+)")
-                    .matcher("");
-                final BufferedReader log = node.errorReader();
-                String line = log.readLine();
-                while (line != null && !address.reset(line).find()) {
-                    line = log.readLine();
-                }
-                if (line == null) {
-                    throw new IOException("the node did not start");
-                }
-                load.connect(new InetSocketAddress("127.0.0.1", Integer.parseInt(address.group(1))), CLIENTS);
+            try (NodeProcess node = new NodeProcess(script, List.of("-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1", "-Xms24m", "-Xmx64m", "-Xss512k", "-XX:MaxMetaspaceSize=40m",
+                "-XX:ReservedCodeCacheSize=16m", "-XX:MaxDirectMemorySize=16m",
+                "-Dio.netty.allocator.type=pooled", "-Xlog:gc:file=" + collections))) {
+                load.connect(node.address(), CLIENTS);
                 out.println("| run of " + seconds + " s at " + rate + " reqs a second | ms p50 | p99 | p99.9 |"
-                    + " max | not served | node's CPU, us a req | full collections | young ones |\n"
-                    + "| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+                    + " max | not served | node's CPU, us a req | bytes made a req | full collections |"
+                    + " young ones | heap held at its end, MB |\n"
+                    + "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
                 for (int round = 0; round <= rounds; round++) {
                     final List<String> before = Files.readAllLines(collections);
-                    final Duration cpu = node.info().totalCpuDuration().orElse(Duration.ZERO);
+                    final long made = node.allocated();
+                    final long cpuNs = node.cpuNs();
                     final Histogram us = load.run(rate, seconds * 1_000L);
-                    final Duration used = node.info().totalCpuDuration().orElse(cpu).minus(cpu);
+                    final long usedNs = node.cpuNs() - cpuNs;
+                    final long madeNow = node.allocated() - made;
                     final List<String> logged = Files.readAllLines(collections);
                     final List<String> during = logged.subList(before.size(), logged.size());
+                    final long reqs = Math.max(1, rate * (long) seconds);
                     out.println(String.format(Locale.ROOT, "| %s | %.2f | %.2f | %.2f | %.2f | %d | %d | %d |"
-                        + " %d |", round == 0 ? "warming" : "" + round, us.getValueAtPercentile(50) / 1e3,
-                        us.getValueAtPercentile(99) / 1e3, us.getValueAtPercentile(99.9) / 1e3,
-                        us.getMaxValue() / 1e3, load.notServed(),
-                        used.toNanos() / 1_000 / Math.max(1, rate * (long) seconds),
+                        + " %d | %d | %.1f |", round == 0 ? "warming" : "" + round,
+                        us.getValueAtPercentile(50) / 1e3, us.getValueAtPercentile(99) / 1e3,
+                        us.getValueAtPercentile(99.9) / 1e3, us.getMaxValue() / 1e3, load.notServed(),
+                        usedNs / 1_000 / reqs, madeNow / reqs,
                         during.stream().filter(each -> each.contains("Pause Full")).count(),
-                        during.stream().filter(each -> each.contains("Pause Young")).count()));
+                        during.stream().filter(each -> each.contains("Pause Young")).count(),
+                        node.memoryHeld().heap() / 1e6));
                     out.flush();
                 }
-            } finally {
-                node.destroyForcibly();
             }
         }
         return ExitCodes.DONE;
--- /dev/null
+++ b/src/main/java/cresschute/lab/NodeProcess.java
@@ -0,0 +1,118 @@
+package cresschute.lab;
+
+import com.sun.management.ThreadMXBean;
+import com.sun.tools.attach.AttachNotSupportedException;
+import com.sun.tools.attach.VirtualMachine;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.lang.management.BufferPoolMXBean;
+import java.lang.management.ManagementFactory;
+import java.lang.management.MemoryMXBean;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import javax.management.MBeanServerConnection;
+import javax.management.remote.JMXConnector;
+import javax.management.remote.JMXConnectorFactory;
+import javax.management.remote.JMXServiceURL;
+
+/** A node in a process of its own, whose memory is watched from outside. */
+public final class NodeProcess implements AutoCloseable {
+
+    /** Bytes in use: by objects, after a collection where one was asked for, and by direct buffers. */
+    public record Memory(long heap, long direct) {
+    }
+
+    private final Process process;
+    private final InetSocketAddress address;
+    private final JMXConnector connector;
+    private final MemoryMXBean heap;
+    private final BufferPoolMXBean direct;
+    private final ThreadMXBean threads;
+
+    /** Starts it and returns once it listens. */
+    public NodeProcess(Path script, List<String> options) throws IOException {
+        final List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        // Without a cleaner of its own, Netty's direct memory is the JDK's, which counts it.
+        command.add("-Dio.netty.maxDirectMemory=0");
+        command.addAll(options);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "cresschute.cli.Main", "serve",
+            "--settings", script.toString()));
+        process = new ProcessBuilder(command).start();
+        final Matcher told = Pattern.compile("listens on /127\\.0\\.0\\.1:([0-9]+)").matcher("");
+        final BufferedReader log = process.errorReader();
+        String line = log.readLine();
+        final StringBuilder seen = new StringBuilder();
+        while (line != null && !told.reset(line).find()) {
+            seen.append(line).append('\n');
+            line = log.readLine();
+        }
+        if (line == null) {
+            throw new IOException("the node did not start: " + seen);
+        }
+        address = new InetSocketAddress("127.0.0.1", Integer.parseInt(told.group(1)));
+        // What it logs later is read away, so that it never waits for us.
+        final Thread reader = new Thread(() -> log.lines().forEach(later -> { }), "lab-node-log");
+        reader.setDaemon(true);
+        reader.start();
+        try {
+            final VirtualMachine machine = VirtualMachine.attach(Long.toString(process.pid()));
+            final String at = machine.startLocalManagementAgent();
+            machine.detach();
+            connector = JMXConnectorFactory.connect(new JMXServiceURL(at));
+        } catch (AttachNotSupportedException e) {
+            process.destroyForcibly();
+            throw new IOException("the node's memory cannot be watched: " + e.getMessage(), e);
+        }
+        final MBeanServerConnection beans = connector.getMBeanServerConnection();
+        heap = ManagementFactory.getPlatformMXBean(beans, MemoryMXBean.class);
+        threads = ManagementFactory.newPlatformMXBeanProxy(beans, ManagementFactory.THREAD_MXBEAN_NAME,
+            ThreadMXBean.class);
+        direct = ManagementFactory.getPlatformMXBeans(beans, BufferPoolMXBean.class).stream()
+            .filter(each -> each.getName().equals("direct")).findFirst().orElseThrow();
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    /** What is in use now, unused objects included. */
+    public Memory memory() {
+        return new Memory(heap.getHeapMemoryUsage().getUsed(), direct.getMemoryUsed());
+    }
+
+    /** The same right after a collection, so that nothing unused is counted. */
+    public Memory memoryHeld() {
+        heap.gc();
+        return memory();
+    }
+
+    /** Bytes of objects that its threads have made so far. */
+    public long allocated() {
+        long sum = 0;
+        for (final long each : threads.getThreadAllocatedBytes(threads.getAllThreadIds())) {
+            sum += Math.max(0, each);
+        }
+        return sum;
+    }
+
+    /** CPU time that it has used, ns. */
+    public long cpuNs() {
+        return process.info().totalCpuDuration().orElse(Duration.ZERO).toNanos();
+    }
+
+    @Override
+    public void close() throws IOException {
+        try {
+            connector.close();
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/bodies/BodiesTrial.java
@@ -0,0 +1,282 @@
+package cresschute.lab.bodies;
+
+import cresschute.lab.NodeProcess;
+import cresschute.lab.SmallReqs;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Long bodies through a node in a process of its own: at unlike speeds, beside small reqs, and what is held
+ * for each that is open. Every byte is checked where it arrives. Blocks until all of it is played.
+ */
+public final class BodiesTrial {
+
+    private static final int WORKERS = 40;
+    private static final int SMALL_WORKERS = 8;
+    private static final int SMALL_CLIENTS = 50;
+    private static final int SMALL_PER_S = 500;
+    private static final long MODEM = 7_000;
+    private static final int SETTLED_MS = 1_500;
+    private static final double MB = 1e6;
+    private static final List<String> NODE_OPTIONS = List.of("-XX:+UseSerialGC", "-Xms24m", "-Xmx64m",
+        "-XX:MaxDirectMemorySize=96m");
+
+    /**
+     * How much is played.
+     *
+     * @param bytes of each long body where nobody is slow
+     * @param rounds of each pair of speeds
+     * @param slow bodies that are open beside small reqs
+     * @param seconds that slow ones, and small reqs beside them, go on
+     */
+    public record Size(long bytes, int rounds, int slow, int seconds) {
+    }
+
+    private record Pair(String what, boolean isResult, long client, long worker) {
+    }
+
+    private final Size size;
+    private final PrintWriter out;
+    private final AtomicLong lastId = new AtomicLong();
+    private final List<String> wrong = new CopyOnWriteArrayList<>();
+
+    /** Rows go to {@code out} as they are known. */
+    public BodiesTrial(Size size, PrintWriter out) {
+        this.size = size;
+        this.out = out;
+    }
+
+    /** Plays it and returns what must not be; {@code chart} is drawn from the samples of all of it. */
+    public List<String> run(Path folder, Path chart) throws IOException, InterruptedException {
+        final Path script = folder.resolve("bodies.star");
+        try (BodiesSite site = new BodiesSite(WORKERS); SmallReqs small = new SmallReqs()) {
+            site.writeSettings(script, small.startWorkers(SMALL_WORKERS));
+            try (NodeProcess node = new NodeProcess(script, NODE_OPTIONS);
+                MemoryLine memory = new MemoryLine(node);
+                PlainRelay plain = new PlainRelay(site.anyWorker())) {
+                speeds(node.address(), plain.address(), memory);
+                slowReaders(site, node.address(), memory);
+                besideSmallReqs(node, small, memory);
+                held(node);
+                memory.draw(chart, "direct at the start + budget of "
+                    + String.format(Locale.ROOT, "%.1f", BodiesSite.BUDGET / MB) + " MB",
+                    memory.directAtStart() + BodiesSite.BUDGET);
+            }
+            wrong.addAll(site.broken());
+        }
+        return List.copyOf(wrong);
+    }
+
+    private void row(String form, Object... values) {
+        out.println(String.format(Locale.ROOT, form, values));
+        out.flush();
+    }
+
+    private BodyClient.Plan plan(InetSocketAddress to, Pair pair, long bytes, long leaveAfter,
+                                 boolean ownLines) {
+        final String id = "body-" + lastId.incrementAndGet();
+        final String target = (pair.isResult() ? "/report?result=" + bytes + "&out=" : "/upload?in=")
+            + pair.worker();
+        return new BodyClient.Plan(to, id, target, pair.isResult() ? 0 : bytes, false,
+            LineSpeed.of(pair.isResult() ? 0 : pair.client()),
+            LineSpeed.of(pair.isResult() ? pair.client() : 0), leaveAfter, ownLines);
+    }
+
+    private BodyClient.Came play(BodyClient.Plan plan) {
+        final BodyClient.Came came = BodyClient.run(plan);
+        if (plan.leaveAfter() < 0 && !(came.status() == 200 && came.whole())) {
+            wrong.add(plan.target() + ": status " + came.status() + " after " + came.bytes() + " bytes "
+                + came.text());
+        }
+        return came;
+    }
+
+    // ---- Unlike speeds ----
+
+    private void speeds(InetSocketAddress node, InetSocketAddress plain, MemoryLine memory) {
+        final long fast = 40_000_000;
+        final List<Pair> pairs = List.of(new Pair("body, both as fast as it goes", false, 0, 0),
+            new Pair("body, worker at 40 MB/s", false, 0, fast),
+            new Pair("body, client at 40 MB/s", false, fast, 0),
+            new Pair("result, both as fast as it goes", true, 0, 0),
+            new Pair("result, client at 40 MB/s", true, fast, 0),
+            new Pair("result, worker at 40 MB/s", true, 0, fast));
+        row("| %d MB at a time | MB/s: median (least to most) | of a plain copy: median (least to most) |"
+            + " most heap, MB | most direct, MB |\n| --- | --- | --- | --- | --- |",
+            Math.round(size.bytes() / MB));
+        for (final Pair pair : pairs) {
+            play(plan(node, pair, size.bytes(), -1, false));
+            final double since = memory.now();
+            final List<Double> rates = new ArrayList<>();
+            final List<Double> ratios = new ArrayList<>();
+            for (int round = 0; round < size.rounds(); round++) {
+                final double through = rate(play(plan(node, pair, size.bytes(), -1, false)));
+                final double copied = rate(play(plan(plain, pair, size.bytes(), -1, true)));
+                rates.add(through);
+                ratios.add(through / copied);
+            }
+            final NodeProcess.Memory most = memory.mostSince(since);
+            row("| %s | %s | %s | %.1f | %.1f |", pair.what(), spread(rates, "%.0f"), spread(ratios, "%.2f"),
+                most.heap() / MB, most.direct() / MB);
+        }
+    }
+
+    private static double rate(BodyClient.Came came) {
+        return came.bytes() / MB / (came.ns() / 1e9);
+    }
+
+    private static String spread(List<Double> values, String form) {
+        final List<Double> sorted = values.stream().sorted().toList();
+        return String.format(Locale.ROOT, form + " (" + form + " to " + form + ")",
+            sorted.get(sorted.size() / 2), sorted.get(0), sorted.get(sorted.size() - 1));
+    }
+
+    /** A client at modem speed while a worker would send all of it at once. */
+    private void slowReaders(BodiesSite site, InetSocketAddress node, MemoryLine memory) {
+        final double since = memory.now();
+        final BodyClient.Came came = play(plan(node, new Pair("", true, MODEM, 0), size.bytes(),
+            MODEM * size.seconds(), false));
+        final NodeProcess.Memory most = memory.mostSince(since);
+        row("| result, client at 7 kB/s, left after %d s | %.4f | | %.1f | %.1f |", size.seconds(), rate(came),
+            most.heap() / MB, most.direct() / MB);
+    }
+
+    // ---- Beside small reqs ----
+
+    private void besideSmallReqs(NodeProcess node, SmallReqs small, MemoryLine memory)
+        throws InterruptedException {
+        row("\n| %d small reqs a second for %d s | ms p50 | p99 | p99.9 | most | not served | node's CPU, %% of"
+            + " a core | most direct, MB |\n| --- | --- | --- | --- | --- | --- | --- | --- |", SMALL_PER_S,
+            size.seconds());
+        // Not earlier: connections that bring nothing at first are closed.
+        small.connect(node.address(), SMALL_CLIENTS);
+        small.run(SMALL_PER_S, SETTLED_MS);
+        for (int round = 0; round < size.rounds(); round++) {
+            smallReqs("alone", node, small, memory);
+            final Slow slow = new Slow(node.address(), size.slow());
+            smallReqs("beside " + slow.flowing() + " slow bodies and results", node, small, memory);
+            slow.leave();
+        }
+    }
+
+    private void smallReqs(String what, NodeProcess node, SmallReqs small, MemoryLine memory)
+        throws InterruptedException {
+        final double since = memory.now();
+        final long cpuNs = node.cpuNs();
+        final long startNs = System.nanoTime();
+        final Histogram us = small.run(SMALL_PER_S, size.seconds() * 1_000L);
+        final double cpu = 100.0 * (node.cpuNs() - cpuNs) / (System.nanoTime() - startNs);
+        row("| %s | %.2f | %.2f | %.2f | %.2f | %d | %.0f | %.1f |", what, us.getValueAtPercentile(50) / 1e3,
+            us.getValueAtPercentile(99) / 1e3, us.getValueAtPercentile(99.9) / 1e3, us.getMaxValue() / 1e3,
+            small.notServed(), cpu, memory.mostSince(since).direct() / MB);
+    }
+
+    /** Bodies and results, half of each, that flow slowly until they are told to leave. */
+    private final class Slow {
+        private static final long RATE = 20_000;
+        private final List<CompletableFuture<BodyClient.Came>> all = new ArrayList<>();
+        private final int wanted;
+
+        Slow(InetSocketAddress node, int count) throws InterruptedException {
+            wanted = count;
+            final long bytes = RATE * (size.seconds() + 4);
+            for (int i = 0; i < count; i++) {
+                final Pair pair = new Pair("", i % 2 == 1, RATE, 0);
+                all.add(start(() -> BodyClient.run(plan(node, pair, bytes, -1, false))));
+            }
+            Thread.sleep(SETTLED_MS);
+        }
+
+        /** Those that were not turned away. */
+        long flowing() {
+            return wanted - all.stream().filter(CompletableFuture::isDone).count();
+        }
+
+        void leave() {
+            int served = 0;
+            int refused = 0;
+            for (final CompletableFuture<BodyClient.Came> each : all) {
+                final BodyClient.Came came = each.join();
+                served += came.status() == 200 && came.whole() ? 1 : 0;
+                refused += came.status() == 503 ? 1 : 0;
+            }
+            if (served + refused < wanted) {
+                wrong.add("of " + wanted + " slow ones " + served + " were served and " + refused
+                    + " refused");
+            }
+        }
+    }
+
+    private static <T> CompletableFuture<T> start(Supplier<T> run) {
+        final CompletableFuture<T> came = new CompletableFuture<>();
+        BodyWorker.daemon(() -> {
+            try {
+                came.complete(run.get());
+            } catch (RuntimeException e) {
+                came.completeExceptionally(e);
+            }
+        });
+        return came;
+    }
+
+    // ---- What an open req holds ----
+
+    private void held(NodeProcess node) throws IOException, InterruptedException {
+        row("\n| open at a time | heap held, kB each | direct in use, kB each |\n| --- | --- | --- |");
+        final NodeProcess.Memory before = settled(node);
+        final List<Socket> idle = new ArrayList<>();
+        for (int i = 0; i < size.slow(); i++) {
+            idle.add(new Socket(node.address().getAddress(), node.address().getPort()));
+        }
+        each("connections that bring nothing", before, settled(node), size.slow());
+        for (final Socket socket : idle) {
+            socket.close();
+        }
+        flowing("bodies that flow at 20 kB/s", node, Slow.RATE, 0);
+        flowing("bodies whose worker takes nothing", node, 0, 1);
+    }
+
+    private void flowing(String what, NodeProcess node, long rate, int stall) throws InterruptedException {
+        final NodeProcess.Memory before = settled(node);
+        final CountDownLatch ended = new CountDownLatch(size.slow());
+        final AtomicLong refused = new AtomicLong();
+        for (int i = 0; i < size.slow(); i++) {
+            final Pair pair = new Pair(what, false, rate, 0);
+            final BodyClient.Plan base = plan(node.address(), pair,
+                rate == 0 ? size.bytes() : rate * 10, -1, false);
+            final BodyClient.Plan plan = new BodyClient.Plan(base.to(), base.id(),
+                base.target() + (stall > 0 ? "&stall=0" : ""), base.upload(), false, base.up(), base.down(),
+                -1, false);
+            BodyWorker.daemon(() -> {
+                refused.addAndGet(BodyClient.run(plan).status() == 503 ? 1 : 0);
+                ended.countDown();
+            });
+        }
+        Thread.sleep(2 * SETTLED_MS);
+        final long open = ended.getCount();
+        each(open + " " + what, before, node.memoryHeld(), Math.max(1, open));
+        ended.await();
+    }
+
+    private static NodeProcess.Memory settled(NodeProcess node) throws InterruptedException {
+        Thread.sleep(SETTLED_MS);
+        return node.memoryHeld();
+    }
+
+    private void each(String what, NodeProcess.Memory before, NodeProcess.Memory after, long count) {
+        row("| %s | %.1f | %.1f |", what, (after.heap() - before.heap()) / 1e3 / count,
+            (after.direct() - before.direct()) / 1e3 / count);
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/bodies/BodyClient.java
@@ -0,0 +1,114 @@
+package cresschute.lab.bodies;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/** A client that sends one long body, or reads one long result, each at a speed of its own. One thread. */
+final class BodyClient {
+
+    private static final int OK = 200;
+    private static final int SMALL_WINDOW = 64 * 1024;
+
+    /**
+     * What it does.
+     *
+     * @param target the job's path, which tells the worker what to do
+     * @param upload bytes of the body
+     * @param down its speed of reading, {@code up} that of sending
+     * @param leaveAfter bytes of the result after which it closes, or -1
+     * @param ownLines whether the worker's own lines come before a result, as they do without a node between
+     */
+    record Plan(InetSocketAddress to, String id, String target, long upload, boolean chunked, LineSpeed up,
+                LineSpeed down, long leaveAfter, boolean ownLines) {
+    }
+
+    /**
+     * What came of it.
+     *
+     * @param status the answer's, or 0 where none came
+     * @param whole whether its body ended as it should, and each byte was the right one
+     * @param bytes bytes of the body that went up, or of the result that came down
+     */
+    record Came(int status, boolean whole, long bytes, long ns, String text) {
+    }
+
+    private BodyClient() {
+    }
+
+    static Came run(Plan plan) {
+        final long startNs = System.nanoTime();
+        int status = 0;
+        long sent = 0;
+        final SeededBytes expected = new SeededBytes(plan.id());
+        final StringBuilder text = new StringBuilder();
+        boolean whole = false;
+        try (Socket socket = new Socket()) {
+            if (plan.down().bytesAS() > 0) {
+                // The kernel's room for what is not read yet counts as the line's, so it is kept small.
+                socket.setReceiveBufferSize(SMALL_WINDOW);
+            }
+            socket.connect(plan.to());
+            final PacedSocket line = new PacedSocket(socket);
+            line.speeds(plan.down(), plan.up());
+            sent = send(plan, line);
+            final String first = line.firstLine();
+            if (first != null) {
+                status = Integer.parseInt(first.split(" ")[1]);
+                final HttpBody body = new HttpBody(line, line.headers());
+                whole = read(plan, body, status, expected, text);
+            }
+        } catch (IOException e) {
+            // How far it came is told by what is returned.
+            text.append(e.getMessage());
+        }
+        return new Came(status, whole, Math.max(sent, expected.count()), System.nanoTime() - startNs,
+            text.toString());
+    }
+
+    private static long send(Plan plan, PacedSocket line) throws IOException {
+        line.write("POST " + plan.target() + " HTTP/1.1\r\nHost: node\r\nX-Request-Id: " + plan.id() + "\r\n"
+            + (plan.chunked() ? "Transfer-Encoding: chunked" : "Content-Length: " + plan.upload())
+            + "\r\n\r\n");
+        final SeededBytes made = new SeededBytes(plan.id());
+        final byte[] block = new byte[PacedSocket.BLOCK];
+        try {
+            for (long left = plan.upload(); left > 0;) {
+                final int count = (int) Math.min(left, block.length);
+                made.fill(block, count);
+                line.write(plan.chunked() ? Integer.toHexString(count) + "\r\n" : "");
+                line.write(block, count);
+                line.write(plan.chunked() ? "\r\n" : "");
+                left -= count;
+            }
+            line.write(plan.chunked() ? "0\r\n\r\n" : "");
+        } catch (IOException e) {
+            // Closed by the node: its answer may still be there to be read.
+            return made.count();
+        }
+        return made.count();
+    }
+
+    private static boolean read(Plan plan, HttpBody body, int status, SeededBytes expected,
+                                StringBuilder text) throws IOException {
+        final byte[] block = new byte[PacedSocket.BLOCK];
+        final boolean isResult = status == OK && plan.target().contains("result=");
+        boolean lines = plan.ownLines();
+        boolean same = true;
+        for (int count = body.read(block); count >= 0; count = body.read(block)) {
+            final String shown = isResult && !lines ? "" : new String(block, 0, count,
+                StandardCharsets.ISO_8859_1);
+            if (!isResult || lines) {
+                text.append(shown);
+                lines = !shown.contains("\"result\"");
+                continue;
+            }
+            same &= expected.isNext(block, count);
+            if (plan.leaveAfter() >= 0 && expected.count() >= plan.leaveAfter()) {
+                return false;
+            }
+        }
+        return same;
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/bodies/BodyWorker.java
@@ -0,0 +1,153 @@
+package cresschute.lab.bodies;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Workers that take and make long bodies. What one does is told by the job's path: {@code in} and {@code out}
+ * are its speeds in bytes a second, {@code result} the bytes that it makes, {@code reset} and {@code stall}
+ * the byte of the body, or of the result, at which it breaks or stands still. One thread a connection.
+ */
+public final class BodyWorker implements AutoCloseable {
+
+    private static final int BACKLOG = 512;
+    private static final int STALL_MS = 3_600_000;
+    private static final Pattern ASKED = Pattern.compile("([a-z]+)=([0-9]+)");
+
+    private final ServerSocket server;
+    private final Set<PacedSocket> connections = ConcurrentHashMap.newKeySet();
+    private final Map<String, LongAdder> runs;
+    private final LongAdder wrong;
+
+    /**
+     * Listens on a free port of the loopback address.
+     *
+     * @param runs counts here how often each job has run: its body came whole
+     * @param wrong counts here bodies of which a byte was another
+     */
+    public BodyWorker(Map<String, LongAdder> runs, LongAdder wrong) throws IOException {
+        this.runs = runs;
+        this.wrong = wrong;
+        server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+        daemon(this::accept);
+    }
+
+    static void daemon(Runnable run) {
+        final Thread thread = new Thread(run, "lab-body");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) server.getLocalSocketAddress();
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                final Socket socket = server.accept();
+                daemon(() -> serve(socket));
+            } catch (IOException e) {
+                // Closed: there is nothing more to accept.
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        PacedSocket line = null;
+        try (PacedSocket paced = new PacedSocket(socket)) {
+            line = paced;
+            connections.add(paced);
+            for (String first = paced.firstLine(); first != null; first = paced.firstLine()) {
+                serve(paced, first);
+            }
+        } catch (IOException e) {
+            // The node has closed it, or it broke as it was told to: the other side's tale is the one told.
+            return;
+        } finally {
+            if (line != null) {
+                connections.remove(line);
+            }
+        }
+    }
+
+    private void serve(PacedSocket line, String first) throws IOException {
+        final Map<String, String> headers = line.headers();
+        final String id = headers.get("x-request-id");
+        final long result = asked(first, "result", 0);
+        final LineSpeed in = LineSpeed.of(asked(first, "in", 0));
+        final LineSpeed out = LineSpeed.of(asked(first, "out", 0));
+        final long stall = asked(first, "stall", -1);
+        final long reset = asked(first, "reset", -1);
+        final boolean breaksIn = result == 0;
+        line.speeds(breaksIn ? troubled(in, stall, reset) : in, breaksIn ? out : troubled(out, stall, reset));
+        final HttpBody body = new HttpBody(line, headers);
+        final SeededBytes expected = new SeededBytes(id);
+        final byte[] block = new byte[PacedSocket.BLOCK];
+        boolean same = true;
+        for (int count = body.read(block); count >= 0; count = body.read(block)) {
+            same &= body.isSmall() || expected.isNext(block, count);
+        }
+        if (!same) {
+            wrong.increment();
+        }
+        runs.computeIfAbsent(id, unseen -> new LongAdder()).increment();
+        line.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        chunk(line, "{\"id\":\"" + id + "\",\"state\":\"started\"}\n");
+        if (result == 0) {
+            chunk(line, "{\"id\":\"" + id + "\",\"state\":\"done\",\"result\":\"" + expected.count() + " "
+                + expected.sum() + "\"}\n");
+            line.write("0\r\n\r\n");
+            return;
+        }
+        chunk(line, "{\"id\":\"" + id + "\",\"state\":\"result\",\"type\":\"application/octet-stream\"}\n");
+        final SeededBytes made = new SeededBytes(id);
+        for (long left = result; left > 0;) {
+            final int count = (int) Math.min(left, block.length);
+            made.fill(block, count);
+            line.write(Integer.toHexString(count) + "\r\n");
+            line.write(block, count);
+            line.write("\r\n");
+            left -= count;
+        }
+        line.write("0\r\nX-Job-State: done\r\n\r\n");
+    }
+
+    private static LineSpeed troubled(LineSpeed speed, long stall, long reset) {
+        final LineSpeed stalling = stall < 0 ? speed : speed.stalling(stall, STALL_MS);
+        return reset < 0 ? stalling : stalling.resetting(reset);
+    }
+
+    private static void chunk(PacedSocket line, String text) throws IOException {
+        line.write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+    }
+
+    private static long asked(String first, String name, long otherwise) {
+        final Matcher matcher = ASKED.matcher(first);
+        while (matcher.find()) {
+            if (matcher.group(1).equals(name)) {
+                return Long.parseLong(matcher.group(2));
+            }
+        }
+        return otherwise;
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (final PacedSocket each : connections) {
+            each.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/bodies/MemoryLine.java
@@ -0,0 +1,114 @@
+package cresschute.lab.bodies;
+
+import cresschute.lab.NodeProcess;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.knowm.xchart.VectorGraphicsEncoder;
+import org.knowm.xchart.VectorGraphicsEncoder.VectorGraphicsFormat;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+import org.knowm.xchart.XYSeries;
+import org.knowm.xchart.style.markers.SeriesMarkers;
+
+/** A node's memory over time, sampled by a thread of its own, and the chart of it. */
+final class MemoryLine implements AutoCloseable {
+
+    private static final long EVERY_MS = 100;
+    private static final int DRAWN = 300;
+    private static final int WIDTH = 900;
+    private static final int HEIGHT = 420;
+    private static final double MB = 1e6;
+    private static final double NS_A_S = 1e9;
+
+    private record Sample(double s, NodeProcess.Memory memory) {
+    }
+
+    private final NodeProcess node;
+    private final long startNs = System.nanoTime();
+    private final long directAtStart;
+    private final List<Sample> samples = new ArrayList<>();
+    private volatile boolean closed;
+
+    MemoryLine(NodeProcess node) {
+        this.node = node;
+        this.directAtStart = node.memoryHeld().direct();
+        BodyWorker.daemon(this::sample);
+    }
+
+    private void sample() {
+        while (!closed) {
+            try {
+                final NodeProcess.Memory memory = node.memory();
+                synchronized (samples) {
+                    samples.add(new Sample((System.nanoTime() - startNs) / NS_A_S, memory));
+                }
+                Thread.sleep(EVERY_MS);
+            } catch (InterruptedException | RuntimeException e) {
+                // The node is being ended; there is nothing more to sample.
+                return;
+            }
+        }
+    }
+
+    private List<Sample> samples() {
+        synchronized (samples) {
+            return List.copyOf(samples);
+        }
+    }
+
+    /** Seconds since its start. */
+    double now() {
+        return (System.nanoTime() - startNs) / NS_A_S;
+    }
+
+    /** The most in use from then on. */
+    NodeProcess.Memory mostSince(double s) {
+        final List<Sample> since = samples().stream().filter(each -> each.s() >= s).toList();
+        return new NodeProcess.Memory(since.stream().mapToLong(each -> each.memory().heap()).max().orElse(0),
+            since.stream().mapToLong(each -> each.memory().direct()).max().orElse(0));
+    }
+
+    long directAtStart() {
+        return directAtStart;
+    }
+
+    /** Draws all of it, with this bound beside it, as SVG. */
+    void draw(Path to, String boundName, long bound) throws IOException {
+        final List<Sample> all = thinned(samples());
+        final XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT)
+            .title("Memory of the node while long bodies pass").xAxisTitle("s").yAxisTitle("MB").build();
+        final double[] at = all.stream().mapToDouble(Sample::s).toArray();
+        series(chart, "heap, unused objects included", at,
+            all.stream().mapToDouble(each -> each.memory().heap() / MB).toArray());
+        series(chart, "direct buffers", at,
+            all.stream().mapToDouble(each -> each.memory().direct() / MB).toArray());
+        series(chart, boundName, at, all.stream().mapToDouble(each -> bound / MB).toArray());
+        chart.getStyler().setYAxisMin(0.0);
+        VectorGraphicsEncoder.saveVectorGraphic(chart, to.toString(), VectorGraphicsFormat.SVG);
+    }
+
+    /** The most of each of some hundred spans: a peak is never left out, and the chart stays small. */
+    private static List<Sample> thinned(List<Sample> all) {
+        final List<Sample> kept = new ArrayList<>();
+        final int each = Math.max(1, all.size() / DRAWN);
+        for (int i = 0; i < all.size(); i += each) {
+            final List<Sample> span = all.subList(i, Math.min(all.size(), i + each));
+            kept.add(new Sample(span.get(0).s(), new NodeProcess.Memory(
+                span.stream().mapToLong(one -> one.memory().heap()).max().orElse(0),
+                span.stream().mapToLong(one -> one.memory().direct()).max().orElse(0))));
+        }
+        return kept;
+    }
+
+    private static void series(XYChart chart, String name, double[] at, double[] values) {
+        final XYSeries series = chart.addSeries(name, at, values);
+        series.setMarker(SeriesMarkers.NONE);
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/bodies/PacedSocket.java
@@ -0,0 +1,144 @@
+package cresschute.lab.bodies;
+
+import java.io.BufferedInputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.locks.LockSupport;
+
+/** A connection whose bodies go at a stated speed; heads and chunk sizes go as they come. One thread. */
+final class PacedSocket implements Closeable {
+
+    static final int BLOCK = 16 * 1024;
+    private static final int MOST_HEAD = 16 * 1024;
+    private static final long MS = 1_000_000;
+
+    private final Socket socket;
+    private final InputStream in;
+    private final OutputStream out;
+    private Line reading = new Line(LineSpeed.FULL);
+    private Line writing = new Line(LineSpeed.FULL);
+
+    PacedSocket(Socket socket) throws IOException {
+        this.socket = socket;
+        socket.setTcpNoDelay(true);
+        in = new BufferedInputStream(socket.getInputStream(), BLOCK);
+        out = socket.getOutputStream();
+    }
+
+    void speeds(LineSpeed read, LineSpeed write) {
+        reading = new Line(read);
+        writing = new Line(write);
+    }
+
+    // ---- Heads ----
+
+    void write(String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** The first line of a head, or null where the connection ended before it. */
+    String firstLine() throws IOException {
+        final int first = in.read();
+        return first < 0 ? null : (char) first + line();
+    }
+
+    /** The rest of a head, names in lower case. */
+    Map<String, String> headers() throws IOException {
+        final Map<String, String> headers = new TreeMap<>();
+        for (String line = line(); !line.isEmpty(); line = line()) {
+            final int colon = line.indexOf(':');
+            headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).strip());
+        }
+        return headers;
+    }
+
+    String line() throws IOException {
+        final StringBuilder line = new StringBuilder();
+        for (int next = in.read(); next != '\n'; next = in.read()) {
+            if (next < 0 || line.length() > MOST_HEAD) {
+                throw new IOException("ended within a line");
+            }
+            line.append((char) next);
+        }
+        return line.toString().strip();
+    }
+
+    // ---- Bodies ----
+
+    /** Some bytes of a body, at this side's speed; -1 at the connection's end. */
+    int read(byte[] into, long most) throws IOException {
+        final int wanted = reading.next((int) Math.min(into.length, most));
+        return in.read(into, 0, wanted);
+    }
+
+    /** Bytes of a body, at this side's speed. */
+    void write(byte[] bytes, int count) throws IOException {
+        for (int at = 0; at < count;) {
+            final int now = writing.next(count - at);
+            out.write(bytes, at, now);
+            at += now;
+        }
+    }
+
+    /** Ends as a dying process does. */
+    void reset() throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+
+    /** One direction's progress. */
+    private final class Line {
+        private final LineSpeed speed;
+        private final TokenBucket bucket;
+        private long at;
+        private boolean stalled;
+
+        Line(LineSpeed speed) {
+            this.speed = speed;
+            this.bucket = new TokenBucket(speed.bytesAS(), Math.max(1, Math.min(BLOCK, speed.bytesAS() / 10)),
+                System.nanoTime());
+        }
+
+        /** Waits until some of these may go, and returns how many. */
+        int next(int wanted) throws IOException {
+            if (speed.resetAt() >= 0 && at >= speed.resetAt()) {
+                reset();
+                throw new SocketException("reset as told");
+            }
+            if (speed.stallAt() >= 0 && at >= speed.stallAt() && !stalled) {
+                stalled = true;
+                sleepNs(speed.stallMs() * MS);
+            }
+            final long mark = !stalled && speed.stallAt() > at ? speed.stallAt()
+                : speed.resetAt() > at ? speed.resetAt() : Long.MAX_VALUE;
+            final long bounded = Math.min(wanted, mark - at);
+            long free = bucket.take(bounded, System.nanoTime());
+            while (free == 0) {
+                sleepNs(bucket.untilFreeNs(bounded));
+                free = bucket.take(bounded, System.nanoTime());
+            }
+            at += free;
+            return (int) free;
+        }
+    }
+
+    private static void sleepNs(long ns) throws IOException {
+        LockSupport.parkNanos(Math.max(1, ns));
+        if (Thread.interrupted()) {
+            throw new IOException("told to end");
+        }
+    }
+}
--- a/src/main/java/cresschute/node/http/BodyPump.java
+++ b/src/main/java/cresschute/node/http/BodyPump.java
@@ -14,9 +14,16 @@
  */
 final class BodyPump {
 
-    /** How it ends; at most one of these is called, once. */
+    /** How it goes on and ends; of the ends at most one is called, once. */
     interface Ends {
 
+        /**
+         * It flows, or waits for whoever sends it: called with the first piece that is written, and again
+         * every second or so unless the peer is what it waits for.
+         */
+        default void flows() {
+        }
+
         /** The last byte is written. */
         void written();
 
@@ -27,6 +34,8 @@
         void tooSlow();
     }
 
+    private static final long TELL_US = 1_000_000;
+
     private final LongStream body;
     private final Ends ends;
     private final Body<ByteBuf>.Sender sender;
@@ -34,6 +43,7 @@
     private Channel channel;
     private int underWay;
     private boolean lastIsOut;
+    private long toldUs = Long.MIN_VALUE / 2;
     private boolean pumping;
     private boolean over;
 
@@ -106,6 +116,7 @@
         }
         peer.moved(count, LongStream.nowUs());
         peer.turn(underWay > 0, LongStream.nowUs());
+        tellFlow();
         sender.sent();
         body.sentSome();
         pump();
@@ -123,12 +134,22 @@
         }
     }
 
+    private void tellFlow() {
+        final long nowUs = LongStream.nowUs();
+        if (nowUs - toldUs >= TELL_US) {
+            toldUs = nowUs;
+            ends.flows();
+        }
+    }
+
     /** Gives up a peer that takes too little; called by the sweep. */
     void judge() {
         if (!over && peer.isTooSlow(LongStream.nowUs())) {
             body.owner.tooSlow(String.valueOf(channel.remoteAddress()), "it took too little");
             stop();
             ends.tooSlow();
+        } else if (!over && channel != null && underWay == 0) {
+            tellFlow();
         }
     }
 
--- a/src/main/java/cresschute/node/http/HttpFetch.java
+++ b/src/main/java/cresschute/node/http/HttpFetch.java
@@ -80,6 +80,15 @@
         return pump;
     }
 
+    /**
+     * The backend holds a slot for the job from here on. Guards its good name against clients that send a
+     * long body slowly: a job that does not start would be taken for a backend that starts none.
+     */
+    @Override
+    public void flows() {
+        listener.progressed(0);
+    }
+
     @Override
     public void written() {
         written = true;
--- a/src/main/java/cresschute/node/http/LongStream.java
+++ b/src/main/java/cresschute/node/http/LongStream.java
@@ -16,8 +16,11 @@
  */
 abstract class LongStream {
 
-    /** The most that is read at a time. */
-    static final int READ_BYTES = 16 * 1024;
+    /**
+     * The most that is read at a time: half of it gives a fifth less throughput. Together with what a short
+     * body may have grown to before it was known to be long, it must fit into the least window.
+     */
+    private static final int READ_BYTES = 32 * 1024;
     private static final int LEAST_READ_BYTES = 64;
     private static final int FIRST_READ_BYTES = 2048;
     /** What holding a piece takes beside its bytes. */
--- /dev/null
+++ b/src/test/java/cresschute/lab/bodies/BodyPeersTest.java
@@ -0,0 +1,122 @@
+package cresschute.lab.bodies;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import cresschute.node.NodeConfig;
+import cresschute.node.NodeServer;
+import cresschute.settings.SettingsFile;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Peers with speeds, stalls and breaks, through a whole node with the real module. */
+@Timeout(60)
+class BodyPeersTest {
+
+    private static final int MB = 1_000_000;
+    private final BodiesSite site;
+    private NodeServer node;
+    private InetSocketAddress to;
+    private int lastId;
+
+    BodyPeersTest() throws IOException {
+        site = new BodiesSite(4);
+    }
+
+    @BeforeEach
+    void start(@TempDir Path folder) throws IOException {
+        final Path script = folder.resolve("bodies.star");
+        site.writeSettings(script, List.of());
+        node = new NodeServer(NodeConfig.of(SettingsFile.parse(Files.readString(script)
+            .replace("kinds = [\"quick\"]", "kinds = [\"long\"]").replace("stall = 20 * s", "stall = 1 * s"))
+            .settings(), 1));
+        to = (InetSocketAddress) node.start();
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        node.halt();
+        site.close();
+        assertThat(site.broken()).isEmpty();
+        assertThat(node.invariantBreaches()).isZero();
+    }
+
+    private BodyClient.Plan plan(String target, long upload) {
+        return new BodyClient.Plan(to, "b" + ++lastId, target, upload, false, LineSpeed.FULL, LineSpeed.FULL,
+            -1, false);
+    }
+
+    @Test
+    void everyByteArrivesEachWayAtUnlikeSpeeds() {
+        final BodyClient.Came up = BodyClient.run(plan("/upload?in=20000000", 20 * MB));
+        assertThat(up.status()).isEqualTo(200);
+        assertThat(up.text()).startsWith(20 * MB + " ");
+        final BodyClient.Plan slowly = new BodyClient.Plan(to, "down", "/report?result=" + 20 * MB, 0, false,
+            LineSpeed.FULL, LineSpeed.of(20 * MB), -1, false);
+        final BodyClient.Came down = BodyClient.run(slowly);
+        assertThat(down).extracting(BodyClient.Came::status, BodyClient.Came::whole, BodyClient.Came::bytes)
+            .containsExactly(200, true, 20L * MB);
+    }
+
+    @Test
+    void chunksAreABodyToo() {
+        final BodyClient.Plan plan = new BodyClient.Plan(to, "chunks", "/upload", 3 * MB, true,
+            LineSpeed.FULL, LineSpeed.FULL, -1, false);
+        assertThat(BodyClient.run(plan).text()).startsWith(3 * MB + " ");
+        assertThat(site.ran("chunks")).isTrue();
+    }
+
+    /** It cannot have run, and is never sent a second time beyond what is kept. */
+    @Test
+    void workerThatBreaksWithinABodyHasNotRunIt() {
+        final BodyClient.Came came = BodyClient.run(plan("/upload?reset=1000000", 20 * MB));
+        assertThat(came.status()).isEqualTo(503);
+        assertThat(site.ran("b1")).isFalse();
+    }
+
+    @Test
+    void workerThatStallsWithinABodyIsGivenUp() {
+        assertThat(BodyClient.run(plan("/upload?stall=1000000", 40 * MB)).status()).isEqualTo(503);
+        assertThat(site.ran("b1")).isFalse();
+    }
+
+    @Test
+    void resultThatBreaksOrStallsIsNotWhole() {
+        for (final String trouble : List.of("reset", "stall")) {
+            final BodyClient.Came came =
+                BodyClient.run(plan("/report?result=" + 20 * MB + "&" + trouble + "=1000000", 0));
+            assertThat(came).as(trouble).extracting(BodyClient.Came::status, BodyClient.Came::whole)
+                .containsExactly(200, false);
+        }
+    }
+
+    /** A client on a slow line is served; one that sends a byte now and then is not. */
+    @Test
+    void slowLineIsServedAndSlowLorisIsNot() {
+        final BodyClient.Plan line = new BodyClient.Plan(to, "line", "/upload", 100_000, false,
+            LineSpeed.of(40_000), LineSpeed.FULL, -1, false);
+        assertThat(BodyClient.run(line).status()).isEqualTo(200);
+        final BodyClient.Plan loris = new BodyClient.Plan(to, "loris", "/upload", MB, false,
+            LineSpeed.of(40), LineSpeed.FULL, -1, false);
+        assertThat(BodyClient.run(loris).status()).isEqualTo(408);
+        assertThat(site.ran("loris")).isFalse();
+    }
+
+    /** A client that reads at modem speed is no reason to hold more, or to end. */
+    @Test
+    void modemReaderLeavesWithoutTrace() {
+        final BodyClient.Plan modem = new BodyClient.Plan(to, "modem", "/report?result=" + 300 * MB, 0, false,
+            LineSpeed.FULL, LineSpeed.of(7_000), 14_000, false);
+        final BodyClient.Came came = BodyClient.run(modem);
+        assertThat(came.status()).isEqualTo(200);
+        assertThat(came.bytes()).isGreaterThanOrEqualTo(14_000);
+        assertThat(BodyClient.run(plan("/upload", 2 * MB)).status()).isEqualTo(200);
+    }
+}
--- a/src/test/java/cresschute/node/TestNode.java
+++ b/src/test/java/cresschute/node/TestNode.java
@@ -106,6 +106,12 @@
         return event != null && event.startsWith("listed CACHED") ? event() : event;
     }
 
+    /** The next event that is not a note of progress. */
+    String eventBesideProgress() throws InterruptedException {
+        final String event = event();
+        return event != null && event.startsWith("progressed") ? eventBesideProgress() : event;
+    }
+
     void act(Consumer<Actions> action) {
         server.loop().execute(() -> {
             action.accept(actions);
