--- a/src/main/java/cresschute/cli/LabCommand.java
+++ b/src/main/java/cresschute/cli/LabCommand.java
@@ -30,7 +30,7 @@
     @Command(name = "bodies", mixinStandardHelpOptions = true,
         description = "Passes long bodies and results through a node of its own, at unlike speeds and beside "
             + "small reqs; prints tables and draws the node's memory. Every byte is checked.",
-        footer = {"", "Example: cresschute lab bodies --megabytes 300 --chart memory.svg"})
+        footer = {"", "Example: cresschute lab bodies --megabytes 300 --chart memory.png"})
     static final class Bodies implements Callable<Integer> {
 
         @Option(names = "--megabytes", paramLabel = "N", defaultValue = "300",
@@ -49,7 +49,7 @@
             description = "how long slow cases go on (default: ${DEFAULT-VALUE})")
         private int seconds;
 
-        @Option(names = "--chart", paramLabel = "FILE", defaultValue = "bodies.svg",
+        @Option(names = "--chart", paramLabel = "FILE", defaultValue = "bodies.png",
             description = "where the chart goes (default: ${DEFAULT-VALUE})")
         private Path chart;
 
--- a/src/main/java/cresschute/flow/Budget.java
+++ b/src/main/java/cresschute/flow/Budget.java
@@ -11,6 +11,10 @@
  * can take, so that none starves; what is left is lent beyond the windows, to those that asked first, a
  * piece at a time. What is given back goes first to whoever waits, in the order of asking.
  *
+ * <p>The less is free, the less each is lent, so that what is lent to bodies that stand still leaves room for
+ * the windows of others: the dynamic thresholds of shared-memory switches (Choudhury and Hahne, IEEE/ACM
+ * Transactions on Networking 6(2), 1998), with a share of the free part as the threshold.
+ *
  * <p>Pure: no clock, no I/O and no bytes, only their numbers. Its owner is one thread.
  */
 public final class Budget {
@@ -18,6 +22,7 @@
     private final long total;
     private final long window;
     private final long mostLent;
+    private final long lendShare;
     private final long mostOfAClient;
     private final Map<String, Long> windowsOfClients = new HashMap<>();
     private final Deque<Account> waiting = new ArrayDeque<>();
@@ -30,15 +35,17 @@
      * @param total bytes at a time, all bodies together
      * @param window bytes that a body owns while it is open
      * @param mostLent bytes that one body may hold beyond its window
+     * @param lendShare it is lent no more than what is free over this, 1 or above
      * @param mostOfAClient bytes of windows of one client's bodies together
      */
-    public Budget(long total, long window, long mostLent, long mostOfAClient) {
-        if (window <= 0 || total < window || mostLent < 0 || mostOfAClient < window) {
+    public Budget(long total, long window, long mostLent, long lendShare, long mostOfAClient) {
+        if (window <= 0 || total < window || mostLent < 0 || lendShare < 1 || mostOfAClient < window) {
             throw new IllegalArgumentException("a budget has room for one window at least");
         }
         this.total = total;
         this.window = window;
         this.mostLent = mostLent;
+        this.lendShare = lendShare;
         this.mostOfAClient = mostOfAClient;
     }
 
@@ -78,12 +85,20 @@
         return waiting.size();
     }
 
+    private long lendable() {
+        return Math.min(mostLent, (total - inUse()) / lendShare);
+    }
+
     private void lendToWaiting() {
         // Each of those that wait now is served once at the most: one that asks again goes behind the others.
-        for (int left = waiting.size(); left > 0 && inUse() < total && !waiting.isEmpty(); left--) {
+        for (int left = waiting.size(); left > 0 && !waiting.isEmpty() && lendable() > 0; left--) {
             final Account next = waiting.pollFirst();
-            next.queued = false;
-            next.granted.run();
+            if (next.lentHere() < lendable()) {
+                next.queued = false;
+                next.granted.run();
+            } else {
+                waiting.addLast(next);
+            }
         }
     }
 
@@ -115,7 +130,7 @@
             }
             final long own = Math.max(0, window - held);
             final long borrowed = Math.max(0, Math.min(wanted - own,
-                Math.min(mostLent - lentHere(), total - inUse())));
+                lendable() - lentHere()));
             final long taken = Math.min(wanted, own) + borrowed;
             held += taken;
             lent += borrowed;
--- a/src/main/java/cresschute/node/http/LongBodies.java
+++ b/src/main/java/cresschute/node/http/LongBodies.java
@@ -15,6 +15,9 @@
 /** The long bodies of a node: the budget that they share, and what watches their pace. On the loop. */
 final class LongBodies {
 
+    /** With 40 bodies that stand still, each holds two to three windows, and there is room for 130 more. */
+    private static final long LEND_SHARE = 64;
+
     private final Bodies settings;
     private final Budget budget;
     private final Core core;
@@ -24,7 +27,8 @@
     LongBodies(Bodies settings, Core core) {
         this.settings = settings;
         this.core = core;
-        this.budget = new Budget(settings.budget(), settings.window(), settings.lent(), settings.ofAClient());
+        this.budget = new Budget(settings.budget(), settings.window(), settings.lent(), LEND_SHARE,
+            settings.ofAClient());
     }
 
     ClassBodies of(int requestClass) {
--- a/src/main/java/cresschute/settings/Schema.java
+++ b/src/main/java/cresschute/settings/Schema.java
@@ -120,7 +120,7 @@
     static final Field<Long> WINDOW = optional("window", Kind.size(128 * KIB, GIB), 128 * KIB,
         "memory that each owns while its req is open; without room for it, the req is refused");
     static final Field<Long> LENT = optional("lent", Kind.size(0, GIB), 512 * KIB,
-        "memory beyond `window` that one may be lent while there is some");
+        "memory beyond `window` that one may be lent; never more than a 64th of what is free");
     static final Field<Long> SPOOL = optional("spool", Kind.size(0, GIB), 256 * KIB,
         "a body is kept up to this, so that it can be sent to a further worker; not above `window` + `lent`");
     static final Field<Long> OF_A_CLIENT = optional("of_a_client", Kind.size(128 * KIB, 64 * GIB), 8 * MIB,
