Take reqs in one place, and let a result that began early end its fetch once

A backend that begins a long result before it has all of the body had its fetch end a second time when the rest of the body was lost; a req whose chunks turned out to be none stayed open in the core; a second answer could follow a result that had begun. Each is mended at its place and has a test, of which the first fails without the mend.

Lengths stand where they are used, the longest body is worked out once and not for each req.

Two tests wrote on to a connection that the node may have closed by then; one failed so in a full run.

--- a/src/main/java/cresschute/lab/bodies/BodiesTrial.java
+++ b/src/main/java/cresschute/lab/bodies/BodiesTrial.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Supplier;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -67,7 +66,7 @@
                 MemoryLine memory = new MemoryLine(node);
                 PlainRelay plain = new PlainRelay(site.anyWorker())) {
                 speeds(node.address(), plain.address(), memory);
-                slowReaders(site, node.address(), memory);
+                slowReaders(node.address(), memory);
                 besideSmallReqs(node, small, memory);
                 held(node);
                 memory.draw(chart, "direct at the start + budget of "
@@ -144,7 +143,7 @@
     }
 
     /** A client at modem speed while a worker would send all of it at once. */
-    private void slowReaders(BodiesSite site, InetSocketAddress node, MemoryLine memory) {
+    private void slowReaders(InetSocketAddress node, MemoryLine memory) {
         final double since = memory.now();
         final BodyClient.Came came = play(plan(node, new Pair("", true, MODEM, 0), size.bytes(),
             MODEM * size.seconds(), false));
@@ -194,7 +193,8 @@
             final long bytes = RATE * (size.seconds() + 4);
             for (int i = 0; i < count; i++) {
                 final Pair pair = new Pair("", i % 2 == 1, RATE, 0);
-                all.add(start(() -> BodyClient.run(plan(node, pair, bytes, -1, false))));
+                all.add(CompletableFuture.supplyAsync(
+                    () -> BodyClient.run(plan(node, pair, bytes, -1, false)), BodyWorker::daemon));
             }
             Thread.sleep(SETTLED_MS);
         }
@@ -219,18 +219,6 @@
         }
     }
 
-    private static <T> CompletableFuture<T> start(Supplier<T> run) {
-        final CompletableFuture<T> came = new CompletableFuture<>();
-        BodyWorker.daemon(() -> {
-            try {
-                came.complete(run.get());
-            } catch (RuntimeException e) {
-                came.completeExceptionally(e);
-            }
-        });
-        return came;
-    }
-
     // ---- What an open req holds ----
 
     private void held(NodeProcess node) throws IOException, InterruptedException {
@@ -244,23 +232,23 @@
         for (final Socket socket : idle) {
             socket.close();
         }
-        flowing("bodies that flow at 20 kB/s", node, Slow.RATE, 0);
-        flowing("bodies whose worker takes nothing", node, 0, 1);
+        flowing("bodies that flow at 20 kB/s", node, Slow.RATE, "");
+        flowing("bodies whose worker takes nothing", node, 0, "&stall=0");
     }
 
-    private void flowing(String what, NodeProcess node, long rate, int stall) throws InterruptedException {
+    private void flowing(String what, NodeProcess node, long rate, String trouble)
+        throws InterruptedException {
         final NodeProcess.Memory before = settled(node);
         final CountDownLatch ended = new CountDownLatch(size.slow());
-        final AtomicLong refused = new AtomicLong();
         for (int i = 0; i < size.slow(); i++) {
             final Pair pair = new Pair(what, false, rate, 0);
             final BodyClient.Plan base = plan(node.address(), pair,
                 rate == 0 ? size.bytes() : rate * 10, -1, false);
             final BodyClient.Plan plan = new BodyClient.Plan(base.to(), base.id(),
-                base.target() + (stall > 0 ? "&stall=0" : ""), base.upload(), false, base.up(), base.down(),
+                base.target() + trouble, base.upload(), false, base.up(), base.down(),
                 -1, false);
             BodyWorker.daemon(() -> {
-                refused.addAndGet(BodyClient.run(plan).status() == 503 ? 1 : 0);
+                BodyClient.run(plan);
                 ended.countDown();
             });
         }
--- a/src/main/java/cresschute/lab/bodies/PlainRelay.java
+++ b/src/main/java/cresschute/lab/bodies/PlainRelay.java
@@ -13,13 +13,14 @@
 final class PlainRelay implements AutoCloseable {
 
     private static final int BLOCK = 64 * 1024;
+    private static final int BACKLOG = 64;
 
     private final ServerSocket server;
     private final InetSocketAddress to;
 
     PlainRelay(InetSocketAddress to) throws IOException {
         this.to = to;
-        server = new ServerSocket(0, BLOCK, InetAddress.getLoopbackAddress());
+        server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
         BodyWorker.daemon(this::accept);
     }
 
--- a/src/main/java/cresschute/node/Core.java
+++ b/src/main/java/cresschute/node/Core.java
@@ -289,8 +289,7 @@
         }
         req.out.remove(fetch);
         req.mayHaveRun |= mayHaveRun(outcome);
-        final boolean bound = req.streaming != null;
-        if (!req.closed && !bound && req.out.isEmpty() && !req.content.canBeSentAnew()) {
+        if (!req.closed && req.streaming == null && req.out.isEmpty() && !req.content.canBeSentAnew()) {
             answerWhatCannotBeSentAnew(req);
         }
         forgetIfDone(req);
--- a/src/main/java/cresschute/node/http/ClientConnection.java
+++ b/src/main/java/cresschute/node/http/ClientConnection.java
@@ -114,10 +114,12 @@
             reading = new Answer(false, false);
             answers.add(reading);
         }
-        if (answers.size() > 1) {
+        if (answers.size() > 1 || isStreaming()) {
             deaf = true;
             close();
         } else {
+            // Guards a req that was taken with its body still coming: nothing is owed for it any more.
+            reading.clientLeft();
             deafWith(HttpResponseStatus.BAD_REQUEST, "malformed HTTP");
         }
     }
@@ -200,7 +202,7 @@
         if (longBody != null) {
             final long longest = front.longestBody(head.job().requestClass());
             if (!longBody.collect(content, context.alloc(), longest)) {
-                abandon(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over " + longest / KIB + " KiB");
+                abandon(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, over(longest));
             }
             return;
         }
@@ -213,16 +215,18 @@
     }
 
     private void tooLarge(long longest) {
-        deafWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over " + longest / KIB + " KiB");
+        deafWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, over(longest));
+    }
+
+    private static String over(long longest) {
+        return "body over " + longest / KIB + " KiB";
     }
 
     // ---- Long bodies ----
 
     /** Opens the body of the req that is being read; false where it was answered instead. */
     private boolean openLong(long length) {
-        final InetSocketAddress from = (InetSocketAddress) context.channel().remoteAddress();
-        longBody = front.bodies().open(from.getAddress().getHostAddress(), head.job().requestClass(), length,
-            this::roomForBody);
+        longBody = front.bodies().open(clientHost(), head.job().requestClass(), length, this::roomForBody);
         if (longBody == null) {
             deafWith(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused", front.core().retryAfterUs());
             return false;
@@ -234,6 +238,10 @@
         return true;
     }
 
+    private String clientHost() {
+        return ((InetSocketAddress) context.channel().remoteAddress()).getAddress().getHostAddress();
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if (longBody != null) {
@@ -268,27 +276,19 @@
 
     /** The req is taken: all of its body is here, or as much as is kept. */
     private void takeLong() {
-        final Answer answer = reading;
-        if (answer.req != null || answer.isComplete()) {
-            return;
+        if (reading.req == null && !reading.isComplete()) {
+            take(reading, NO_BODY);
         }
-        if (front.core().isOpen(head.requestId())) {
-            abandon(HttpResponseStatus.CONFLICT, "X-Request-Id is in use");
-            return;
-        }
-        if (!answer.reserve()) {
-            deafWith(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused", front.core().retryAfterUs());
-            return;
-        }
-        proven = true;
-        answer.req = front.core().take(new ReqContent(head.requestId(), head.target(),
-            head.idempotencyKey(), NO_BODY, longBody), head.job(), head.waitUs(), answer);
     }
 
     /** A long body that is given up for its client's fault, whether its req was taken or not. */
     private void abandon(HttpResponseStatus status, String why) {
+        final boolean begun = reading.pump != null;
         reading.clientLeft();
-        if (!reading.isComplete()) {
+        if (begun) {
+            // Part of its answer is out: there is no place for another one.
+            close();
+        } else if (!reading.isComplete()) {
             deafWith(status, why);
         }
     }
@@ -333,24 +333,33 @@
         final Answer answer = reading;
         reading = null;
         if (head != null && !answer.isComplete()) {
-            // Guards against a second req under an open one's id: backends would turn both its fetches and
-            // those of the first away, and their health would be judged by it.
-            if (front.core().isOpen(head.requestId())) {
-                body = NO_BODY;
-                answer.complete(HttpResponseStatus.CONFLICT, "X-Request-Id is in use\n", 0);
-                return;
-            }
-            if (!answer.reserve()) {
-                body = NO_BODY;
-                answer.syntheticAnswer(front.core().retryAfterUs());
-                return;
-            }
-            proven = true;
-            final ReqContent content = new ReqContent(head.requestId(), head.target(), head.idempotencyKey(),
-                body.length == bodyBytes ? body : Arrays.copyOf(body, bodyBytes));
+            final byte[] whole = body.length == bodyBytes ? body : Arrays.copyOf(body, bodyBytes);
             // Guards the heap: a connection that waits keeps no body.
             body = NO_BODY;
-            answer.req = front.core().take(content, head.job(), head.waitUs(), answer);
+            take(answer, whole);
+        }
+    }
+
+    private void take(Answer answer, byte[] whole) {
+        // Guards against a second req under an open one's id: backends would turn both its fetches and
+        // those of the first away, and their health would be judged by it.
+        if (front.core().isOpen(head.requestId())) {
+            turnAway(answer, HttpResponseStatus.CONFLICT, "X-Request-Id is in use", 0);
+        } else if (!answer.reserve()) {
+            turnAway(answer, HttpResponseStatus.SERVICE_UNAVAILABLE, "refused", front.core().retryAfterUs());
+        } else {
+            proven = true;
+            answer.req = front.core().take(new ReqContent(head.requestId(), head.target(),
+                head.idempotencyKey(), whole, longBody), head.job(), head.waitUs(), answer);
+        }
+    }
+
+    /** Answers a req that is not taken; a long body that is still coming ends the connection with it. */
+    private void turnAway(Answer answer, HttpResponseStatus status, String why, long retryAfterUs) {
+        if (longBody != null) {
+            deafWith(status, why, retryAfterUs);
+        } else {
+            answer.complete(status, why + "\n", retryAfterUs);
         }
     }
 
@@ -523,9 +532,7 @@
         boolean reserve() {
             final int requestClass = head.job().requestClass();
             if (front.hasLongResults(requestClass)) {
-                final InetSocketAddress from = (InetSocketAddress) context.channel().remoteAddress();
-                result = front.bodies().openResult(from.getAddress().getHostAddress(), requestClass,
-                    context.alloc());
+                result = front.bodies().openResult(clientHost(), requestClass, context.alloc());
                 return result != null;
             }
             return true;
--- a/src/main/java/cresschute/node/http/HttpFetch.java
+++ b/src/main/java/cresschute/node/http/HttpFetch.java
@@ -97,19 +97,28 @@
     /** No fault of the backend's, and it cannot have run: its last byte never went out. */
     @Override
     public void lost() {
-        drop();
-        listener.ended(Outcome.CANCELLED, LoadReport.NONE, null);
+        unsent(Outcome.CANCELLED);
     }
 
     @Override
     public void tooSlow() {
+        unsent(Outcome.CONNECT_FAILED);
+    }
+
+    /** Guards against a second end: a backend may begin its result before it has all of the body. */
+    private void unsent(Outcome outcome) {
         if (result != null) {
-            troubles.trouble(Trouble.BODY_TOO_SLOW, host, "it made too little of a result");
             breakOff();
-            return;
+        } else {
+            end(outcome, LoadReport.NONE, null);
+            drop();
         }
-        drop();
-        listener.ended(Outcome.CONNECT_FAILED, LoadReport.NONE, null);
+    }
+
+    @Override
+    public void makesTooLittle() {
+        troubles.trouble(Trouble.BODY_TOO_SLOW, host, "it made too little of a result");
+        breakOff();
     }
 
     @Override
@@ -205,6 +214,7 @@
     private void endResult(boolean whole) {
         if (!over) {
             over = true;
+            stopPump();
             if (connection != null) {
                 connection.readByHand(false);
             }
@@ -263,19 +273,21 @@
     private void end(Outcome outcome, LoadReport report, String result) {
         if (!over) {
             over = true;
-            if (pump != null) {
-                pump.stop();
-            }
+            stopPump();
             listener.ended(outcome, report, result);
         }
     }
 
-    @Override
-    public Outcome giveUp() {
-        drop();
+    private void stopPump() {
         if (pump != null) {
             pump.stop();
         }
+    }
+
+    @Override
+    public Outcome giveUp() {
+        drop();
+        stopPump();
         // Guards backends' good name against clients that send a long body slowly.
         return written ? Outcome.TIMED_OUT : pump != null ? Outcome.CANCELLED : Outcome.CONNECT_FAILED;
     }
--- a/src/main/java/cresschute/node/http/LongBodies.java
+++ b/src/main/java/cresschute/node/http/LongBodies.java
@@ -20,6 +20,7 @@
 
     private final Bodies settings;
     private final Budget budget;
+    private final long longest;
     private final Core core;
     private final Set<BodyPump> pumps = new LinkedHashSet<>();
     private final Set<LongResult> results = new LinkedHashSet<>();
@@ -29,6 +30,7 @@
         this.core = core;
         this.budget = new Budget(settings.budget(), settings.window(), settings.lent(), LEND_SHARE,
             settings.ofAClient());
+        this.longest = settings.classes().stream().mapToLong(ClassBodies::longest).max().orElse(0);
     }
 
     ClassBodies of(int requestClass) {
@@ -37,7 +39,7 @@
 
     /** The longest that any class allows, bytes. */
     long longest() {
-        return settings.classes().stream().mapToLong(ClassBodies::longest).max().orElse(0);
+        return longest;
     }
 
     /**
--- a/src/main/java/cresschute/node/http/LongBody.java
+++ b/src/main/java/cresschute/node/http/LongBody.java
@@ -8,15 +8,22 @@
 final class LongBody extends LongStream implements ReqBody {
 
     private final long spool;
+    private final long length;
     private final Runnable room;
 
     LongBody(LongBodies owner, Budget.Account account, ClassBodies limits, long spool, long length,
              Runnable room) {
-        super(owner, account, limits, spool, length);
+        super(owner, account, limits, spool);
+        this.length = length;
         this.spool = spool;
         this.room = room;
     }
 
+    /** Bytes that its client's head tells, or -1. */
+    long length() {
+        return length;
+    }
+
     @Override
     void hasRoomAgain() {
         room.run();
@@ -26,9 +33,4 @@
     boolean isBeyondSpool() {
         return read() > spool;
     }
-
-    @Override
-    public boolean canBeSentAnew() {
-        return canBeSentAgain();
-    }
 }
--- a/src/main/java/cresschute/node/http/LongResult.java
+++ b/src/main/java/cresschute/node/http/LongResult.java
@@ -18,7 +18,7 @@
         void readOn();
 
         /** The backend makes too little of it. */
-        void tooSlow();
+        void makesTooLittle();
     }
 
     private final ByteBufAllocator allocator;
@@ -27,7 +27,7 @@
     private Source source;
 
     LongResult(LongBodies owner, Budget.Account account, ClassBodies limits, ByteBufAllocator allocator) {
-        super(owner, account, limits, 0, -1);
+        super(owner, account, limits, 0);
         this.allocator = allocator;
     }
 
@@ -66,7 +66,7 @@
 
     void judge() {
         if (source != null && isSenderTooSlow()) {
-            source.tooSlow();
+            source.makesTooLittle();
         }
     }
 
--- a/src/main/java/cresschute/node/http/LongStream.java
+++ b/src/main/java/cresschute/node/http/LongStream.java
@@ -28,8 +28,7 @@
     private static final int MOST_COST = READ_BYTES + PIECE_BYTES;
 
     final LongBodies owner;
-    final ClassBodies limits;
-    private final long length;
+    private final ClassBodies limits;
     private final Body<ByteBuf> body;
     private final Pace from;
     private ByteBuf filling;
@@ -41,12 +40,10 @@
      * A body of which nothing is read.
      *
      * @param spool what is kept of it for a further sender, bytes
-     * @param length what its head tells, or -1
      */
-    LongStream(LongBodies owner, Budget.Account account, ClassBodies limits, long spool, long length) {
+    LongStream(LongBodies owner, Budget.Account account, ClassBodies limits, long spool) {
         this.owner = owner;
         this.limits = limits;
-        this.length = length;
         this.body = new Body<>(account, spool, ByteBuf::release);
         this.from = newPace();
     }
@@ -59,11 +56,6 @@
         return new Pace(limits.leastRate(), limits.stallUs(), nowUs());
     }
 
-    /** Bytes that its head tells, or -1. */
-    final long length() {
-        return length;
-    }
-
     /** Bytes that have come. */
     final long bytes() {
         return bytes;
@@ -151,7 +143,8 @@
 
     // ---- Out ----
 
-    final boolean canBeSentAgain() {
+    /** Whether a further pump could begin at its first byte. */
+    public final boolean canBeSentAnew() {
         return body.canBeSentAnew();
     }
 
--- a/src/test/java/cresschute/node/LongBodyRulesTest.java
+++ b/src/test/java/cresschute/node/LongBodyRulesTest.java
@@ -247,6 +247,40 @@
         }
     }
 
+    /** What is no chunk ends the body, and with it a req that was taken. */
+    @Test
+    void chunkExtensionWithoutEndIsNoBody() throws Exception {
+        try (TestNode node = node(1); Peer client = node.client()) {
+            client.write(head("r1", -1, "")).writeChunk(0, MIB / 2);
+            assertThat(node.event()).startsWith("requested 1");
+            try (Peer backend = node.backend()) {
+                backend.readHead();
+                client.write("5;" + "x".repeat(10_000));
+                assertThat(client.read()).startsWith("HTTP/1.1 400 ");
+                assertThat(node.eventBesideProgress()).isEqualTo("left 1");
+                assertThat(node.eventBesideProgress()).startsWith("ended 1 0 CANCELLED closed true");
+            }
+            untilFree(node);
+        }
+    }
+
+    /** What comes beyond a stated length is no part of the body, and as a req it is none. */
+    @Test
+    void bytesBeyondTheLengthAreNotPassedOn() throws Exception {
+        try (TestNode node = node(1); Peer client = node.client()) {
+            client.write(head("r1", MIB / 2, "")).writeBytes(0, MIB / 2).write("more\r\n\r\n");
+            try (Peer backend = node.backend()) {
+                backend.readHead();
+                backend.readBytes(0, MIB / 2);
+                assertThat(client.isClosedByOther()).isTrue();
+                assertThat(backend.hasNews()).isFalse();
+                // The job has its body whole and runs on, for nobody.
+                backend.write(DONE);
+                untilFree(node);
+            }
+        }
+    }
+
     /** Nothing for the longest stall, while it is the client's turn. */
     @Test
     void givesUpClientThatSendsNothing() throws Exception {
--- a/src/test/java/cresschute/node/LongResultRulesTest.java
+++ b/src/test/java/cresschute/node/LongResultRulesTest.java
@@ -123,7 +123,9 @@
         try (TestNode node = results(PATIENT_US, false); Peer client = asked(node, "")) {
             try (Peer backend = node.backend()) {
                 backend.read();
-                backend.write(result(",\"length\":" + told)).writeChunk(0, came).write("0\r\n\r\n");
+                // Beside: the node hangs up as soon as it is too long, maybe before all is written.
+                beside(() -> backend.write(result(",\"length\":" + told)).writeChunk(0, came)
+                    .write("0\r\n\r\n"));
                 client.readHead();
                 assertThat(client.readToEnd()).hasSizeLessThan(told);
                 untilFree(node);
@@ -188,13 +190,39 @@
         }
     }
 
+    /**
+     * A backend that begins its result before it has all of the body: its fetch has ended by that, and must
+     * not end again as the rest of the body is lost.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void resultBeforeTheBodysEndEndsItsFetchOnce(boolean whole) throws Exception {
+        try (TestNode node = results(PATIENT_US, false); Peer client = node.client()) {
+            client.write(LongBodyNode.head("r1", MIB, "")).writeBytes(0, MIB / 2);
+            try (Peer backend = node.backend()) {
+                backend.readHead();
+                backend.write(result("")).writeChunk(0, 100);
+                client.readHead();
+                if (whole) {
+                    backend.write("0\r\nX-Job-State: done\r\n\r\n");
+                    client.readChunks(100);
+                } else {
+                    backend.reset();
+                    assertThat(new String(client.readToEnd(), StandardCharsets.ISO_8859_1))
+                        .doesNotEndWith("\r\n0\r\n\r\n");
+                }
+                untilFree(node);
+            }
+        }
+    }
+
     /** A line of this kind from a backend of a class that has no long results is no answer. */
     @Test
     void longResultIsNoAnswerWhereNoneIsExpected() throws Exception {
         try (TestNode node = LongBodyNode.bodies(PATIENT_US, 1); Peer client = asked(node, "")) {
             try (Peer backend = node.backend()) {
                 backend.read();
-                backend.write(result("")).writeChunk(0, 100);
+                backend.write(result(""));
                 assertThat(client.read()).startsWith("HTTP/1.1 503 ");
             }
         }
--- a/src/test/java/cresschute/node/http/BackendConnectionTest.java
+++ b/src/test/java/cresschute/node/http/BackendConnectionTest.java
@@ -2,12 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import cresschute.DispatchApi.LoadReport;
 import cresschute.DispatchApi.Outcome;
-import cresschute.node.Backends.FetchListener;
 import cresschute.node.RateLimitedLog;
 import cresschute.node.ReqContent;
-import cresschute.node.ResultStream;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -17,18 +14,16 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 /** A connection whose time is turned by hand: what is left of a fetch once its answer is whole. */
-class BackendConnectionTest implements FetchListener {
+class BackendConnectionTest {
 
     private static final long IDLE_US = 4_000_000;
     private static final InetSocketAddress ADDR = new InetSocketAddress("127.0.0.1", 9);
 
-    private final List<Outcome> ends = new ArrayList<>();
+    private final NotedEnds noted = new NotedEnds();
     private final RateLimitedLog troubles = new RateLimitedLog(System.getLogger("test"), () -> 0);
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final BackendConnection connection = new BackendConnection(ADDR,
@@ -38,32 +33,12 @@
         channel.freezeTime();
         channel.pipeline().addLast(connection);
         connection.start(new HttpFetch("127.0.0.1:9", new ReqContent("r1", "/check", null, new byte[0]),
-            1_000, this, troubles));
+            1_000, noted, troubles));
         channel.writeInbound(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK),
             new DefaultHttpContent(Unpooled.copiedBuffer(
             "{\"id\":\"r1\",\"state\":\"done\",\"result\":\"yes\"}\n", StandardCharsets.UTF_8)));
     }
 
-    @Override
-    public void progressed(double shareDone) {
-        throw new AssertionError("nothing of the kind came back");
-    }
-
-    @Override
-    public ResultStream resultBegins(String type, long length, LoadReport report) {
-        throw new AssertionError("nothing of the kind came back");
-    }
-
-    @Override
-    public void resultEnded(boolean whole) {
-        throw new AssertionError("nothing of the kind came back");
-    }
-
-    @Override
-    public void ended(Outcome outcome, LoadReport report, String result) {
-        ends.add(outcome);
-    }
-
     private long untilNextTimerMs() {
         final long ns = channel.runScheduledPendingTasks();
         return ns < 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(ns);
@@ -72,7 +47,7 @@
     /** Only the timer of the idle connection is left, which holds nothing of the fetch. */
     @Test
     void wholeAnswerLeavesNoTimerOfItsFetch() {
-        assertThat(ends).containsExactly(Outcome.SERVED);
+        assertThat(noted.ends).containsExactly(Outcome.SERVED);
         channel.writeInbound(LastHttpContent.EMPTY_LAST_CONTENT);
         assertThat(untilNextTimerMs()).isEqualTo(3_000);
     }
--- /dev/null
+++ b/src/test/java/cresschute/node/http/NotedEnds.java
@@ -0,0 +1,34 @@
+package cresschute.node.http;
+
+import cresschute.DispatchApi.LoadReport;
+import cresschute.DispatchApi.Outcome;
+import cresschute.node.Backends.FetchListener;
+import cresschute.node.ResultStream;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Notes how a fetch ended, of which nothing else may come. */
+final class NotedEnds implements FetchListener {
+
+    final List<Outcome> ends = new ArrayList<>();
+
+    @Override
+    public void progressed(double shareDone) {
+        throw new AssertionError("nothing of the kind came back");
+    }
+
+    @Override
+    public ResultStream resultBegins(String type, long length, LoadReport report) {
+        throw new AssertionError("nothing of the kind came back");
+    }
+
+    @Override
+    public void resultEnded(boolean whole) {
+        throw new AssertionError("nothing of the kind came back");
+    }
+
+    @Override
+    public void ended(Outcome outcome, LoadReport report, String result) {
+        ends.add(outcome);
+    }
+}
