Accept on the listener that the platform passes on descriptor 0 over an upgrade

Design: where BALANCER_PASSED_SOCKET is set the node takes System.inheritedChannel() and registers it with its loop (Netty's NioServerSocketChannel over the JDK channel) instead of binding. Both processes of an upgrade accept from one queue, so nothing is refused. At SIGTERM such a node stops accepting at once (the new process said it is ready, or nobody would stop this one) but never closes the listener, and keeps its open connections for the usual 550 ms, answering each with Connection: close. Rejected: binding a second socket with SO_REUSEPORT; the platform's socket is not made for that, and what waits in one process's own queue is lost when that process ends. Only descriptor 0 can be taken over by the JDK: any other number is a clear configuration error.

Test: UpgradeRulesTest plays two nodes on one listening channel: after the old one's stop, new connections reach the new one, the old one's idle connection ends with a FIN and the listener stays open. NodeConfigTest reads the new names and refuses BALANCER_PASSED_SOCKET=3 and a management address without a port.

--- a/src/main/java/cresschute/cli/ServeCommand.java
+++ b/src/main/java/cresschute/cli/ServeCommand.java
@@ -52,6 +52,10 @@
         LogFinder.use(log);
         try {
             Serving.start(node(settings), () -> reread(file), log::close);
+        } catch (ConfigException e) {
+            log.close();
+            spec.commandLine().getErr().println("cresschute: " + e.getMessage());
+            return ExitCodes.UNUSABLE;
         } catch (IllegalStateException e) {
             log.close();
             spec.commandLine().getErr().println("cresschute: cannot start: " + e.getMessage()
--- a/src/main/java/cresschute/node/NodeConfig.java
+++ b/src/main/java/cresschute/node/NodeConfig.java
@@ -34,13 +34,42 @@
  * @param controlSocket the file of the socket for consoles, or null
  * @param stateFolder the folder for what outlives the process, or null
  * @param bodies the room for long bodies, or null where there are none
+ * @param operators where the platform's operators call, and what an upgrade hands over
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress director, long seed,
                          Settings settings, List<String> classes, List<String> zones, List<String> kinds,
                          long connectTimeoutUs, long connIdleUs, int sockets, DirectorList known,
-                         String controlSocket, String stateFolder, Bodies bodies) {
+                         String controlSocket, String stateFolder, Bodies bodies, Operators operators) {
+
+    /**
+     * What the platform's operators are given: a management listener, the clients' listener held by the
+     * platform over an upgrade, and the folder that an upgrade's two processes share.
+     *
+     * @param management where operators' calls come, one line a connection, or null where there is none
+     * @param passedListener whether the clients' listener is descriptor 0, inherited from the platform,
+     *     instead of being bound by the node
+     * @param shared the folder that both processes of an upgrade see and that outlives each of them
+     *     ({@code $TMPDIR}), or null where nothing is shared
+     */
+    public record Operators(InetSocketAddress management, boolean passedListener, String shared) {
+
+        /** None of it: an appliance's node, or a platform's day without operators. */
+        public static final Operators NONE = new Operators(null, false, null);
+    }
+
+    /** A node without the platform's operators. */
+    public NodeConfig(String name, InetSocketAddress listen, InetSocketAddress director, long seed,
+                      Settings settings, List<String> classes, List<String> zones, List<String> kinds,
+                      long connectTimeoutUs, long connIdleUs, int sockets, DirectorList known,
+                      String controlSocket, String stateFolder, Bodies bodies) {
+        this(name, listen, director, seed, settings, classes, zones, kinds, connectTimeoutUs, connIdleUs,
+            sockets, known, controlSocket, stateFolder, bodies, Operators.NONE);
+    }
 
     private static final String DISCOVERY = "BALANCER_DISCOVERY";
+    private static final String PASSED = "BALANCER_PASSED_SOCKET";
+    /** The one descriptor that the JVM hands over as a channel, by {@link System#inheritedChannel}. */
+    private static final String STANDARD_INPUT = "0";
     private static final long DEFAULT_CONNECT_TIMEOUT_US = 250_000;
     private static final long DEFAULT_CONN_IDLE_US = 10_000_000;
     private static final int DEFAULT_SOCKETS = 1024;
@@ -98,13 +127,26 @@
                 (long) Json.number(limits, "connectTimeoutUs", DEFAULT_CONNECT_TIMEOUT_US),
                 (long) Json.number(limits, "connIdleUs", DEFAULT_CONN_IDLE_US),
                 (int) Json.number(machine, "sockets", DEFAULT_SOCKETS),
-                known, null, null, null);
+                known, null, null, null, operators(environment, json));
         } catch (JsonParseException | IllegalArgumentException e) {
             throw new ConfigException("configuration: " + String.valueOf(e.getMessage()).lines().findFirst()
                 .orElse("unusable"));
         }
     }
 
+    private static Operators operators(Map<String, String> environment, JsonObject json) {
+        final String passed = environment.get(PASSED);
+        if (passed != null && !passed.isBlank() && !passed.strip().equals(STANDARD_INPUT)) {
+            throw new IllegalArgumentException(PASSED + " is " + passed + ", but only descriptor "
+                + STANDARD_INPUT + " can be taken over");
+        }
+        final String management = environment.getOrDefault("BALANCER_MANAGEMENT",
+            json.has("management") ? Json.string(json, "management") : null);
+        final String shared = environment.get("TMPDIR");
+        return new Operators(management == null || management.isBlank() ? null : Addresses.parse(management),
+            passed != null && !passed.isBlank(), shared == null || shared.isBlank() ? null : shared);
+    }
+
     /** Whether there is anything for an operator: without it, none of that is so much as loaded. */
     boolean hasDesk() {
         return controlSocket != null || stateFolder != null;
@@ -124,6 +166,7 @@
         note(changed, "control", Objects.equals(controlSocket, next.controlSocket));
         note(changed, "bodies", Objects.equals(bodies, next.bodies));
         note(changed, "state", Objects.equals(stateFolder, next.stateFolder));
+        note(changed, "management", operators.equals(next.operators));
         return changed;
     }
 
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -19,6 +19,7 @@
 import java.lang.management.ManagementFactory;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
@@ -48,16 +49,32 @@
     private final DirectorClient director;
     /** The operator's place, or null where nobody can connect. */
     private final ControlDesk desk;
+    /** The platform's listener, or null. */
+    private final ServerSocketChannel passed;
     private boolean stopping;
     private long breachesLogged;
 
     /** A node that does not listen yet. */
     public NodeServer(NodeConfig config) {
-        this(config, actions -> new Logic(config.settings(), config.seed(), actions));
+        this(config, (ServerSocketChannel) null);
+    }
+
+    /**
+     * A node that does not accept yet.
+     *
+     * @param passed the clients' listener as the platform passed it on, or null where the node binds its own
+     */
+    public NodeServer(NodeConfig config, ServerSocketChannel passed) {
+        this(config, passed, actions -> new Logic(config.settings(), config.seed(), actions));
     }
 
     NodeServer(NodeConfig config, Function<Actions, Events> module) {
+        this(config, (ServerSocketChannel) null, module);
+    }
+
+    NodeServer(NodeConfig config, ServerSocketChannel passed, Function<Actions, Events> module) {
         this.config = config;
+        this.passed = passed;
         final Clock clock = Clock.system();
         final RateLimitedLog troubles = new RateLimitedLog(System.getLogger("cresschute.trouble"), clock);
         final int sockets = Math.max(2, config.sockets() - OTHER_SOCKETS);
@@ -75,7 +92,7 @@
     public SocketAddress start() {
         openDesk();
         loop.execute(() -> core.start(backends, director == null ? () -> { } : director, config.known()));
-        final ChannelFuture bound = front.listen(group, config.listen()).awaitUninterruptibly();
+        final ChannelFuture bound = front.listen(group, config.listen(), passed).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             halt();
             closeDesk();
@@ -163,6 +180,11 @@
                 if (desk != null) {
                     desk.stopping();
                 }
+                if (front.isPassed()) {
+                    // The other process of an upgrade accepts on the same listener: it has said that it is
+                    // ready, or nobody would stop this one. What is open here is still used for a while.
+                    front.stopAcceptingOnly();
+                }
                 loop.schedule(this::stopAccepting, STILL_ACCEPTING_MS, TimeUnit.MILLISECONDS);
             }
         });
--- a/src/main/java/cresschute/node/http/ClientFront.java
+++ b/src/main/java/cresschute/node/http/ClientFront.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -43,6 +44,8 @@
     private final LongBodies bodies;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel server;
+    /** Whether the listener is the platform's, which is never closed here. */
+    private boolean passed;
     private boolean stopping;
     private boolean closing;
 
@@ -61,20 +64,36 @@
 
     /** Listens on this address only. */
     public ChannelFuture listen(EventLoopGroup group, InetSocketAddress addr) {
+        return listen(group, addr, null);
+    }
+
+    /**
+     * Listens on this address only, or accepts on a listener that the platform holds and passed on.
+     *
+     * @param passed bound and listening already, or null; it is shared with the other process of an upgrade
+     */
+    public ChannelFuture listen(EventLoopGroup group, InetSocketAddress addr, ServerSocketChannel passed) {
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        this.passed = passed != null;
         final ServerBootstrap bootstrap = new ServerBootstrap();
         if (bodies != null) {
             bootstrap.childOption(ChannelOption.RECVBUF_ALLOCATOR, LongStream.reads());
         }
-        final ChannelFuture bound = bootstrap.group(group).channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .childOption(ChannelOption.TCP_NODELAY, true)
+        bootstrap.group(group);
+        if (passed == null) {
+            bootstrap.channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, BACKLOG);
+        } else {
+            bootstrap.channelFactory(() -> new NioServerSocketChannel(passed));
+        }
+        bootstrap.childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
                     channel.pipeline().addLast(new HttpServerCodec(), new ClientConnection(ClientFront.this));
                 }
-            }).bind(addr);
+            });
+        // A passed listener is bound: registering it with the loop is all that is left.
+        final ChannelFuture bound = passed == null ? bootstrap.bind(addr) : bootstrap.register();
         server = bound.channel();
         return bound;
     }
@@ -86,11 +105,35 @@
 
     /** Accepts no more, closes what is idle, and the rest once it is answered. */
     public void stopAccepting() {
+        stopAcceptingOnly();
+        closeIdle();
+    }
+
+    /**
+     * Accepts no more; each connection is closed after its next answer. A passed listener stays open, for the
+     * other process of an upgrade accepts on it: connections wait in its queue, and none is refused.
+     */
+    public void stopAcceptingOnly() {
         closing = true;
-        server.close();
+        if (passed) {
+            // Out of this loop's selector, which also keeps the loop's end from closing it.
+            server.config().setAutoRead(false);
+            server.deregister();
+        } else {
+            server.close();
+        }
+    }
+
+    /** Closes the connections that wait for their client's next req. */
+    public void closeIdle() {
         List.copyOf(connections).stream().filter(ClientConnection::isIdle).forEach(ClientConnection::close);
     }
 
+    /** Whether the clients' listener is the platform's, held over an upgrade. */
+    public boolean isPassed() {
+        return passed;
+    }
+
     boolean isReady() {
         return !stopping && core.isReady();
     }
@@ -156,7 +199,7 @@
 
     void closed(ClientConnection connection) {
         connections.remove(connection);
-        if (connections.size() < most && server.isOpen()) {
+        if (connections.size() < most && server.isOpen() && !closing) {
             server.config().setAutoRead(true);
         }
     }
--- a/src/test/java/cresschute/node/NodeConfigTest.java
+++ b/src/test/java/cresschute/node/NodeConfigTest.java
@@ -29,6 +29,32 @@
         assertThat(config.known().version()).isEqualTo(3);
     }
 
+    @Test
+    void readsWhereOperatorsCallAndWhatAnUpgradeHandsOver() throws Exception {
+        final NodeConfig none = NodeConfig.parse(good(), Map.of());
+        assertThat(none.operators()).isEqualTo(NodeConfig.Operators.NONE);
+        final String named = good().replace("\"name\":\"n0\",",
+            "\"name\":\"n0\",\"management\":\"127.0.0.3:91\",");
+        assertThat(NodeConfig.parse(named, Map.of()).operators().management().toString())
+            .isEqualTo("/127.0.0.3:91");
+        final NodeConfig told = NodeConfig.parse(named, Map.of("BALANCER_MANAGEMENT", "127.0.0.4:92",
+            "BALANCER_PASSED_SOCKET", "0", "TMPDIR", "/run/n0"));
+        assertThat(told.operators()).isEqualTo(new NodeConfig.Operators(
+            Addresses.parse("127.0.0.4:92"), true, "/run/n0"));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+        BALANCER_PASSED_SOCKET | 3
+        BALANCER_PASSED_SOCKET | zero
+        BALANCER_MANAGEMENT    | localhost:91
+        BALANCER_MANAGEMENT    | 127.0.0.1
+        """)
+    void refusesAnEnvironmentItCannotUse(String variable, String value) throws Exception {
+        assertThatThrownBy(() -> NodeConfig.parse(good(), Map.of(variable, value)))
+            .isInstanceOf(ConfigException.class).message().contains(value).hasLineCount(1);
+    }
+
     @Test
     void flattensNestedSettings() {
         assertThat(FlatSettings.of(Json.object("""
--- a/src/test/java/cresschute/node/TestNode.java
+++ b/src/test/java/cresschute/node/TestNode.java
@@ -13,6 +13,7 @@
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.SocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -56,13 +57,24 @@
         sendsLeft = sends - 1;
     }
 
+    /** A process of an upgrade: it accepts on the platform's listener, which the other one shares. */
+    TestNode(ServerSocketChannel passed) throws IOException, ConfigException {
+        this((actions, req) -> actions.send(req, 0, Long.MAX_VALUE), true, null, passed);
+    }
+
     private TestNode(BiConsumer<Actions, Integer> onReq, boolean known, Bodies bodies)
         throws IOException, ConfigException {
+        this(onReq, known, bodies, null);
+    }
+
+    private TestNode(BiConsumer<Actions, Integer> onReq, boolean known, Bodies bodies,
+                     ServerSocketChannel passed) throws IOException, ConfigException {
         final String list = list(1, true, known ? entry("s-1", backend, "SERVING") : "");
         final NodeConfig read = NodeConfig.parse(config(director, list), Map.of());
         server = new NodeServer(new NodeConfig(read.name(), read.listen(), read.director(), read.seed(),
             read.settings(), read.classes(), read.zones(), read.kinds(), read.connectTimeoutUs(),
-            read.connIdleUs(), read.sockets(), read.known(), null, null, bodies), given -> {
+            read.connIdleUs(), read.sockets(), read.known(), null, null, bodies,
+            new NodeConfig.Operators(null, passed != null, null)), passed, given -> {
             actions = given;
             return new Notes(onReq);
         });
--- /dev/null
+++ b/src/test/java/cresschute/node/UpgradeRulesTest.java
@@ -0,0 +1,67 @@
+package cresschute.node;
+
+import static cresschute.node.TestNode.answer;
+import static cresschute.node.TestNode.req;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * An upgrade as the platform makes it: two processes on the listener that the platform holds, the old one
+ * stopped once the new one is ready. Here both are nodes of one JVM, on one listening channel.
+ */
+@Timeout(30)
+class UpgradeRulesTest {
+
+    private static String done(String id) {
+        return "{\"id\":\"" + id + "\",\"from\":\"s-1\",\"state\":\"done\",\"result\":\"yes\"}\n";
+    }
+
+    /** Waits until what was handed to a node's loop before now has run there. */
+    private static void settle(TestNode node) throws Exception {
+        for (int i = 0; i < 2; i++) {
+            node.server.loop().submit(() -> { }).get(8, TimeUnit.SECONDS);
+        }
+    }
+
+    @Test
+    void handsThePassedListenerOverWithoutRefusingOrResetting() throws Exception {
+        try (ServerSocketChannel platform = ServerSocketChannel.open()
+            .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+             TestNode old = new TestNode(platform)) {
+            final SocketAddress addr = platform.getLocalAddress();
+            final Peer kept = Peer.connect(addr).write(req("r1", "", ""));
+            final Peer first = old.backend();
+            assertThat(first.read()).contains("X-Request-Id: r1");
+            first.write(answer("200 OK", "", done("r1")));
+            assertThat(kept.read()).startsWith("HTTP/1.1 200");
+            try (TestNode next = new TestNode(platform)) {
+                final CompletableFuture<Void> stopped = old.server.stop();
+                settle(old);
+                // New connections wait in the platform's queue for the new process alone.
+                final Peer late = Peer.connect(addr).write(req("r2", "", ""));
+                final Peer second = next.backend();
+                assertThat(second.read()).contains("X-Request-Id: r2");
+                second.write(answer("200 OK", "", done("r2")));
+                assertThat(late.read()).startsWith("HTTP/1.1 200");
+                // The old process ends its idle connection with a close, never a reset, and then itself.
+                assertThat(kept.readToEnd()).isNotNull().isEmpty();
+                stopped.get(8, TimeUnit.SECONDS);
+                final Peer after = Peer.connect(addr).write(req("r3", "", ""));
+                // On the kept connection to the backend: the new process goes on alone.
+                assertThat(second.read()).contains("X-Request-Id: r3");
+                assertThat(platform.isOpen()).isTrue();
+                after.close();
+                late.close();
+            }
+            kept.close();
+        }
+    }
+}
