Listen for operators' calls: ready, bans of workers, drain of the node, kept over upgrades

Design, a pure core and a thin shell each: - control.ManagementCall parses a call (table of cases in its test); control.socket.ManagementServer is a Netty TCP listener on the node's loop: LineBasedFrameDecoder, one line a connection, one answer line, close. Rejected: the appliance's StateFolder, which one process owns alone by its lock and so cannot serve two processes at once. - node.OperatorsDesk lays bans over the list as the module hears it (the module sees a draining worker, so a ban is a drain by the list, decided there), in force at the call, answered once written or after 500 ms. An id that no list named is refused. Its own calls are laid over what it last read, so a look of the file between a call and its write undoes nothing. - The front's drain (Door): /health/ready and "ready" say no at once; from 500 ms on idle connections are closed and others after their next answer, with Connection: close; resume says yes again at once. Rejected: closing at the call, which sends clients straight back while the front still sends to us.

Tests: ManagementCallTest; OperatorsRulesTest on real sockets: each call's answer, half and silent callers beside a ready call, bans called back and repeated, a ban kept and called back across two processes on one folder, a drain that lets idle and busy connections go and a resume.

--- a/src/main/java/cresschute/control/files/StateFolder.java
+++ b/src/main/java/cresschute/control/files/StateFolder.java
@@ -1,7 +1,7 @@
 package cresschute.control.files;
 
 import cresschute.control.Snapshot;
-import cresschute.control.Snapshot.Damaged;
+import cresschute.control.Framed.Damaged;
 import cresschute.logs.LogEvent;
 import java.io.IOException;
 import java.lang.System.Logger;
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -49,6 +49,8 @@
     private final DirectorClient director;
     /** The operator's place, or null where nobody can connect. */
     private final ControlDesk desk;
+    /** The platform operators' place, or null where they do not call. */
+    private final OperatorsDesk operators;
     /** The platform's listener, or null. */
     private final ServerSocketChannel passed;
     private boolean stopping;
@@ -80,7 +82,10 @@
         final int sockets = Math.max(2, config.sockets() - OTHER_SOCKETS);
         final int forClients = (int) (sockets * CLIENT_PART);
         desk = config.hasDesk() ? new ControlDesk(config, loop, clock) : null;
-        core = new Core(config, loop, clock, troubles, desk == null ? CoreWatcher.NONE : desk, module);
+        operators = desk == null && config.operators().management() != null
+            ? new OperatorsDesk(config, loop) : null;
+        core = new Core(config, loop, clock, troubles,
+            desk != null ? desk : operators != null ? operators : CoreWatcher.NONE, module);
         front = new ClientFront(loop, core, config, forClients);
         backends = new BackendConnections(loop, troubles, config.connectTimeoutUs(), config.connIdleUs(),
             sockets - forClients, config.bodies() != null);
@@ -108,6 +113,18 @@
                 throw new IllegalStateException(e.getMessage(), e);
             }
         }
+        if (operators != null) {
+            final ChannelFuture called = operators.listen().awaitUninterruptibly();
+            if (!called.isSuccess()) {
+                halt();
+                closeDesk();
+                throw new IllegalStateException("cannot listen for operators on "
+                    + text(config.operators().management()) + ": " + called.cause().getMessage(),
+                    called.cause());
+            }
+            LogEvent.of("management_listening", "operators call at " + called.channel().localAddress())
+                .with("address", text(called.channel().localAddress())).log(LOG, Level.INFO);
+        }
         loop.scheduleWithFixedDelay(this::logStatus, STATUS_S, STATUS_S, TimeUnit.SECONDS);
         LogEvent.of("listening", "node " + config.name() + " listens on " + bound.channel().localAddress())
             .with("node", config.name()).with("address", text(bound.channel().localAddress()))
@@ -117,6 +134,15 @@
 
     /** Before the first list is told: no worker that an operator drained gets work at a start. */
     private void openDesk() {
+        if (operators != null) {
+            try {
+                operators.open(core, front);
+            } catch (IOException e) {
+                halt();
+                throw new IllegalStateException("the operators' state in " + config.operators().shared()
+                    + " cannot be used: " + e.getMessage(), e);
+            }
+        }
         if (desk == null) {
             return;
         }
@@ -134,6 +160,9 @@
         if (desk != null) {
             desk.close();
         }
+        if (operators != null) {
+            operators.close();
+        }
     }
 
     /**
@@ -206,8 +235,11 @@
             if (desk != null) {
                 desk.closeSocket();
             }
+            if (operators != null) {
+                operators.closeServer();
+            }
             halt();
-            if (desk == null) {
+            if (desk == null && operators == null) {
                 stopped.complete(null);
             } else {
                 // What is still being written is waited for elsewhere than on the loop.
@@ -244,6 +276,11 @@
         return core;
     }
 
+    /** Where operators call, once started; null where they do not. */
+    SocketAddress managementAddress() {
+        return operators == null ? null : operators.address();
+    }
+
     EventLoop loop() {
         return loop;
     }
--- a/src/main/java/cresschute/node/http/ClientFront.java
+++ b/src/main/java/cresschute/node/http/ClientFront.java
@@ -1,6 +1,7 @@
 package cresschute.node.http;
 
 import cresschute.node.Core;
+import cresschute.node.Door;
 import cresschute.node.NodeConfig;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -21,7 +22,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** The clients' way in over HTTP/1.1: accepts connections and keeps those that are open. */
-public final class ClientFront {
+public final class ClientFront implements Door {
 
     private static final int BACKLOG = 1024;
     private static final long SWEEP_MS = 250;
@@ -35,6 +36,12 @@
     private static final long PARTIAL_MS = 2_500;
     /** The same once no more are accepted. */
     private static final long CLOSING_MS = 2_000;
+    /**
+     * After a drain is asked for, connections are let go from then on, ms. The front asks every 100 ms
+     * whether the node is ready and sends no new connections 200 ms after a no: a connection closed before
+     * that may come straight back.
+     */
+    static final long LET_GO_MS = 500;
 
     private final EventLoop loop;
     private final Core core;
@@ -48,6 +55,11 @@
     private boolean passed;
     private boolean stopping;
     private boolean closing;
+    /** Whether an operator drained the node, and since which of the drains asked for. */
+    private boolean draining;
+    private int drains;
+    /** Whether connections are let go after their answers because of a drain. */
+    private boolean lettingGo;
 
     /**
      * A front that does not listen yet.
@@ -134,12 +146,48 @@
         return passed;
     }
 
-    boolean isReady() {
-        return !stopping && core.isReady();
+    /**
+     * Says no to the front from now on; {@value #LET_GO_MS} ms later, closes what is idle and each other
+     * connection after its next answer. New connections are still accepted, and served the same way.
+     */
+    @Override
+    public void drain() {
+        if (draining) {
+            return;
+        }
+        draining = true;
+        final int drain = ++drains;
+        loop.schedule(() -> {
+            if (draining && drain == drains) {
+                lettingGo = true;
+                closeIdle();
+            }
+        }, LET_GO_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Ends a drain: ready again, and connections are kept as before. */
+    @Override
+    public void resume() {
+        draining = false;
+        lettingGo = false;
+    }
+
+    /** Whether the node says that it is ready: started, a worker known, neither stopping nor drained. */
+    @Override
+    public boolean isReady() {
+        return !stopping && !draining && core.isReady();
+    }
+
+    /** Why it is not, in a few words. */
+    @Override
+    public String whyNotReady() {
+        return stopping ? "stopping" : draining ? "drained by an operator"
+            : !core.isReady() ? "no worker is known yet" : "ready";
     }
 
+    /** Whether connections end after their answers. */
     boolean isClosing() {
-        return closing;
+        return closing || lettingGo;
     }
 
     Core core() {
@@ -217,7 +265,7 @@
                 connection.judgeBody();
                 continue;
             }
-            final long limitMs = closing ? CLOSING_MS : !connection.isProven() ? UNPROVEN_MS
+            final long limitMs = isClosing() ? CLOSING_MS : !connection.isProven() ? UNPROVEN_MS
                 : connection.isIdle() ? QUIET_MS : PARTIAL_MS;
             if (connection.isWaitingForClient()
                 && connection.waitedNs() > TimeUnit.MILLISECONDS.toNanos(limitMs)) {
--- a/src/test/java/cresschute/control/SnapshotTest.java
+++ b/src/test/java/cresschute/control/SnapshotTest.java
@@ -27,11 +27,11 @@
         assertThat(Snapshot.decode(bytes)).isEqualTo(some());
         for (int i = 0; i < bytes.length; i++) {
             final byte[] torn = Arrays.copyOf(bytes, i);
-            assertThatThrownBy(() -> Snapshot.decode(torn)).isInstanceOf(Snapshot.Damaged.class);
+            assertThatThrownBy(() -> Snapshot.decode(torn)).isInstanceOf(Framed.Damaged.class);
             for (int bit = 0; bit < 8; bit++) {
                 final byte[] flipped = bytes.clone();
                 flipped[i] ^= (byte) (1 << bit);
-                assertThatThrownBy(() -> Snapshot.decode(flipped)).isInstanceOf(Snapshot.Damaged.class);
+                assertThatThrownBy(() -> Snapshot.decode(flipped)).isInstanceOf(Framed.Damaged.class);
             }
         }
         assertThatThrownBy(() -> Snapshot.decode(Arrays.copyOf(bytes, bytes.length + 1)))
--- a/src/test/java/cresschute/node/Peer.java
+++ b/src/test/java/cresschute/node/Peer.java
@@ -116,6 +116,18 @@
         return (byte) (at * 0x9E3779B97F4A7C15L >>> 56);
     }
 
+    /** One line, its end aside; null where the other end closes first. */
+    String readLine() throws IOException {
+        final StringBuilder line = new StringBuilder();
+        for (int next = socket.getInputStream().read(); next != '\n'; next = socket.getInputStream().read()) {
+            if (next < 0) {
+                return null;
+            }
+            line.append((char) next);
+        }
+        return line.toString();
+    }
+
     /** A head alone. */
     String readHead() throws IOException {
         final StringBuilder head = new StringBuilder();
--- a/src/test/java/cresschute/node/TestNode.java
+++ b/src/test/java/cresschute/node/TestNode.java
@@ -12,8 +12,10 @@
 import cresschute.settings.ApplianceSettings.Bodies;
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -59,22 +61,31 @@
 
     /** A process of an upgrade: it accepts on the platform's listener, which the other one shares. */
     TestNode(ServerSocketChannel passed) throws IOException, ConfigException {
-        this((actions, req) -> actions.send(req, 0, Long.MAX_VALUE), true, null, passed);
+        this((actions, req) -> actions.send(req, 0, Long.MAX_VALUE), true, null, passed, null);
+    }
+
+    /**
+     * A node whose operators call on a free loopback port and keep what they ask in this folder; {@code
+     * passed}, where not null, is the platform's listener that the other process of an upgrade shares.
+     */
+    TestNode(Path shared, ServerSocketChannel passed) throws IOException, ConfigException {
+        this((actions, req) -> actions.send(req, 0, Long.MAX_VALUE), true, null, passed, shared);
     }
 
     private TestNode(BiConsumer<Actions, Integer> onReq, boolean known, Bodies bodies)
         throws IOException, ConfigException {
-        this(onReq, known, bodies, null);
+        this(onReq, known, bodies, null, null);
     }
 
     private TestNode(BiConsumer<Actions, Integer> onReq, boolean known, Bodies bodies,
-                     ServerSocketChannel passed) throws IOException, ConfigException {
+                     ServerSocketChannel passed, Path shared) throws IOException, ConfigException {
         final String list = list(1, true, known ? entry("s-1", backend, "SERVING") : "");
         final NodeConfig read = NodeConfig.parse(config(director, list), Map.of());
         server = new NodeServer(new NodeConfig(read.name(), read.listen(), read.director(), read.seed(),
             read.settings(), read.classes(), read.zones(), read.kinds(), read.connectTimeoutUs(),
             read.connIdleUs(), read.sockets(), read.known(), null, null, bodies,
-            new NodeConfig.Operators(null, passed != null, null)), passed, given -> {
+            new NodeConfig.Operators(shared == null ? null : new InetSocketAddress("127.0.0.1", 0),
+                passed != null, shared == null ? null : shared.toString())), passed, given -> {
             actions = given;
             return new Notes(onReq);
         });
@@ -132,6 +143,13 @@
         });
     }
 
+    /** Writes one call where operators call, and reads its answer, a line. */
+    String call(String line) throws IOException {
+        try (Peer operator = Peer.connect(server.managementAddress())) {
+            return operator.write(line + "\n").readLine();
+        }
+    }
+
     Peer client() throws IOException {
         return Peer.connect(addr);
     }
