Take new classes, changed classes and fewer attempts at SIGHUP; keep broken files out

The node's log said "changed, but in force from the next start only: classes, limits", and from then on 28% of reqs failed: a probe of the reloaded files showed a new class balance-report_new (side_effect, i.e. never twice) and maxAttempts 5 -> 2, later balance-report gone and submit-nom_new new; the node answered the new class 404. Two of the files were broken (deadlineUs -5, an empty file) and were refused already.

Design: - node.ClassTable (pure): classes since the start under the numbers that the module knows them by. The same class under the same name keeps its number; a new one, or one whose meaning changes, is added under a new number; what is not named any more is retired (no new reqs, reqs under way finish under it). So nothing under way changes meaning, and the module's list only grows. Zones, kinds, connection limits and the management address wait for a restart, as do classes where a console's state folder or long bodies are set, and the log line says so. - node.ConfigShape: a file read again must have every key of the first one (a class under the same name all its keys, a new class those every class had), so a file short of a key with a default is refused rather than half taken. Rejected: a second module for the new configuration beside the old one; both would count all workers' capacity as theirs, and what was learned would start over.

--- a/src/main/java/cresschute/DispatchApi.java
+++ b/src/main/java/cresschute/DispatchApi.java
@@ -212,6 +212,16 @@
             classes = List.copyOf(classes);
             tenants = List.copyOf(tenants);
         }
+
+        /**
+         * Whether these settings may follow others while a module runs: the classes of before come first,
+         * unchanged, and the dispatcher's zone and the numbers of zones and kinds are the same.
+         */
+        public boolean mayFollow(Settings before) {
+            return classes.size() >= before.classes.size()
+                && classes.subList(0, before.classes.size()).equals(before.classes)
+                && zone == before.zone && zones == before.zones && kinds == before.kinds;
+        }
     }
 
     /** One entry of the worker list; {@code startedAtUs} is 0 where it started long ago. */
@@ -259,6 +269,17 @@
 
         /** A timer asked for by {@link Actions#wakeAfter} is due. */
         void woken(long nowUs, long token);
+
+        /**
+         * The settings change while the module runs, as an operator changed them. The classes told before
+         * come first, unchanged and in their order, and new ones may follow; a class that no longer comes
+         * stays and is simply not asked for any more, so a request under way keeps its class. The number of
+         * attempts allowed may fall: that holds for requests under way too, while a rise holds only for those
+         * that arrive later. The dispatcher's zone and the numbers of zones and kinds stay as they were.
+         *
+         * @throws IllegalArgumentException where the classes told before, the zones or the kinds differ
+         */
+        void retuned(long nowUs, Settings settings);
     }
 
     /** What the module asks of the host. */
--- a/src/main/java/cresschute/Fleet.java
+++ b/src/main/java/cresschute/Fleet.java
@@ -3,6 +3,7 @@
 import cresschute.DispatchApi.Placement;
 import cresschute.DispatchApi.RequestClass;
 import cresschute.DispatchApi.Worker;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,14 +17,15 @@
 final class Fleet {
 
     final Map<Integer, Node> nodes = new LinkedHashMap<>();
-    private final int classes;
+    private int classes;
     private final List<Placement> placements;
     private final Map<Long, Pool> pools = new LinkedHashMap<>();
     private final Map<Integer, Kind> kinds = new LinkedHashMap<>();
 
     Fleet(List<Placement> stated) {
         classes = stated.size();
-        placements = Stream.concat(Stream.of(Placement.ANYWHERE), stated.stream()).distinct().toList();
+        placements = new ArrayList<>(Stream.concat(Stream.of(Placement.ANYWHERE), stated.stream()).distinct()
+            .toList());
         budgets(Placement.ANYWHERE);
     }
 
@@ -64,11 +66,32 @@
 
     /** One run of a worker process, not joined yet. */
     Node node(Worker entry) {
-        final List<Pool> memberships = placements.stream().filter(placement -> placement.allows(entry))
+        return new Node(entry, kinds.computeIfAbsent(entry.kind(), k -> new Kind()), memberships(entry),
+            placements.size() * Pool.TYPES, classes);
+    }
+
+    private List<Pool> memberships(Worker entry) {
+        return placements.stream().filter(placement -> placement.allows(entry))
             .flatMap(placement -> IntStream.range(0, Pool.TYPES)
                 .mapToObj(type -> poolOf(placement, type, entry))).toList();
-        return new Node(entry, kinds.computeIfAbsent(entry.kind(), k -> new Kind()), memberships,
-            placements.size() * Pool.TYPES, classes);
+    }
+
+    /**
+     * Takes in classes that came after the start, {@code stated} being all of them in order: placements that
+     * are new get their pools, and every worker joins those that are open to it.
+     */
+    void grow(List<Placement> stated) {
+        classes = stated.size();
+        stated.stream().filter(placement -> !placements.contains(placement)).distinct()
+            .forEach(placements::add);
+        for (final Node node : nodes.values()) {
+            final boolean pooled = node.pooled;
+            leave(node);
+            node.regroup(memberships(node.listed), placements.size() * Pool.TYPES, classes);
+            if (pooled) {
+                join(node);
+            }
+        }
     }
 
     void join(Node node) {
--- a/src/main/java/cresschute/Logic.java
+++ b/src/main/java/cresschute/Logic.java
@@ -96,12 +96,12 @@
     /** Sizes of job told apart in the fill: 1, 2, 4 and more slots. */
     private static final int SIZES = 4;
 
-    private final Settings settings;
+    private Settings settings;
     private final Actions actions;
     private final SplittableRandom random;
-    private final long tickUs;
-    private final Cell[] cells;
-    private final ShareMeter[] tenants;
+    private long tickUs;
+    private Cell[] cells = new Cell[0];
+    private ShareMeter[] tenants;
     private final Fleet fleet;
     private final Map<Integer, Request> open = new LinkedHashMap<>();
     private double meanRunUs;
@@ -119,26 +119,47 @@
         this.actions = actions;
         this.random = new SplittableRandom(seed);
         this.fleet = new Fleet(settings.classes().stream().map(RequestClass::placement).toList());
-        final ClassState[] classes = new ClassState[settings.classes().size()];
-        this.cells = new Cell[classes.length * SIZES * 2];
+        addClasses(null);
+    }
+
+    /** Takes in classes that it has no state of yet, and what follows from them all; keeps such meters. */
+    private void addClasses(ShareMeter[] kept) {
+        final int before = cells.length / (SIZES * 2);
+        final int count = settings.classes().size();
+        cells = Arrays.copyOf(cells, settings.classes().size() * SIZES * 2);
         long tightestUs = 2 * MAX_TICK_US;
-        for (int c = 0; c < classes.length; c++) {
+        for (int c = 0; c < settings.classes().size(); c++) {
             final RequestClass stated = settings.classes().get(c);
             tightestUs = Math.min(tightestUs, stated.aimUs());
-            classes[c] = new ClassState(c, stated, fleet, settings.zone());
-            meanRunUs += classes[c].runUs / classes.length;
-            meanWorth += stated.worth() / classes.length;
-            for (int size = 0; size < SIZES; size++) {
-                cells[cellIndex(c, size, false)] = new Cell(classes[c], size, 1);
-                cells[cellIndex(c, size, true)] = new Cell(classes[c], size, settings.overShareWorth());
+            if (c >= before) {
+                final ClassState added = new ClassState(c, stated, fleet, settings.zone());
+                meanRunUs += before == 0 ? added.runUs / count : 0;
+                meanWorth += before == 0 ? stated.worth() / count : 0;
+                for (int size = 0; size < SIZES; size++) {
+                    cells[cellIndex(c, size, false)] = new Cell(added, size, 1);
+                    cells[cellIndex(c, size, true)] = new Cell(added, size, settings.overShareWorth());
+                }
             }
         }
-        this.tickUs = Math.max(MIN_TICK_US, tightestUs / 2);
-        this.tenants = settings.tenants().stream()
+        tickUs = Math.max(MIN_TICK_US, tightestUs / 2);
+        tenants = kept != null ? kept : settings.tenants().stream()
             .map(tenant -> new ShareMeter(SHARE_SLACK * tenant.quotaPerS() / settings.dispatchers() / 1e6))
             .toArray(ShareMeter[]::new);
     }
 
+    /** What was learned stays; new classes start as at a start; customers' shares go on where unchanged. */
+    @Override
+    public void retuned(long nowUs, Settings next) {
+        if (!next.mayFollow(settings)) {
+            throw new IllegalArgumentException("new settings keep the classes, zones and kinds told before");
+        }
+        final boolean sameTenants = next.tenants().equals(settings.tenants())
+            && next.dispatchers() == settings.dispatchers();
+        settings = next;
+        fleet.grow(next.classes().stream().map(RequestClass::placement).toList());
+        addClasses(sameTenants ? tenants : null);
+    }
+
     private static int cellIndex(int requestClass, int size, boolean overShare) {
         return (requestClass * SIZES + size) * 2 + (overShare ? 1 : 0);
     }
@@ -446,7 +467,8 @@
         cell.owner.longestTryUs = Math.max(cell.owner.longestTryUs, giveUpUs - nowUs);
         final long firstUs = giveUpUs - cell.owner.longestTryUs;
         final Request request = new Request(requestId, cell.owner, cell.worth, needed, job.runHintUs(),
-            job.dataKey(), firstUs, giveUpUs);
+            job.dataKey(), firstUs, giveUpUs,
+            Math.min(settings.limits().maxAttempts(), cell.owner.stated.maxAttempts()));
         if (nowUs - firstUs > request.inTimeUs()) {
             giveUp(request, nowUs);
             return;
@@ -696,7 +718,8 @@
     }
 
     private boolean attemptsUsed(Request request) {
-        return request.sent >= Math.min(settings.limits().maxAttempts(), request.owner.stated.maxAttempts());
+        // Settings that allow fewer attempts hold for those under way too; more never do.
+        return request.sent >= Math.min(settings.limits().maxAttempts(), request.mostSends);
     }
 
     /** Sends a second copy to where there is room now, if the class allows it and it can still be in time. */
--- a/src/main/java/cresschute/Node.java
+++ b/src/main/java/cresschute/Node.java
@@ -2,14 +2,15 @@
 
 import cresschute.DispatchApi.Worker;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.List;
 
 /** One run of a worker process. */
 final class Node {
     final Kind kind;
-    final List<Pool> pools;
-    final List<Pool> budgets;
-    final int[] place;
+    List<Pool> pools;
+    List<Pool> budgets;
+    int[] place;
     Worker listed;
     boolean pooled;
     boolean unnamed;
@@ -19,7 +20,7 @@
     long othersAtUs;
     double slowness = 1;
     int failures;
-    final long[] silentUntilUs;
+    long[] silentUntilUs;
     long restUntilUs;
     long stillUntilUs;
     long heardAtUs;
@@ -36,6 +37,14 @@
         this.silentUntilUs = new long[classes];
     }
 
+    /** Where it belongs once there are more placements or classes; only while it is in no pool. */
+    void regroup(List<Pool> memberships, int slots, int classes) {
+        pools = memberships;
+        budgets = memberships.stream().filter(Pool::hasBudget).toList();
+        place = Arrays.copyOf(place, slots);
+        silentUntilUs = Arrays.copyOf(silentUntilUs, classes);
+    }
+
     /** Whether an entry tells of this run of this machine, whatever its state. */
     boolean isSameRun(Worker entry) {
         return listed.startedAtUs() == entry.startedAtUs() && listed.zone() == entry.zone()
--- a/src/main/java/cresschute/Request.java
+++ b/src/main/java/cresschute/Request.java
@@ -13,6 +13,8 @@
     final long dataKey;
     final long arrivedUs;
     final long giveUpUs;
+    /** Attempts that the settings allowed at its arrival. */
+    final int mostSends;
     final List<Attempt> out = new ArrayList<>(1);
     int sent;
     Node last;
@@ -25,7 +27,7 @@
     Pool bound;
 
     Request(int id, ClassState owner, double worth, double slots, double hintUs, long dataKey,
-            long arrivedUs, long giveUpUs) {
+            long arrivedUs, long giveUpUs, int mostSends) {
         this.id = id;
         this.owner = owner;
         this.worth = worth;
@@ -34,6 +36,7 @@
         this.dataKey = dataKey;
         this.arrivedUs = arrivedUs;
         this.giveUpUs = giveUpUs;
+        this.mostSends = mostSends;
     }
 
     /** Expected running time at the usual pace: what the host was told, or that of its class. */
--- a/src/main/java/cresschute/node/Core.java
+++ b/src/main/java/cresschute/node/Core.java
@@ -9,6 +9,7 @@
 import cresschute.DispatchApi.Outcome;
 import cresschute.DispatchApi.RepeatScope;
 import cresschute.DispatchApi.RequestClass;
+import cresschute.DispatchApi.Settings;
 import cresschute.DispatchApi.Worker;
 import cresschute.DispatchApi.WorkerState;
 import cresschute.logs.LogEvent;
@@ -53,13 +54,13 @@
     private final RateLimitedLog troubles;
     private final Invariant invariant = new Invariant();
     private final Roster roster;
-    private final List<String> classes;
-    private final List<RequestClass> classSettings;
-    private final boolean fullMayHaveRun;
+    private List<String> classes;
+    private List<RequestClass> classSettings;
+    private boolean fullMayHaveRun;
     /** For each class, whether the first byte of a long result is what must be in time. */
-    private final List<Boolean> deadlineToFirst;
+    private List<Boolean> deadlineToFirst;
     /** Advice of the node's own refusals, us. */
-    private final long retryAfterUs;
+    private long retryAfterUs;
     private final CoreWatcher watcher;
     private final Events module;
     private final Map<Integer, Req> open = new HashMap<>();
@@ -100,6 +101,25 @@
         this.module = module.apply(new GatheredActions());
     }
 
+    /**
+     * Takes settings that changed while it runs, on the loop: {@code classes} by the numbers that the
+     * module knows them by, retired ones too, and what the module is to hear. Reqs under way keep their
+     * class; the module hears of the change before any req that comes after it.
+     */
+    void retune(List<String> names, Settings told) {
+        classes = names;
+        classSettings = told.classes();
+        if (deadlineToFirst.size() < names.size()) {
+            // Where classes can change, long results are off: their deadline counts to the last byte.
+            final List<Boolean> grown = new ArrayList<>(deadlineToFirst);
+            grown.addAll(Collections.nCopies(names.size() - deadlineToFirst.size(), false));
+            deadlineToFirst = List.copyOf(grown);
+        }
+        fullMayHaveRun = told.fullMayHaveRun();
+        retryAfterUs = Math.min(OWN_RETRY_US, told.limits().maxRetryAfterUs());
+        gather(null, now -> module.retuned(now, told));
+    }
+
     /** Begins to work: the module hears of the list as it is known, then the director is asked. */
     public void start(Backends toBackends, Director toDirector, DirectorList known) {
         backends = toBackends;
--- a/src/main/java/cresschute/node/NodeConfig.java
+++ b/src/main/java/cresschute/node/NodeConfig.java
@@ -35,11 +35,13 @@
  * @param stateFolder the folder for what outlives the process, or null
  * @param bodies the room for long bodies, or null where there are none
  * @param operators where the platform's operators call, and what an upgrade hands over
+ * @param shape the keys of the platform's file, which a file read again must have too
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress director, long seed,
                          Settings settings, List<String> classes, List<String> zones, List<String> kinds,
                          long connectTimeoutUs, long connIdleUs, int sockets, DirectorList known,
-                         String controlSocket, String stateFolder, Bodies bodies, Operators operators) {
+                         String controlSocket, String stateFolder, Bodies bodies, Operators operators,
+                         ConfigShape shape) {
 
     /**
      * What the platform's operators are given: a management listener, the clients' listener held by the
@@ -63,7 +65,21 @@
                       long connectTimeoutUs, long connIdleUs, int sockets, DirectorList known,
                       String controlSocket, String stateFolder, Bodies bodies) {
         this(name, listen, director, seed, settings, classes, zones, kinds, connectTimeoutUs, connIdleUs,
-            sockets, known, controlSocket, stateFolder, bodies, Operators.NONE);
+            sockets, known, controlSocket, stateFolder, bodies, Operators.NONE, ConfigShape.NONE);
+    }
+
+    /** A node with the platform's operators, of a file whose keys are not looked at again. */
+    public NodeConfig(String name, InetSocketAddress listen, InetSocketAddress director, long seed,
+                      Settings settings, List<String> classes, List<String> zones, List<String> kinds,
+                      long connectTimeoutUs, long connIdleUs, int sockets, DirectorList known,
+                      String controlSocket, String stateFolder, Bodies bodies, Operators operators) {
+        this(name, listen, director, seed, settings, classes, zones, kinds, connectTimeoutUs, connIdleUs,
+            sockets, known, controlSocket, stateFolder, bodies, operators, ConfigShape.NONE);
+    }
+
+    /** The keys of this node's first file that a file read again lacks; empty where it is whole. */
+    public List<String> missingIn(NodeConfig later) {
+        return shape.missingIn(later.shape);
     }
 
     private static final String DISCOVERY = "BALANCER_DISCOVERY";
@@ -127,7 +143,7 @@
                 (long) Json.number(limits, "connectTimeoutUs", DEFAULT_CONNECT_TIMEOUT_US),
                 (long) Json.number(limits, "connIdleUs", DEFAULT_CONN_IDLE_US),
                 (int) Json.number(machine, "sockets", DEFAULT_SOCKETS),
-                known, null, null, null, operators(environment, json));
+                known, null, null, null, operators(environment, json), ConfigShape.of(json));
         } catch (JsonParseException | IllegalArgumentException e) {
             throw new ConfigException("configuration: " + String.valueOf(e.getMessage()).lines().findFirst()
                 .orElse("unusable"));
@@ -157,10 +173,9 @@
         final List<String> changed = new ArrayList<>();
         note(changed, "name", name.equals(next.name));
         note(changed, "listen", listen.equals(next.listen));
-        note(changed, "classes", classes.equals(next.classes)
-            && settings.classes().equals(next.settings.classes()));
+        // Classes and the module's settings are taken by a running node, where it can; it says so itself.
         note(changed, "limits", connectTimeoutUs == next.connectTimeoutUs && connIdleUs == next.connIdleUs
-            && sockets == next.sockets && settings.limits().equals(next.settings.limits()));
+            && sockets == next.sockets);
         note(changed, "workers", (director == null) == (next.director == null)
             && (director != null || known.entries().equals(next.known.entries())));
         note(changed, "control", Objects.equals(controlSocket, next.controlSocket));
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -2,6 +2,7 @@
 
 import cresschute.DispatchApi.Actions;
 import cresschute.DispatchApi.Events;
+import cresschute.DispatchApi.Settings;
 import cresschute.Logic;
 import cresschute.logs.LogEvent;
 import cresschute.node.http.BackendConnections;
@@ -20,6 +21,7 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
@@ -55,6 +57,9 @@
     private final ServerSocketChannel passed;
     private boolean stopping;
     private long breachesLogged;
+    /** The classes since the start, and the settings that the module was told last. */
+    private ClassTable classTable;
+    private Settings told;
 
     /** A node that does not listen yet. */
     public NodeServer(NodeConfig config) {
@@ -77,6 +82,8 @@
     NodeServer(NodeConfig config, ServerSocketChannel passed, Function<Actions, Events> module) {
         this.config = config;
         this.passed = passed;
+        this.classTable = ClassTable.of(config.classes(), config.settings().classes());
+        this.told = config.settings();
         final Clock clock = Clock.system();
         final RateLimitedLog troubles = new RateLimitedLog(System.getLogger("cresschute.trouble"), clock);
         final int sockets = Math.max(2, config.sockets() - OTHER_SOCKETS);
@@ -172,6 +179,11 @@
     public synchronized void reload(Callable<NodeConfig> source) {
         try {
             final NodeConfig next = source.call();
+            final List<String> missing = config.missingIn(next);
+            if (!missing.isEmpty()) {
+                throw new ConfigException("the file lacks what the first one had: " + String.join(", ",
+                    missing.subList(0, Math.min(5, missing.size()))) + (missing.size() > 5 ? ", ..." : ""));
+            }
             loop.execute(() -> follow(next));
         } catch (Exception e) {
             // Guards against a file that is half written or wrong: what is in force goes on.
@@ -187,10 +199,53 @@
         final String where = director == null ? "the list of workers is fixed"
             : "the director is at " + text(next.director() == null ? config.director() : next.director());
         // Told so that nobody takes a change for made that only the next start makes.
-        final List<String> held = config.changedFor(next);
-        LogEvent.of("reloaded", "reloaded: " + where + (held.isEmpty() ? ""
+        final List<String> held = new ArrayList<>(config.changedFor(next));
+        final String retuned = retune(next, held);
+        LogEvent.of("reloaded", "reloaded: " + where + retuned + (held.isEmpty() ? ""
             : "; changed, but in force from the next start only: " + String.join(", ", held)))
-            .with("held", String.join(",", held)).log(LOG, Level.INFO);
+            .with("held", String.join(",", held))
+            .with("classes", String.join(",", classTable.live().keySet()))
+            .log(LOG, Level.INFO);
+    }
+
+    /**
+     * Takes the classes and the module's settings of a new configuration, where a running node can: reqs
+     * under way keep their class, and new ones are read by the new classes from this turn on. What cannot be
+     * taken is added to {@code held}. Says what changed, for the log.
+     */
+    private String retune(NodeConfig next, List<String> held) {
+        final Settings now = told;
+        final Settings wanted = next.settings();
+        if (wanted.zone() != now.zone() || wanted.zones() != now.zones() || wanted.kinds() != now.kinds()
+            || !next.zones().equals(config.zones()) || !next.kinds().equals(config.kinds())) {
+            held.add("zones and kinds");
+            return "";
+        }
+        final ClassTable table;
+        try {
+            table = classTable.after(next.classes(), wanted.classes());
+        } catch (IllegalArgumentException e) {
+            held.add("classes (" + e.getMessage() + ")");
+            return "";
+        }
+        final boolean classesChange = !table.isSameAs(classTable);
+        if (classesChange && (desk != null || config.bodies() != null)) {
+            // A console's figures and the room for long bodies are counted by the classes of the start.
+            held.add("classes");
+            return "";
+        }
+        final Settings retold = table.told(wanted, now);
+        if (!classesChange && retold.equals(now) || !retold.mayFollow(now)) {
+            return "";
+        }
+        final String changes = table.changesFrom(classTable);
+        classTable = table;
+        told = retold;
+        core.retune(table.names(), retold);
+        front.retune(table.live(), table.classes());
+        return "; settings in force" + (changes.isEmpty() ? "" : ", classes " + changes)
+            + (retold.limits().equals(now.limits()) ? ""
+            : ", attempts at most " + retold.limits().maxAttempts());
     }
 
     private static String text(SocketAddress address) {
--- a/src/main/java/cresschute/node/http/ClientFront.java
+++ b/src/main/java/cresschute/node/http/ClientFront.java
@@ -1,5 +1,6 @@
 package cresschute.node.http;
 
+import cresschute.DispatchApi.RequestClass;
 import cresschute.node.Core;
 import cresschute.node.Door;
 import cresschute.node.NodeConfig;
@@ -17,6 +18,7 @@
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -45,7 +47,7 @@
 
     private final EventLoop loop;
     private final Core core;
-    private final ReqHead.Parser parser;
+    private ReqHead.Parser parser;
     private final int most;
     /** Null where bodies are short. */
     private final LongBodies bodies;
@@ -74,6 +76,14 @@
         this.bodies = config.bodies() == null ? null : new LongBodies(config.bodies(), core);
     }
 
+    /**
+     * Reads reqs of these classes from now on, on the loop: {@code live} gives the number of each class that
+     * new reqs may be of, {@code classes} all of them by number.
+     */
+    public void retune(Map<String, Integer> live, List<RequestClass> classes) {
+        parser = new ReqHead.Parser(live, classes);
+    }
+
     /** Listens on this address only. */
     public ChannelFuture listen(EventLoopGroup group, InetSocketAddress addr) {
         return listen(group, addr, null);
--- a/src/main/java/cresschute/node/http/ReqHead.java
+++ b/src/main/java/cresschute/node/http/ReqHead.java
@@ -53,6 +53,12 @@
             this.classes = classes;
         }
 
+        /** Classes by the numbers that the module knows them by; only those named are taken. */
+        Parser(Map<String, Integer> live, List<RequestClass> classes) {
+            numbers.putAll(live);
+            this.classes = classes;
+        }
+
         ReqHead parse(HttpRequest request) throws UnusableHead {
             final String target = originForm(request.uri());
             final QueryStringDecoder query = query(target);
--- /dev/null
+++ b/src/test/java/cresschute/node/ClassTableTest.java
@@ -0,0 +1,72 @@
+package cresschute.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import cresschute.DispatchApi.Effect;
+import cresschute.DispatchApi.Placement;
+import cresschute.DispatchApi.RepeatScope;
+import cresschute.DispatchApi.RequestClass;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** A class keeps its number for good; what changes or goes is retired, and changed ones come anew. */
+class ClassTableTest {
+
+    private static RequestClass of(Effect effect, double worth) {
+        return new RequestClass(worth, 400_000, 2, 5_000_000, effect, RepeatScope.ALL, 0, Placement.ANYWHERE);
+    }
+
+    private static final RequestClass PURE = of(Effect.SAFE, 2);
+    private static final RequestClass KEYED = of(Effect.KEYED, 5);
+    private static final RequestClass ONCE = of(Effect.UNSAFE, 1);
+
+    private final ClassTable start = ClassTable.of(List.of("check", "file"), List.of(PURE, KEYED));
+
+    @Test
+    void theSameClassesKeepTheirNumbers() {
+        final ClassTable again = start.after(List.of("file", "check"), List.of(KEYED, PURE));
+        assertThat(again.isSameAs(start)).isTrue();
+        assertThat(again.live()).isEqualTo(Map.of("check", 0, "file", 1));
+        assertThat(again.changesFrom(start)).isEmpty();
+    }
+
+    @Test
+    void aNewClassIsAddedAndOneThatGoesIsRetired() {
+        final ClassTable next = start.after(List.of("check", "report"), List.of(PURE, ONCE));
+        assertThat(next.classes()).containsExactly(PURE, KEYED, ONCE);
+        assertThat(next.names()).containsExactly("check", "file", "report");
+        assertThat(next.live()).isEqualTo(Map.of("check", 0, "report", 2));
+        assertThat(next.changesFrom(start)).isEqualTo("new: report; no longer taken: file");
+    }
+
+    @Test
+    void aChangedClassComesAnewUnderItsName() {
+        final ClassTable next = start.after(List.of("check", "file"), List.of(PURE, ONCE));
+        assertThat(next.classes()).containsExactly(PURE, KEYED, ONCE);
+        assertThat(next.changesFrom(start)).isEqualTo("changed: file");
+        assertThat(next.live()).isEqualTo(Map.of("check", 0, "file", 2));
+        // And back again: the old meaning is a new number too, for the retired one may have reqs under way.
+        final ClassTable back = next.after(List.of("check", "file"), List.of(PURE, KEYED));
+        assertThat(back.live()).isEqualTo(Map.of("check", 0, "file", 3));
+    }
+
+    @Test
+    void refusesANameTwiceAndMoreNumbersThanItGivesOut() {
+        assertThatThrownBy(() -> start.after(List.of("check", "check"), List.of(PURE, KEYED)))
+            .hasMessageContaining("named twice");
+        ClassTable table = start;
+        final List<String> names = new ArrayList<>();
+        final List<RequestClass> classes = new ArrayList<>();
+        for (int i = 0; table.size() + 1 <= ClassTable.MOST; i++) {
+            names.add("c" + i);
+            classes.add(PURE);
+            table = table.after(names, classes);
+        }
+        final ClassTable full = table;
+        assertThatThrownBy(() -> full.after(List.of("more"), List.of(PURE)))
+            .hasMessageContaining("more than " + ClassTable.MOST);
+    }
+}
--- /dev/null
+++ b/src/test/java/cresschute/node/RetuneRulesTest.java
@@ -0,0 +1,80 @@
+package cresschute.node;
+
+import static cresschute.node.TestNode.answer;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Settings changed at SIGHUP: classes come and go, reqs under way keep theirs, broken files do nothing. */
+@Timeout(30)
+class RetuneRulesTest {
+
+    private static final String FILE_CLASS = """
+        {"name":"file","idempotency":"token","group":"cell","keyTtlUs":4000000,"goalTimeUs":400000,
+          "deadlineUs":5000000}""";
+    private static final String REPORT_CLASS = """
+        {"name":"report","idempotency":"side_effect","worth":1,"goalTimeUs":400000,"deadlineUs":5000000}""";
+
+    private static String post(String path, String id) {
+        return "POST /" + path + "?obj=2a HTTP/1.1\r\nHost: api\r\nX-Request-Id: " + id
+            + "\r\nIdempotency-Key: k" + id + "\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    private static String done(String id) {
+        return "{\"id\":\"" + id + "\",\"from\":\"s-1\",\"state\":\"done\",\"result\":\"yes\"}\n";
+    }
+
+    private static void reload(TestNode node, String text) {
+        node.server.reload(() -> NodeConfig.parse(text, Map.of()));
+    }
+
+    @Test
+    void takesNewClassesAndFewerAttemptsWhileReqsUnderWayKeepTheirClass() throws Exception {
+        try (TestNode node = new TestNode(); Peer early = node.client(); Peer late = node.client();
+             Peer gone = node.client()) {
+            early.write(post("file", "r1"));
+            assertThat(node.event()).isEqualTo("requested 1 class 1 key 42");
+            final Peer backend = node.backend();
+            assertThat(backend.read()).contains("POST /file");
+            final String text = node.configText();
+            assertThat(text).contains(FILE_CLASS.strip());
+            reload(node, text.replace(FILE_CLASS.strip(), REPORT_CLASS.strip())
+                .replace("\"retryAfter\":true", "\"retryAfter\":true,\"maxAttempts\":2"));
+            assertThat(node.event()).isEqualTo("retuned 3 classes, attempts 2");
+            late.write(post("report", "r2"));
+            assertThat(node.event()).isEqualTo("requested 2 class 2 key 42");
+            // A class that is gone is none: nothing new is taken for it.
+            assertThat(gone.write(post("file", "r3")).read()).startsWith("HTTP/1.1 404");
+            backend.write(answer("200 OK", "", done("r1")));
+            assertThat(early.read()).startsWith("HTTP/1.1 200").endsWith("yes");
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '\'', emptyValue = "", textBlock = """
+        empty             |                                            | ''
+        cut off           |                                            | '{"name":"n0","listen":"127.0.0.1:0",'
+        short of a key    | '"goalTimeUs":400000,"deadlineUs":5000000}' | '"goalTimeUs":400000}'
+        short of a block  | '"zones":["a"],'                            | ''
+        a key with a default | ',"membershipMode":"ask"'               | ''
+        a class's key     | '"group":"cell",'                           | ''
+        deadline under 0  | '"deadlineUs":5000000}'                     | '"deadlineUs":-5}'
+        deadline of 0     | '"deadlineUs":5000000}'                     | '"deadlineUs":0}'
+        no attempts       | '"retryAfter":true'                         | '"retryAfter":true,"maxAttempts":0'
+        a class twice     | '"name":"file"'                             | '"name":"check"'
+        """)
+    void keepsTheOldSettingsWholeWhereAFileIsBroken(String what, String from, String to) throws Exception {
+        try (TestNode node = new TestNode(); Peer client = node.client()) {
+            final String text = node.configText();
+            assertThat(text).as(what).contains(from == null ? "" : from);
+            reload(node, from == null ? to : text.replace(from, to));
+            // Had it been taken, the module would hear of it before the next req.
+            client.write(post("file", "r1"));
+            assertThat(node.event()).as(what).isEqualTo("requested 1 class 1 key 42");
+        }
+    }
+}
