--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -33,6 +33,8 @@
 
     /** How long after a stop is asked for clients may still come and send, ms. */
     private static final long STILL_ACCEPTING_MS = 550;
+    /** How often a stopping node tells what is still owed, ms. */
+    private static final long STILL_OWED_MS = 500;
     /** How often the state is looked at for the log, s. */
     private static final long STATUS_S = 10;
     /** Descriptors that are not for clients or backends: the JVM's own, the director's, the listener. */
@@ -57,6 +59,7 @@
     private final ServerSocketChannel passed;
     private boolean stopping;
     private long breachesLogged;
+    private long stillOwedAtMs;
     /** The classes since the start, and the settings that the module was told last. */
     private ClassTable classTable;
     private Settings told;
@@ -284,6 +287,14 @@
 
     /** Done once no client has a connection: each is closed when its last answer is written. */
     private void exitIfDone() {
+        final long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+        if (front.open() > 0 && nowMs >= stillOwedAtMs) {
+            // What a kill would cut off, told while there is time: the last such line is what it cut.
+            stillOwedAtMs = nowMs + STILL_OWED_MS;
+            LogEvent.of("still_owed", "stopping: " + core.owed() + " reqs are still owed an answer, "
+                + front.open() + " client connections open").with("count", core.owed())
+                .with("client_connections", front.open()).log(LOG, Level.INFO);
+        }
         if (front.open() == 0 && !stopped.isDone()) {
             logStatus();
             LogEvent.of("stopped", "stopped: everything taken is answered").log(LOG, Level.INFO);
