Ask workers anew sooner the more dispatchers send: reports age by the fleet

A trace of every send, start note, end and answer on all nodes (a probe build, not kept) showed 17 in 100 fetches waiting over 100 ms for their start, with a clean gap: 1,386 starts came within 30 ms, then few until 100 ms. Rebuilt from all nodes' traces, 50 of 60 workers had a free slot at a typical send, yet 23 in 100 sends went to a full one: worse than chance. The module's estimate at such sends was 3.1 slots in use where 6.1 were held. Sends after a probe met a full worker 12 times in 100, sends without one 30 times; even unprobed reports under 0.5 s old gave 24, as reports on answers are refreshed every 1.5 s and come late.

At fault: Logic.attempt asked anew only when a drawn worker's report was older than STALE_RUNS x meanRunUs, 23 s here. That holds for one dispatcher; with n of them the others send n - 1 times as much as this one, so the news ages n times faster. The age of old news is now divided by the number of dispatchers; one dispatcher decides as before.

Test: LogicTest.aReportIsOldNewsSoonerTheMoreDispatchersSend (a report 1 s old is asked anew with 14 dispatchers, not with 1; fails without the fix).

--- a/src/main/java/cresschute/Logic.java
+++ b/src/main/java/cresschute/Logic.java
@@ -57,7 +57,7 @@
     private static final double BUSY_WEIGHT = 0.05;
     /** Share of every class admitted whatever the budget says, so that its estimates stay alive. */
     static final double FLOOR = 0.02;
-    /** Age at which a load report is old news, in mean running times, and how many are asked anew then. */
+    /** Age of old news in a report, in mean running times over the dispatchers; how many are asked anew. */
     private static final double STALE_RUNS = 6;
     private static final int ASKED = 3;
     /** Weight of one sample in the running time of a class, the slowness of a worker and of a kind. */
@@ -499,9 +499,10 @@
             return;
         }
         final List<Node> drawn = draw(request, nowUs, 2);
-        // Guards against old news: where jobs end sooner, fresh reports are asked for before the choice.
+        // Guards against old news: the sooner jobs end, and the more dispatchers send, the sooner it is old.
+        final double oldUs = STALE_RUNS * meanRunUs / settings.dispatchers();
         if (settings.probing() && settings.reportsLoad() && drawn.size() > 1
-            && nowUs - Math.min(drawn.get(0).othersAtUs, drawn.get(1).othersAtUs) > STALE_RUNS * meanRunUs) {
+            && nowUs - Math.min(drawn.get(0).othersAtUs, drawn.get(1).othersAtUs) > oldUs) {
             request.ask(draw(request, nowUs, ASKED).stream().limit(ASKED).toList());
             request.asked.forEach(node -> actions.probe(node.listed.id()));
         } else if (!drawn.isEmpty()) {
--- a/src/test/java/cresschute/LogicTest.java
+++ b/src/test/java/cresschute/LogicTest.java
@@ -834,6 +834,29 @@
         assertThat(host.sends).hasSize(2);
     }
 
+    /**
+     * nairobi-noms, zone+vast: 14 dispatchers trusted reports for 23 s; 30 in 100 unprobed sends met a
+     * full worker, 12 in 100 probed ones. Each of the others sends as much again, so news ages that much
+     * faster.
+     */
+    @ParameterizedTest(name = "{0} dispatchers, a report {1} ms old: asked anew {2}")
+    @CsvSource({"1, 1000, false", "14, 1000, true", "14, 100, false"})
+    void aReportIsOldNewsSoonerTheMoreDispatchersSend(int dispatchers, long ageMs, boolean asked) {
+        final Recorder host = new Recorder(Recorder.probing(List.of(job(1, Effect.SAFE, RepeatScope.ALL)),
+            dispatchers));
+        host.list(ListForm.CACHED, worker(1, 0, 0), worker(2, 0, 0));
+        host.pass(10 * SECOND);
+        host.request(1, 0);
+        host.module.probed(host.nowUs, 1, Outcome.SERVED, new LoadReport(4, -1, -1));
+        host.module.probed(host.nowUs, 2, Outcome.SERVED, new LoadReport(4, -1, -1));
+        host.end(1, 0, host.lastSend().worker(), Outcome.SERVED);
+        host.pass(ageMs * 1000);
+        host.probed.clear();
+        host.request(2, 0);
+        assertThat(host.probed.isEmpty()).isEqualTo(!asked);
+        assertThat(host.sends).hasSize(asked ? 1 : 2);
+    }
+
     @Test
     void aWorkerThatDoesNotAnswerIsNotWaitedFor() {
         final Recorder host = probing();
--- a/src/test/java/cresschute/Recorder.java
+++ b/src/test/java/cresschute/Recorder.java
@@ -74,7 +74,11 @@
     }
 
     static Settings probing(List<RequestClass> classes) {
-        return settings(classes, List.of(), 1, false, true, false, Settings.UNLIMITED);
+        return probing(classes, 1);
+    }
+
+    static Settings probing(List<RequestClass> classes, int dispatchers) {
+        return settings(classes, List.of(), dispatchers, false, true, false, Settings.UNLIMITED);
     }
 
     private static Settings settings(List<RequestClass> classes, List<Tenant> tenants, int dispatchers,
