Give up a req's other copies once one has answered it, without blame on them

For small results Core.end left the other fetches out ("its fetches run on"); only a long result's first byte gave them up (resultBegins).

Change: once a fetch serves its req, the others are given up as the protocol ends an attempt (their connections are closed), and the module is told CANCELLED, as for long results, so that their workers are not blamed: a TIMED_OUT would count against them in learnHealth.

Tests: CoreTest.givesUpTheOtherCopiesOnceOneServesWithoutBlame (three copies, the middle one serves: the two others are given up once each and ended CANCELLED) and SocketRulesTest.aCopyIsGivenUpOnceAnotherHasAnswered (the first copy's backend sees its connection closed after the second answered); both fail without the change.

--- a/src/main/java/cresschute/node/Core.java
+++ b/src/main/java/cresschute/node/Core.java
@@ -317,6 +317,23 @@
         // Nothing is owed by the module once a result is on its way.
         gather(req, now -> module.ended(now, req.id, fetch.number, fetch.backend, outcome, elapsedUs,
             req.closed || req.streaming != null, report));
+        if (outcome == Outcome.SERVED && req.streaming == null) {
+            giveUpOthers(req, fetch);
+        }
+    }
+
+    /**
+     * Gives up every fetch of a req but the one that answers it, and tells the module that they were
+     * cancelled: no blame on their backends. Guards against a copy that waits in a backend's queue behind
+     * others' jobs and would run there for nobody; the backend may drop it once its connection is closed.
+     */
+    private void giveUpOthers(Req req, Fetch answering) {
+        for (final Fetch other : List.copyOf(req.out)) {
+            if (other != answering) {
+                other.call.giveUp();
+                end(other, Outcome.CANCELLED, LoadReport.NONE, null);
+            }
+        }
     }
 
     /**
@@ -335,12 +352,7 @@
             return null;
         }
         req.streaming = fetch;
-        for (final Fetch other : List.copyOf(req.out)) {
-            if (other != fetch) {
-                other.call.giveUp();
-                end(other, Outcome.CANCELLED, LoadReport.NONE, null);
-            }
-        }
+        giveUpOthers(req, fetch);
         req.overdue.cancel(false);
         if (deadlineToFirst.get(req.requestClass)) {
             req.dueUs = Long.MAX_VALUE;
--- a/src/test/java/cresschute/node/CoreTest.java
+++ b/src/test/java/cresschute/node/CoreTest.java
@@ -28,8 +28,10 @@
     private final EmbeddedChannel loop = new EmbeddedChannel();
     private final List<String> heard = new ArrayList<>();
     private final List<Backends.FetchListener> fetches = new ArrayList<>();
+    private final List<Integer> givenUp = new ArrayList<>();
     private long nowUs = 1_000_000;
     private boolean moduleThrows;
+    private int copies = 1;
     private boolean connectionsThrow;
     private Actions actions;
     private Core core;
@@ -55,7 +57,11 @@
                 if (connectionsThrow) {
                     throw new IllegalStateException("no connections");
                 }
-                return () -> Outcome.TIMED_OUT;
+                final int number = fetches.size() - 1;
+                return () -> {
+                    givenUp.add(number);
+                    return Outcome.TIMED_OUT;
+                };
             }
 
             @Override
@@ -81,7 +87,11 @@
                 }
                 final boolean end = method.getName().equals("ended");
                 heard.add(method.getName() + (end ? " " + args[2] + " " + args[4] + " " + args[6] : ""));
-                if (method.getName().equals("requested") || end && args[4] == Outcome.FULL) {
+                if (method.getName().equals("requested")) {
+                    for (int copy = 0; copy < copies; copy++) {
+                        actions.send((Integer) args[1], 0, Long.MAX_VALUE);
+                    }
+                } else if (end && args[4] == Outcome.FULL) {
                     actions.send((Integer) args[1], 0, Long.MAX_VALUE);
                 }
                 return null;
@@ -165,6 +175,20 @@
         assertThat(core.owed()).isZero();
     }
 
+    /** zone+vast: a copy that waited in a queue ran on there for nobody once the other had answered. */
+    @Test
+    void givesUpTheOtherCopiesOnceOneServesWithoutBlame() {
+        copies = 3;
+        take();
+        assertThat(fetches).hasSize(3);
+        fetches.get(1).ended(Outcome.SERVED, LoadReport.NONE, "yes");
+        turn();
+        assertThat(givenUp).containsExactlyInAnyOrder(0, 2);
+        assertThat(heard).containsOnlyOnce("served yes").contains("ended 1 SERVED true",
+            "ended 0 CANCELLED true", "ended 2 CANCELLED true");
+        assertThat(core.owed()).isZero();
+    }
+
     @Test
     void failsReqThatTheModuleForgets() {
         take();
--- a/src/test/java/cresschute/node/SocketRulesTest.java
+++ b/src/test/java/cresschute/node/SocketRulesTest.java
@@ -49,6 +49,31 @@
         }
     }
 
+    /** Once one copy has answered, the other's connection is closed: its backend may drop it unstarted. */
+    @Test
+    void aCopyIsGivenUpOnceAnotherHasAnswered() throws Exception {
+        try (TestNode node = new TestNode(); Peer client = node.client()) {
+            client.write(req("r1", "", "body"));
+            assertThat(node.event()).startsWith("requested 1");
+            node.act(actions -> actions.send(1, 0, Long.MAX_VALUE));
+            try (Peer first = node.backend(); Peer second = node.backend()) {
+                first.read();
+                second.read();
+                second.write(answer("200 OK", "", DONE));
+                assertThat(client.read()).startsWith("HTTP/1.1 200 OK\r\n").endsWith("\r\n\r\nyes");
+                assertThat(first.isClosedByOther()).isTrue();
+                final List<String> ends = new ArrayList<>();
+                while (ends.size() < 2) {
+                    final String event = node.event();
+                    if (event.startsWith("ended")) {
+                        ends.add(event.substring("ended 1 0 ".length()).split(" ")[0]);
+                    }
+                }
+                assertThat(ends).containsExactlyInAnyOrder("SERVED", "CANCELLED");
+            }
+        }
+    }
+
     @Test
     void takesReqAtItsLastByteOnly() throws Exception {
         try (TestNode node = new TestNode(); Peer client = node.client(); Peer other = node.client()) {
