Copy a job that has not started by half the time it may wait

A send that met a full worker followed 3.3 sends to that worker in the 1.5 s before (1.6 where it found room): every node saw the same old report of room and chose the same worker. No node can see this wait but by the start note it does not get.

At fault: Logic.watch copied a job only once its progress notes had been missing for 1.8 s, far past what status-check can wait (its aim is 400 ms). Now a job whose start is not told by half of the time it may wait (the time in which an answer counts, less its running time) is also sent where there is room, if its class allows copies; keyed ones stay in their group and window as before. The wait and its bound are computed once for this and for the late mark; what a progress note sets on an attempt moves to Attempt.heard.

Tests: LogicTest.aJobThatHasNotStartedByHalfItsSlackIsCopied (safe and keyed unstarted jobs are copied after half the slack and before the 1.8 s of missing notes, a started one and an unsafe one are not; fails without the change).

--- a/src/main/java/cresschute/Attempt.java
+++ b/src/main/java/cresschute/Attempt.java
@@ -12,6 +12,16 @@
     boolean silent;
     boolean still;
 
+    /** Notes a word of its progress: it is heard, and the first tells when it began and how far it got. */
+    void heard(long nowUs, double shareDone) {
+        heardAtUs = nowUs;
+        still = false;
+        if (toldAtUs == 0) {
+            toldAtUs = nowUs;
+            toldShare = shareDone;
+        }
+    }
+
     Attempt(int number, Node node, long sentUs) {
         this.number = number;
         this.node = node;
--- a/src/main/java/cresschute/Logic.java
+++ b/src/main/java/cresschute/Logic.java
@@ -80,6 +80,8 @@
     private static final long SILENT_REST_US = 3_000_000;
     /** Progress notes that must be missing before a worker stands still. */
     private static final double STILL_NOTES = 1.8;
+    /** Share of the time that a job may wait which it spends unstarted before it is also sent elsewhere. */
+    private static final double UNSTARTED_COPY = 0.5;
     /** Errors in a row that make a worker rest: fewer are chance. */
     private static final int ERRORS_BORNE = 3;
     /** Part of the stated cold budget that is used: estimates of work and capacity may be off by this. */
@@ -584,14 +586,9 @@
     public void jobProgressed(long nowUs, int requestId, int attempt, int workerId, double shareDone) {
         final Attempt told = open.containsKey(requestId) ? open.get(requestId).find(attempt) : null;
         if (told != null) {
-            told.heardAtUs = nowUs;
-            told.still = false;
+            told.heard(nowUs, shareDone);
             told.node.heard(nowUs);
         }
-        if (told != null && told.toldAtUs == 0) {
-            told.toldAtUs = nowUs;
-            told.toldShare = shareDone;
-        }
     }
 
     @Override
@@ -687,8 +684,9 @@
     private void watch(Request request, Attempt attempt, long nowUs) {
         final Node node = attempt.node;
         final double waitedUs = waitedUs(request, attempt, nowUs);
-        if (!attempt.late
-            && attempt.sentUs - request.arrivedUs + waitedUs > request.inTimeUs() - request.runUs()) {
+        final double waitUs = attempt.sentUs - request.arrivedUs + waitedUs;
+        final double mayWaitUs = request.inTimeUs() - request.runUs();
+        if (!attempt.late && waitUs > mayWaitUs) {
             attempt.late = true;
             if (!request.closed && node.stillUntilUs <= nowUs) {
                 judge(node, request.worth, 1);
@@ -713,7 +711,10 @@
             attempt.still = true;
             node.stillUntilUs = node.heardAtUs < sinceUs ? nowUs + SILENT_REST_US : node.stillUntilUs;
         }
-        if ((untold || node.stillUntilUs > nowUs) && !request.closed && request.out.size() == 1) {
+        // Guards against a wait behind others' jobs, which no dispatcher sees: the job may start elsewhere.
+        final boolean waits = settings.tellsStart() && attempt.toldAtUs == 0
+            && waitUs > UNSTARTED_COPY * mayWaitUs;
+        if ((untold || waits || node.stillUntilUs > nowUs) && !request.closed && request.out.size() == 1) {
             copy(request, attempt, nowUs);
         }
     }
--- a/src/test/java/cresschute/LogicTest.java
+++ b/src/test/java/cresschute/LogicTest.java
@@ -142,6 +142,35 @@
         assertThat(host.sends).hasSize(18).extracting(Recorder.Send::worker).doesNotContain(first);
     }
 
+    /**
+     * zone+vast, join+vast: 14 dispatchers each saw a worker as free by one old report, and 17 in 100 jobs
+     * waited in its queue for up to 3 s while 50 of 60 workers had a free slot.
+     */
+    @ParameterizedTest(name = "{0}, told of its start: {1}")
+    @CsvSource({"SAFE, false, 2", "SAFE, true, 1", "KEYED, false, 2", "UNSAFE, false, 1"})
+    void aJobThatHasNotStartedByHalfItsSlackIsCopied(Effect effect, boolean started, int sends) {
+        final RequestClass patient = new RequestClass(1, SECOND, 2, 5 * SECOND, effect, RepeatScope.CELL,
+            SECOND * 4, Placement.ANYWHERE);
+        final Recorder host = new Recorder(Recorder.copying(List.of(patient)))
+            .list(ListForm.CACHED, worker(1, 0, 0), worker(2, 0, 0), worker(3, 0, 1), worker(4, 0, 1));
+        host.request(1, 0);
+        final int first = host.lastSend().worker();
+        if (started) {
+            host.module.jobProgressed(host.nowUs, 1, 0, first, 0);
+        }
+        // It may wait 1 s of aim and a run of 2 s beyond its own: the copy comes after half of those 3 s.
+        host.pass(SECOND * 14 / 10);
+        assertThat(host.sends).hasSize(1);
+        host.pass(SECOND * 2 / 10);
+        assertThat(host.sends).hasSize(sends);
+        if (sends == 2) {
+            assertThat(host.lastSend().worker()).isNotEqualTo(first);
+        }
+        if (sends == 2 && effect == Effect.KEYED) {
+            assertThat((host.lastSend().worker() - 1) / 2).isEqualTo((first - 1) / 2);
+        }
+    }
+
     @Test
     void aJobThatTellsOfItsProgressIsLeftAlone() {
         final Recorder host = withARunningJob(Effect.SAFE);
