--- a/src/main/java/cresschute/Logic.java
+++ b/src/main/java/cresschute/Logic.java
@@ -449,8 +449,7 @@
         final boolean again = job.repeated() || ageUs <= cell.owner.inTimeUs(cell.owner.runUs) + retriesUs;
         final long firstUs = again ? nowUs - ageUs : nowUs;
         final Request request = new Request(requestId, cell.owner, cell.worth, needed, job.runHintUs(),
-            job.dataKey(), firstUs, giveUpUs,
-            Math.min(settings.limits().maxAttempts(), cell.owner.stated.maxAttempts()));
+            job.dataKey(), firstUs, giveUpUs, settings.limits());
         if (nowUs - firstUs > request.inTimeUs()) {
             giveUp(request, nowUs);
             return;
@@ -611,7 +610,7 @@
             learnRun(request, attempt, nowUs, elapsedUs);
         }
         // Guards against closing on errors and breaks: they tell of one worker, not of too much work.
-        if (!attempt.late && (served || full || neverRan(outcome)
+        if (!attempt.late && (served || full || outcome == Outcome.CONNECT_FAILED
             || outcome == Outcome.TIMED_OUT && !requestClosed && !early)) {
             judge(node, request.worth, served ? 0 : full ? FULL_WEIGHT : 1);
         }
@@ -718,7 +717,7 @@
     private void copy(Request request, Attempt attempt, long nowUs) {
         final RequestClass stated = request.owner.stated;
         final boolean binds = stated.effect() == Effect.KEYED && !request.mayHaveRun;
-        if (!settings.limits().secondCopies() || stated.effect() == Effect.UNSAFE
+        if (!settings.limits().secondCopies() || !request.mayCopy || stated.effect() == Effect.UNSAFE
             || binds && nowUs >= attempt.sentUs + stated.repeatWindowUs() || isOver(request, nowUs)) {
             return;
         }
--- a/src/main/java/cresschute/Request.java
+++ b/src/main/java/cresschute/Request.java
@@ -1,5 +1,6 @@
 package cresschute;
 
+import cresschute.DispatchApi.Limits;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -15,6 +16,8 @@
     final long giveUpUs;
     /** Attempts that the settings allowed at its arrival. */
     final int mostSends;
+    /** Whether they allowed a second copy. */
+    final boolean mayCopy;
     final List<Attempt> out = new ArrayList<>(1);
     int sent;
     Node last;
@@ -31,7 +34,7 @@
     Pool bound;
 
     Request(int id, ClassState owner, double worth, double slots, double hintUs, long dataKey,
-            long arrivedUs, long giveUpUs, int mostSends) {
+            long arrivedUs, long giveUpUs, Limits limits) {
         this.id = id;
         this.owner = owner;
         this.worth = worth;
@@ -40,7 +43,8 @@
         this.dataKey = dataKey;
         this.arrivedUs = arrivedUs;
         this.giveUpUs = giveUpUs;
-        this.mostSends = mostSends;
+        this.mostSends = Math.min(limits.maxAttempts(), owner.stated.maxAttempts());
+        this.mayCopy = limits.secondCopies();
     }
 
     /** Expected running time at the usual pace: what the host was told, or that of its class. */
--- a/src/main/java/cresschute/cli/Serving.java
+++ b/src/main/java/cresschute/cli/Serving.java
@@ -26,10 +26,11 @@
             config.operators().passedListener() ? PassedListener.take() : null);
         // Guards against a hang-up that comes as soon as clients can: by default it ends the JVM.
         Hangup.onEach(() -> node.reload(reload));
-        node.start();
+        // Before clients can connect: a SIGTERM that comes as soon as they can must find who answers them.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             node.stop().join();
             stopped.run();
         }, "stop"));
+        node.start();
     }
 }
--- a/src/main/java/cresschute/node/Backends.java
+++ b/src/main/java/cresschute/node/Backends.java
@@ -21,6 +21,11 @@
 
         /** Stops waiting and closes the connection; tells how the fetch ended by that, and reports no end. */
         Outcome giveUp();
+
+        /** Whether a byte of it may be on the wire; before that, giving it up takes nothing back. */
+        default boolean hasBegun() {
+            return true;
+        }
     }
 
     /** Who hears of a fetch. */
--- a/src/main/java/cresschute/node/Core.java
+++ b/src/main/java/cresschute/node/Core.java
@@ -32,6 +32,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongConsumer;
+import java.util.function.Predicate;
 
 /**
  * Owner of all open reqs and fetches, between the fronts, the backends, the director and the module. All of
@@ -69,6 +70,8 @@
     private List<Event> gathered = new ArrayList<>();
     private boolean turnDue;
     private boolean ready;
+    /** Whether nothing is waited for any more, as the process ends. */
+    private boolean atItsEnd;
     private int lastReqId;
     private int owed;
     private long listHeardUs;
@@ -149,17 +152,24 @@
             failUnasked(req);
             invariant.holds(false, "req overdue");
         });
+        if (atItsEnd) {
+            answer(req, CoreWatcher.Answer.REFUSED, 0, () -> client.syntheticAnswer(retryAfterUs));
+            return req;
+        }
         gather(req, now -> module.requested(now, req.id, job, giveUpUs));
         return req;
     }
 
-    /** The client of a req has gone: nothing is owed any more, but its fetches run on. */
+    /**
+     * The client of a req has gone: nothing is owed any more. What has a byte on the wire runs on; a fetch
+     * whose connection is still coming up is given up, so that nothing is sent for nobody.
+     */
     public void clientLeft(Req req) {
         if (!req.closed) {
             hangUp(req);
+            gather(req, now -> module.clientLeft(now, req.id));
             close(req);
             watched(req, CoreWatcher.Answer.LEFT, 0);
-            gather(req, now -> module.clientLeft(now, req.id));
         }
     }
 
@@ -205,6 +215,39 @@
         req.overdue.cancel(false);
         forgetIfDone(req);
         owed--;
+        // Guards against a send after the answer, or for a client that left: a connection may come up late.
+        recall(req, fetch -> true, Outcome.CANCELLED);
+    }
+
+    /** Ends those fetches of a req of which no byte can be on the wire: they surely never ran. */
+    private void recall(Req req, Predicate<Fetch> which, Outcome outcome) {
+        for (final Fetch fetch : List.copyOf(req.out)) {
+            if (!fetch.ended && fetch.call != null && !fetch.call.hasBegun() && which.test(fetch)) {
+                fetch.call.giveUp();
+                end(fetch, outcome, LoadReport.NONE, null);
+            }
+        }
+    }
+
+    /**
+     * Takes back what is not yet on its way to a backend that takes no new work any more, listens elsewhere
+     * or was started anew: connecting may take longer than the grace of a drain. The module chooses again.
+     */
+    private void recallMisdirected() {
+        for (final Req req : List.copyOf(open.values())) {
+            recall(req, fetch -> !isAsSent(fetch), Outcome.NOT_SENT);
+        }
+    }
+
+    /** The longest time that a class gives its reqs, us. */
+    long longestDeadlineUs() {
+        return classSettings.stream().mapToLong(RequestClass::deadlineUs).max().orElse(0);
+    }
+
+    private boolean isAsSent(Fetch fetch) {
+        final Worker now = roster.listed().get(fetch.backend);
+        return watcher.over(roster.name(now.id()), now.state()) == WorkerState.READY
+            && now.startedAtUs() == fetch.processStartedUs && roster.address(now.id()).equals(fetch.addr);
     }
 
     private void forgetIfDone(Req req) {
@@ -225,6 +268,32 @@
         return owed;
     }
 
+    /**
+     * Answers by then all that is owed, and at once whatever is taken later: this process ends. A req that a
+     * backend still has, or may have had, is failed, unless its class may be repeated freely; what surely
+     * never ran is refused.
+     */
+    void answerAllAfter(long delayUs) {
+        after(delayUs, () -> {
+            atItsEnd = true;
+            List.copyOf(open.values()).forEach(this::answerAtTheEnd);
+        });
+    }
+
+    private void answerAtTheEnd(Req req) {
+        if (!req.closed) {
+            gather(req, now -> module.clientLeft(now, req.id));
+            hangUp(req);
+            final boolean harmless = classSettings.get(req.requestClass).effect() == Effect.SAFE
+                || !req.mayHaveRun && req.out.stream().noneMatch(fetch -> fetch.call.hasBegun());
+            if (harmless && req.streaming == null) {
+                answer(req, CoreWatcher.Answer.REFUSED, 0, () -> req.client.syntheticAnswer(retryAfterUs));
+            } else {
+                answer(req, CoreWatcher.Answer.FAILED, 0, req.client::failed);
+            }
+        }
+    }
+
     // ---- Fetches ----
 
     private void send(int reqId, int backend, long giveUpUs) {
@@ -233,6 +302,10 @@
         if (!invariant.holds(req != null && addr != null, "send of or to nobody")) {
             return;
         }
+        if (req.client.hasLeft()) {
+            // Its end was read behind its last req, and is told after the turn for which that req came.
+            clientLeft(req);
+        }
         if (req.closed || req.streaming != null || !req.content.canBeSentAnew()) {
             // The client left, or was answered, in the turn in which the module chose: nothing is sent. Nor
             // is a second copy whose body is partly gone; that is no loss of the backend's: cancelled.
@@ -243,7 +316,7 @@
             return;
         }
         final long nowUs = clock.nowUs();
-        final Fetch fetch = new Fetch(req, req.fetchesStarted++, backend, nowUs);
+        final Fetch fetch = new Fetch(req, req.fetchesStarted++, roster.listed().get(backend), addr, nowUs);
         req.out.add(fetch);
         req.firstBackend = req.firstBackend < 0 ? backend : req.firstBackend;
         fetch.watch = watcher.sent(nowUs, backend, req.requestClass);
@@ -433,6 +506,7 @@
         // A whole list says of those that it leaves out that they are gone.
         watcher.listed(listHeardUs, list.full() ? roster.listed() : told);
         gather(null, now -> module.listed(now, form, workers));
+        recallMisdirected();
     }
 
     /** The list as the module is to hear it. */
@@ -451,6 +525,7 @@
         if (!listed.isEmpty()) {
             final List<Worker> workers = over(listed);
             gather(null, now -> module.listed(now, ListForm.CHANGES, workers));
+            recallMisdirected();
         }
     }
 
--- a/src/main/java/cresschute/node/Fetch.java
+++ b/src/main/java/cresschute/node/Fetch.java
@@ -1,5 +1,7 @@
 package cresschute.node;
 
+import cresschute.DispatchApi.Worker;
+import java.net.InetSocketAddress;
 import java.util.concurrent.Future;
 
 /** One attempt of a req at a backend. */
@@ -8,15 +10,20 @@
     final int number;
     final int backend;
     final long sentUs;
+    /** Where it goes, and the process that was listed there when it was sent. */
+    final InetSocketAddress addr;
+    final long processStartedUs;
     CoreWatcher.FetchWatch watch;
     Backends.Call call;
     Future<?> giveUp;
     boolean ended;
 
-    Fetch(Req req, int number, int backend, long sentUs) {
+    Fetch(Req req, int number, Worker backend, InetSocketAddress addr, long sentUs) {
         this.req = req;
         this.number = number;
-        this.backend = backend;
+        this.backend = backend.id();
+        this.addr = addr;
+        this.processStartedUs = backend.startedAtUs();
         this.sentUs = sentUs;
     }
 }
--- a/src/main/java/cresschute/node/NodeConfig.java
+++ b/src/main/java/cresschute/node/NodeConfig.java
@@ -163,6 +163,11 @@
             passed != null && !passed.isBlank(), shared == null || shared.isBlank() ? null : shared);
     }
 
+    /** Whether the platform runs this node, and ends it by its protocol; an appliance has no time to end. */
+    boolean isOfThePlatform() {
+        return shape != ConfigShape.NONE;
+    }
+
     /** Whether there is anything for an operator: without it, none of that is so much as loaded. */
     boolean hasDesk() {
         return controlSocket != null || stateFolder != null;
@@ -173,9 +178,9 @@
         final List<String> changed = new ArrayList<>();
         note(changed, "name", name.equals(next.name));
         note(changed, "listen", listen.equals(next.listen));
-        // Classes and the module's settings are taken by a running node, where it can; it says so itself.
-        note(changed, "limits", connectTimeoutUs == next.connectTimeoutUs && connIdleUs == next.connIdleUs
-            && sockets == next.sockets);
+        // Classes and the module's settings are taken by a running node, where it can; it says so itself. How
+        // long backends' connections may come up and be idle holds for the next ones.
+        note(changed, "limits", sockets == next.sockets);
         note(changed, "workers", (director == null) == (next.director == null)
             && (director != null || known.entries().equals(next.known.entries())));
         note(changed, "control", Objects.equals(controlSocket, next.controlSocket));
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -33,6 +33,13 @@
 
     /** How long after a stop is asked for clients may still come and send, ms. */
     private static final long STILL_ACCEPTING_MS = 550;
+    /**
+     * When a stopping node may be killed: after its longest deadline, of which so much counts at the most,
+     * and so much more, us ("The figures" of the platform's protocol). All is answered so long before that.
+     */
+    private static final long MOST_DEADLINE_US = 3_000_000;
+    private static final long TO_END_US = 700_000;
+    private static final long BEFORE_END_US = 250_000;
     /** How often a stopping node tells what is still owed, ms. */
     private static final long STILL_OWED_MS = 500;
     /** How often the state is looked at for the log, s. */
@@ -217,6 +224,7 @@
      * taken is added to {@code held}. Says what changed, for the log.
      */
     private String retune(NodeConfig next, List<String> held) {
+        backends.retune(next.connectTimeoutUs(), next.connIdleUs());
         final Settings now = told;
         final Settings wanted = next.settings();
         if (wanted.zone() != now.zone() || wanted.zones() != now.zones() || wanted.kinds() != now.kinds()
@@ -258,6 +266,11 @@
 
     /** Stops: serves on for a while, then answers all that was taken; done when all of it is answered. */
     public CompletableFuture<Void> stop() {
+        if (group.isShuttingDown()) {
+            // It could not be started: nothing was taken.
+            stopped.complete(null);
+            return stopped;
+        }
         loop.execute(() -> {
             if (!stopping) {
                 stopping = true;
@@ -273,6 +286,10 @@
                     front.stopAcceptingOnly();
                 }
                 loop.schedule(this::stopAccepting, STILL_ACCEPTING_MS, TimeUnit.MILLISECONDS);
+                if (config.isOfThePlatform()) {
+                    core.answerAllAfter(Math.min(core.longestDeadlineUs(), MOST_DEADLINE_US) + TO_END_US
+                        - BEFORE_END_US);
+                }
             }
         });
         return stopped;
@@ -347,6 +364,10 @@
         return operators == null ? null : operators.address();
     }
 
+    ClientFront front() {
+        return front;
+    }
+
     EventLoop loop() {
         return loop;
     }
--- a/src/main/java/cresschute/node/ReqClient.java
+++ b/src/main/java/cresschute/node/ReqClient.java
@@ -3,6 +3,11 @@
 /** The client's side of a req, kept by the front that took it: exactly one of these is called, once. */
 public interface ReqClient {
 
+    /** Whether its connection has ended, also where that is yet to be told: nobody waits any more. */
+    default boolean hasLeft() {
+        return false;
+    }
+
     /** Served with the result that a backend made for it. */
     void served(String result);
 
--- a/src/main/java/cresschute/node/http/BackendConnection.java
+++ b/src/main/java/cresschute/node/http/BackendConnection.java
@@ -51,6 +51,7 @@
         }
         exchange = next;
         next.connection = this;
+        next.begun = true;
         final HttpRequest request;
         try {
             request = next.request();
@@ -108,6 +109,16 @@
         return channel != null && channel.isActive();
     }
 
+    /**
+     * Takes in what has come while nothing was asked here: a close, or bytes that nobody is waiting for, end
+     * this connection now. Guards a req against being written where the answer to another one, or the end,
+     * is to be read first.
+     */
+    boolean isQuiet() {
+        Reading.now(channel);
+        return channel.isActive();
+    }
+
     void close() {
         closing = true;
         if (channel != null) {
@@ -118,7 +129,15 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
         kept = false;
-        if (message.decoderResult().isFailure() || exchange == null) {
+        if (exchange == null) {
+            // Guards other backends against one that answers twice: that this one was kept tells nothing.
+            if (!closing) {
+                owner.unasked(addr);
+            }
+            close();
+            return;
+        }
+        if (message.decoderResult().isFailure()) {
             ctx.close();
             return;
         }
--- a/src/main/java/cresschute/node/http/BackendConnections.java
+++ b/src/main/java/cresschute/node/http/BackendConnections.java
@@ -35,7 +35,7 @@
 
     private final EventLoop loop;
     private final RateLimitedLog troubles;
-    private final long retireUs;
+    private long retireUs;
     private final int most;
     private final Bootstrap bootstrap;
     private final Map<InetSocketAddress, Deque<BackendConnection>> idle = new HashMap<>();
@@ -52,13 +52,24 @@
                               int most, boolean longResults) {
         this.loop = loop;
         this.troubles = troubles;
-        this.retireUs = (long) (connIdleUs * RETIRE_AT);
         this.most = most;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutUs / 1000));
-        if (longResults) {
-            bootstrap.option(ChannelOption.RECVBUF_ALLOCATOR, LongStream.reads());
+            .option(ChannelOption.TCP_NODELAY, true);
+        retune(connectTimeoutUs, connIdleUs);
+        bootstrap.option(ChannelOption.RECVBUF_ALLOCATOR, longResults ? LongStream.reads()
+            : Reading.toTheEnd());
+    }
+
+    /**
+     * Takes these limits for connections that are opened, or become idle, from now on; where idle ones may be
+     * kept less long than before, those that are idle now are closed.
+     */
+    public void retune(long connectTimeoutUs, long connIdleUs) {
+        bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutUs / 1000));
+        final long before = retireUs;
+        retireUs = (long) (connIdleUs * RETIRE_AT);
+        if (retireUs < before) {
+            List.copyOf(idle.values()).forEach(kept -> List.copyOf(kept).forEach(BackendConnection::close));
         }
     }
 
@@ -83,7 +94,7 @@
     private void start(InetSocketAddress addr, Exchange exchange) {
         final Deque<BackendConnection> waiting = idle.getOrDefault(addr, new ArrayDeque<>(0));
         for (BackendConnection up = waiting.poll(); up != null; up = waiting.poll()) {
-            if (up.isUp()) {
+            if (up.isUp() && up.isQuiet()) {
                 up.start(exchange);
                 return;
             }
@@ -168,6 +179,11 @@
         }
     }
 
+    /** Bytes on a connection where none are due: it ends, and nothing that they say is heeded. */
+    void unasked(InetSocketAddress addr) {
+        troubles.trouble(Trouble.BAD_BACKEND_ANSWER, host(addr), "to nothing that was asked");
+    }
+
     /** A connection breaking is an outcome and no news; anything else is worth a line. */
     void troubled(InetSocketAddress addr, Throwable cause) {
         if (!(cause instanceof IOException)) {
--- a/src/main/java/cresschute/node/http/ClientConnection.java
+++ b/src/main/java/cresschute/node/http/ClientConnection.java
@@ -8,10 +8,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -38,8 +38,15 @@
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
 
     static final int MOST_BODY_BYTES = 64 * 1024;
-    /** Reqs read ahead of their answers; a client that sends more waits. */
+    /**
+     * Reqs taken ahead of their answers. What a client sends beyond that is read and waits here untaken, for
+     * with reading paused nobody would see that the client has left.
+     */
     private static final int MOST_AHEAD = 16;
+    /** Reqs without an answer that a connection may hold, below the codec's bound; one more closes it. */
+    private static final int MOST_UNANSWERED = 120;
+    /** How long a client that was told of the end may take to end its side too, ms. */
+    private static final long ENDING_MS = 400;
     /** How long an unwanted body's rest is read away, ms: an early reset could eat the answer. */
     private static final long LINGER_MS = 1_000;
     private static final int KIB = 1024;
@@ -48,15 +55,23 @@
 
     private final ClientFront front;
     private final Deque<Answer> answers = new ArrayDeque<>();
+    /** Reqs that wait to be taken until fewer are ahead of them; their answers are the last ones. */
+    private final Deque<Waiting> waiting = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private Answer reading;
     private ReqHead head;
+    /** What the head of the req that is being read was read from, and by which settings. */
+    private HttpRequest request;
+    private ReqHead.Parser parsedBy;
     private byte[] body = NO_BODY;
     private int bodyBytes;
     /** The body that is being read where it is long, and whether a read of it is asked for. */
     private LongBody longBody;
     private boolean awaiting;
     private boolean deaf;
+    /** Whether nothing is sent here any more. */
+    private boolean ending;
+    private boolean flushing;
     private boolean proven;
     /** When it became the client's turn; bytes that make no whole req do not count. */
     private long turnNs = System.nanoTime();
@@ -79,6 +94,13 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         front.closed(this);
         longBody = null;
+        forgetAnswers();
+    }
+
+    /** Nobody waits for an answer here any more. */
+    private void forgetAnswers() {
+        waiting.forEach(each -> front.letGo(each.cost()));
+        waiting.clear();
         answers.forEach(Answer::clientLeft);
         answers.clear();
     }
@@ -89,7 +111,7 @@
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
         if (deaf) {
             if (message instanceof LastHttpContent && answers.isEmpty()) {
-                ctx.close();
+                endSending();
             }
             return;
         }
@@ -124,18 +146,23 @@
         }
     }
 
-    private void begin(HttpRequest request) {
+    private void begin(HttpRequest next) {
+        if (answers.size() >= MOST_UNANSWERED) {
+            front.core().troubles().trouble(Trouble.CLIENT_CONNECTION, null, MOST_UNANSWERED
+                + " reqs on one connection wait for their answers");
+            deaf = true;
+            close();
+            return;
+        }
         if (answers.isEmpty() && proven) {
             turnNs = System.nanoTime();
         }
+        request = next;
         reading = new Answer(HttpUtil.isKeepAlive(request),
             request.protocolVersion().equals(HttpVersion.HTTP_1_0));
         answers.add(reading);
         head = null;
         bodyBytes = 0;
-        if (answers.size() >= MOST_AHEAD) {
-            context.channel().config().setAutoRead(false);
-        }
         // Guards against reading on by rules that are not those of the client's version.
         if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)
             && !request.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
@@ -165,7 +192,8 @@
             return;
         }
         try {
-            head = front.parser().parse(request);
+            parsedBy = front.parser();
+            head = parsedBy.parse(request);
             if (length > front.longestBody(head.job().requestClass())) {
                 tooLarge(front.longestBody(head.job().requestClass()));
                 return;
@@ -325,19 +353,75 @@
             takeLong();
             if (longBody != null) {
                 endLong();
-                context.channel().config().setAutoRead(answers.size() < MOST_AHEAD);
             }
             reading = null;
             return;
         }
         final Answer answer = reading;
         reading = null;
-        if (head != null && !answer.isComplete()) {
+        if (head != null && !answer.isComplete() && isStillUsable(answer)) {
             final byte[] whole = body.length == bodyBytes ? body : Arrays.copyOf(body, bodyBytes);
             // Guards the heap: a connection that waits keeps no body.
             body = NO_BODY;
-            take(answer, whole);
+            if (waiting.isEmpty() && answers.size() <= MOST_AHEAD) {
+                take(answer, whole);
+            } else {
+                await(new Waiting(answer, head, whole, System.nanoTime()));
+            }
         }
+        request = null;
+    }
+
+    /** Guards against a req that is taken now by the settings that were in force at its first byte. */
+    private boolean isStillUsable(Answer answer) {
+        if (front.parser() != parsedBy) {
+            try {
+                head = front.parser().parse(request);
+            } catch (ReqHead.UnusableHead e) {
+                answer.complete(e.status(), e.getMessage() + "\n", 0);
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** A req that is read and not yet taken. */
+    private record Waiting(Answer answer, ReqHead head, byte[] body, long sinceNs) {
+
+        /** What holding it takes, bytes. */
+        int cost() {
+            return body.length + KIB;
+        }
+
+        /** Its head now that it has waited: so much less of its time is left. */
+        ReqHead headNow() {
+            final long waitedUs = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - sinceNs);
+            return new ReqHead(head.requestId(), head.target(), head.idempotencyKey(), head.job(),
+                Math.max(0, head.waitUs() - waitedUs));
+        }
+    }
+
+    private void await(Waiting next) {
+        if (front.hold(next.cost())) {
+            waiting.add(next);
+        } else {
+            turnAway(next.answer(), HttpResponseStatus.SERVICE_UNAVAILABLE, "refused",
+                front.core().retryAfterUs());
+        }
+    }
+
+    /** Takes the next req that waits where there is place for it; false where there is none. */
+    private boolean takeWaiting() {
+        if (waiting.isEmpty() || answers.size() - waiting.size() >= MOST_AHEAD) {
+            return false;
+        }
+        final Waiting next = waiting.poll();
+        front.letGo(next.cost());
+        final ReqHead beingRead = head;
+        head = next.headNow();
+        take(next.answer(), next.body());
+        head = beingRead;
+        return true;
     }
 
     private void take(Answer answer, byte[] whole) {
@@ -390,6 +474,22 @@
 
     /** Writes all answers that are ready and whose turn it is. */
     private void flush() {
+        if (flushing) {
+            return;
+        }
+        flushing = true;
+        do {
+            writeComplete();
+        } while (takeWaiting());
+        flushing = false;
+        if (!answers.isEmpty()) {
+            answers.peek().startResult();
+        }
+        turnNs = System.nanoTime();
+        front.answered();
+    }
+
+    private void writeComplete() {
         while (!answers.isEmpty() && answers.peek().isComplete()) {
             final Answer answer = answers.poll();
             // Guards against losing reqs read ahead: at a stop, only the last answer closes the connection.
@@ -400,14 +500,6 @@
             }
             written(context.writeAndFlush(answer.response), keepAlive);
         }
-        if (!answers.isEmpty()) {
-            answers.peek().startResult();
-        }
-        turnNs = System.nanoTime();
-        front.answered();
-        if (answers.size() < MOST_AHEAD && longBody == null && context.channel().isActive()) {
-            context.channel().config().setAutoRead(true);
-        }
     }
 
     /** An answer is out, or about to be. */
@@ -415,9 +507,8 @@
         if (!keepAlive && !deaf) {
             // The client asked for the end here; what it may have sent after that is not answered.
             deaf = true;
-            answers.forEach(Answer::clientLeft);
-            answers.clear();
-            written.addListener(ChannelFutureListener.CLOSE);
+            forgetAnswers();
+            written.addListener(done -> endSending());
         }
     }
 
@@ -463,6 +554,36 @@
         context.close();
     }
 
+    /**
+     * Ends this connection where it still is idle once all that has come is read: a req that is here already
+     * is taken, and closes it with its answer.
+     */
+    void endIfIdle() {
+        Reading.now(context.channel());
+        if (isIdle() && !ending) {
+            deaf = true;
+            endSending();
+        }
+    }
+
+    /**
+     * Ends sending, and reads away what still comes until the client ends too, {@value #ENDING_MS} ms at the
+     * most. Guards an answer just written: a close with bytes unread resets the connection, and a reset lets
+     * the client lose what it has not read yet.
+     */
+    private void endSending() {
+        if (ending || !context.channel().isActive()) {
+            return;
+        }
+        ending = true;
+        if (context.channel() instanceof DuplexChannel duplex) {
+            duplex.shutdownOutput();
+            context.executor().schedule(this::close, ENDING_MS, TimeUnit.MILLISECONDS);
+        } else {
+            close();
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof IOException) {
@@ -472,6 +593,8 @@
         front.core().troubles().trouble(Trouble.CLIENT_CONNECTION, null, cause.toString());
         // Guards against an error of our own that leaves reqs of this connection without an answer.
         deaf = true;
+        waiting.forEach(each -> front.letGo(each.cost()));
+        waiting.clear();
         for (final Answer answer : List.copyOf(answers)) {
             if (!answer.isComplete()) {
                 answer.clientLeft();
@@ -506,6 +629,11 @@
             return response != null;
         }
 
+        @Override
+        public boolean hasLeft() {
+            return !context.channel().isActive();
+        }
+
         void clientLeft() {
             if (req != null) {
                 front.core().clientLeft(req);
--- a/src/main/java/cresschute/node/http/ClientFront.java
+++ b/src/main/java/cresschute/node/http/ClientFront.java
@@ -27,6 +27,10 @@
 public final class ClientFront implements Door {
 
     private static final int BACKLOG = 1024;
+    /** How many connections Netty accepts in one reading of a listener. */
+    private static final int ACCEPTED_AT_ONCE = 16;
+    /** What reqs that wait behind others of their connections may take, all together, bytes. */
+    private static final int MOST_HELD_BYTES = 2 << 20;
     private static final long SWEEP_MS = 250;
     /**
      * A connection that waits so long for a whole req is closed, unless it has brought one before. Usual
@@ -57,6 +61,7 @@
     private boolean passed;
     private boolean stopping;
     private boolean closing;
+    private int heldBytes;
     /** Whether an operator drained the node, and since which of the drains asked for. */
     private boolean draining;
     private int drains;
@@ -98,9 +103,8 @@
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         this.passed = passed != null;
         final ServerBootstrap bootstrap = new ServerBootstrap();
-        if (bodies != null) {
-            bootstrap.childOption(ChannelOption.RECVBUF_ALLOCATOR, LongStream.reads());
-        }
+        bootstrap.childOption(ChannelOption.RECVBUF_ALLOCATOR, bodies != null ? LongStream.reads()
+            : Reading.toTheEnd());
         bootstrap.group(group);
         if (passed == null) {
             bootstrap.channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, BACKLOG);
@@ -137,18 +141,30 @@
      */
     public void stopAcceptingOnly() {
         closing = true;
+        if (server == null) {
+            return;
+        }
         if (passed) {
             // Out of this loop's selector, which also keeps the loop's end from closing it.
             server.config().setAutoRead(false);
             server.deregister();
         } else {
+            acceptAll();
             server.close();
         }
     }
 
+    /** Guards those who are connected already and wait to be accepted: with the listener they are reset. */
+    private void acceptAll() {
+        // Each reading of a listener accepts some; over the backlog's size, all that came are in.
+        for (int i = 0; i < BACKLOG && !server.eventLoop().isShuttingDown(); i += ACCEPTED_AT_ONCE) {
+            Reading.now(server);
+        }
+    }
+
     /** Closes the connections that wait for their client's next req. */
     public void closeIdle() {
-        List.copyOf(connections).stream().filter(ClientConnection::isIdle).forEach(ClientConnection::close);
+        List.copyOf(connections).forEach(ClientConnection::endIfIdle);
     }
 
     /** Whether the clients' listener is the platform's, held over an upgrade. */
@@ -227,8 +243,26 @@
         return bodies != null && bodies.of(requestClass).longResults();
     }
 
+    /** Takes room for a req that waits behind others of its connection; false where there is none. */
+    boolean hold(int bytes) {
+        if (heldBytes + bytes > MOST_HELD_BYTES) {
+            return false;
+        }
+        heldBytes += bytes;
+        return true;
+    }
+
+    /** Gives back such room. */
+    void letGo(int bytes) {
+        heldBytes -= bytes;
+    }
+
     void opened(ClientConnection connection) {
         connections.add(connection);
+        if (closing) {
+            // Accepted as the listener was closed: what it has sent is taken, and it is not waited for.
+            loop.execute(connection::endIfIdle);
+        }
         if (connections.size() >= most && !makeRoom(connection)) {
             server.config().setAutoRead(false);
         }
--- a/src/main/java/cresschute/node/http/DirectorClient.java
+++ b/src/main/java/cresschute/node/http/DirectorClient.java
@@ -33,17 +33,31 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
-/** Watches the director's list by one call after the other on one connection, until a call fails. */
+/**
+ * Watches the director's list by one call after the other on one connection, until a call fails.
+ *
+ * <p>There is one call at a time, and one connection: what comes on an older one is not heard. A call that
+ * falls silent, or whose answer never ends, is over {@value #WAIT_MS} + {@value #ANSWER_MS} ms after it was
+ * made. It is then made anew at once, on a new connection and so that the director need not wait for news;
+ * only if that fails too is the module told, which asks again 0.5 to 1.5 s later. What a silent watch misses
+ * counts as told 6 s after it fell silent, which is no sooner than its last call was made: the new call has
+ * 2 s of these for its connection and its answer.
+ *
+ * <p>A list that is older than the one held is taken only from a director at a new address, or where the
+ * director says the same again when asked anew for its whole list: a stale answer must not bring a drained
+ * backend back, and a director that counts anew must not be disbelieved for good.
+ */
 public final class DirectorClient implements Director {
 
     /** How long the director may wait for news, ms: short, since a silent one shows only after it. */
     private static final long WAIT_MS = 2_500;
     /**
      * Time past that after which a call has failed, ms. Guards against sending to a backend that drained
-     * while the director's connection was silent: news counts as told after 6 s, and the module asks again
-     * up to 1.5 s after a failure, so all of it and the new call must fit.
+     * while the director's connection was silent.
      */
     private static final long ANSWER_MS = 1_500;
+    /** The wait that a call states which is to be answered at once, ms. */
+    private static final long NO_WAIT_MS = 1;
     private static final int CONNECT_MS = 1_000;
     private static final int MOST_BYTES = 4 << 20;
 
@@ -57,6 +71,10 @@
     private boolean watching;
     private boolean asked;
     private boolean newcomer;
+    /** Whether the call that is out makes up for one that fell silent. */
+    private boolean anew;
+    /** Whether an older list was sent back, so that the whole list is asked for. */
+    private boolean doubted;
 
     /** Does nothing until it is asked to watch. */
     public DirectorClient(EventLoop loop, InetSocketAddress addr, Core core, RateLimitedLog troubles) {
@@ -102,7 +120,7 @@
 
     private void call() {
         // Guards against a director that says nothing, not even a reset.
-        deadline = loop.schedule(() -> fail("no answer in time"), WAIT_MS + ANSWER_MS, TimeUnit.MILLISECONDS);
+        deadline = loop.schedule(this::fellSilent, (anew ? 0 : WAIT_MS) + ANSWER_MS, TimeUnit.MILLISECONDS);
         if (channel != null && channel.isActive()) {
             send();
             return;
@@ -120,11 +138,26 @@
         });
     }
 
+    private boolean asksForAll() {
+        return core.listVersion() < 0 || newcomer || doubted;
+    }
+
+    /** Guards what drains while the director says nothing: one failure more would take the module's pause. */
+    private void fellSilent() {
+        if (anew || !watching) {
+            fail("no answer in time");
+            return;
+        }
+        troubles.trouble(Trouble.DIRECTOR_CALL_FAILED, null, "no answer in time; asked again at once");
+        dropConnection();
+        anew = true;
+        call();
+    }
+
     private void send() {
-        final long version = core.listVersion();
         // Guards against missing a change between two directors: the new one is asked for its whole list.
-        final String path = "/registry/instances"
-            + (version < 0 || newcomer ? "" : "?since=" + version + "&timeout_ms=" + WAIT_MS);
+        final String path = "/registry/instances" + (asksForAll() ? "" : "?since=" + core.listVersion()
+            + "&timeout_ms=" + (anew ? NO_WAIT_MS : WAIT_MS));
         final FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
             Unpooled.EMPTY_BUFFER);
         request.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(addr));
@@ -142,8 +175,20 @@
         } catch (JsonParseException e) {
             fail("bad list: " + e.getMessage());
             return;
+        } catch (RuntimeException e) {
+            // Guards against a list that the reader trips over: one line, and the list in force goes on.
+            fail("unreadable list: " + e);
+            return;
+        }
+        if (list.version() < core.listVersion() && !newcomer && !(doubted && list.full())) {
+            final long held = core.listVersion();
+            fail("version " + list.version() + " is older than " + held);
+            doubted = true;
+            return;
         }
         newcomer = false;
+        doubted = false;
+        anew = false;
         deadline.cancel(false);
         if (!HttpUtil.isKeepAlive(response)) {
             final Channel last = channel;
@@ -166,6 +211,11 @@
 
     private void hangUp() {
         watching = false;
+        anew = false;
+        dropConnection();
+    }
+
+    private void dropConnection() {
         if (deadline != null) {
             deadline.cancel(false);
         }
--- a/src/main/java/cresschute/node/http/Exchange.java
+++ b/src/main/java/cresschute/node/http/Exchange.java
@@ -8,6 +8,8 @@
 /** One request to a backend and its answer, on a connection of its own while it lasts. */
 abstract class Exchange {
 
+    /** Set once its first byte is handed to a connection. */
+    boolean begun;
     /** Set once the last byte of the request is written: from then on it may have run. */
     boolean written;
     /** Set once the outcome is told: what comes after that is read away. */
--- a/src/main/java/cresschute/node/http/HttpFetch.java
+++ b/src/main/java/cresschute/node/http/HttpFetch.java
@@ -284,6 +284,11 @@
         }
     }
 
+    @Override
+    public boolean hasBegun() {
+        return begun;
+    }
+
     @Override
     public Outcome giveUp() {
         drop();
--- /dev/null
+++ b/src/test/java/cresschute/node/CrossingRulesTest.java
@@ -0,0 +1,573 @@
+package cresschute.node;
+
+import static cresschute.node.TestNode.answer;
+import static cresschute.node.TestNode.entry;
+import static cresschute.node.TestNode.list;
+import static cresschute.node.TestNode.req;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import cresschute.DispatchApi.Actions;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Two events that cross, each time forced: a backend that does not accept yet, or a peer that writes or
+ * closes while the node's loop is held between the one and the other. The table is in docs/results/crossings.md.
+ */
+@Timeout(30)
+class CrossingRulesTest {
+
+    private static final BiConsumer<Actions, Integer> HOLDS = (actions, req) -> { };
+    private static final BiConsumer<Actions, Integer> SENDS =
+        (actions, req) -> actions.send(req, 0, Long.MAX_VALUE);
+
+    private final List<Peer> held = new ArrayList<>();
+
+    @AfterEach
+    void letGo() throws IOException {
+        for (final Peer peer : held) {
+            peer.close();
+        }
+    }
+
+    private static String done(String id) {
+        return answer("200 OK", "", "{\"id\":\"" + id + "\",\"from\":\"s-1\",\"state\":\"done\","
+            + "\"result\":\"of " + id + "\"}\n");
+    }
+
+    /** A node to whose backend connections do not come up until it accepts, which may take for ever. */
+    private static TestNode patient(BiConsumer<Actions, Integer> onReq) throws Exception {
+        return TestNode.configured(text -> text.replace("\"connectTimeoutUs\":250000",
+            "\"connectTimeoutUs\":20000000"), onReq);
+    }
+
+    /** Fills a listener's queue: further connections come up only once some of these are accepted. */
+    private void fill(ServerSocket listener) throws IOException {
+        for (int i = 0; i <= Peer.BACKLOG; i++) {
+            held.add(Peer.connect(listener.getLocalSocketAddress()));
+        }
+    }
+
+    private void acceptFilled(ServerSocket listener) throws IOException {
+        for (int i = 0; i <= Peer.BACKLOG; i++) {
+            held.add(Peer.accept(listener));
+        }
+    }
+
+    /** Something a test does while the loop is held: nothing that it makes ready is read before it ends. */
+    @FunctionalInterface
+    private interface WhileHeld {
+        void run(Actions actions) throws Exception;
+    }
+
+    /** Holds the loop; what the module asks for meanwhile is carried out before anything else is read. */
+    private static void holding(TestNode node, WhileHeld then) throws Exception {
+        final CompletableFuture<Void> over = new CompletableFuture<>();
+        node.act(actions -> {
+            try {
+                then.run(actions);
+                over.complete(null);
+            } catch (Exception | AssertionError e) {
+                over.completeExceptionally(e);
+            }
+        });
+        over.get(8, TimeUnit.SECONDS);
+    }
+
+    private static String eventStarting(TestNode node, String start) throws InterruptedException {
+        String event = node.event();
+        while (event != null && !event.startsWith(start)) {
+            event = node.event();
+        }
+        return event;
+    }
+
+    // ---- A connection that comes up ----
+
+    /** Leaving did not stop the write: the job ran for nobody, up to the connect time-out later. */
+    @Test
+    void nothingIsSentForAClientThatLeftWhileTheConnectionCameUp() throws Exception {
+        try (TestNode node = patient(SENDS); Peer other = node.client()) {
+            fill(node.backend);
+            final Peer client = node.client().write(req("r1", "", ""));
+            assertThat(node.event()).startsWith("requested 1");
+            client.leave();
+            assertThat(node.event()).isEqualTo("left 1");
+            assertThat(node.event()).startsWith("ended 1 0 CANCELLED closed true");
+            acceptFilled(node.backend);
+            other.write(req("r2", "", ""));
+            assertThat(node.backend().read()).contains("X-Request-Id: r2");
+        }
+    }
+
+    /** The same where the module gave the req up before its connection was there. */
+    @Test
+    void nothingIsSentForAReqThatWasRefusedWhileTheConnectionCameUp() throws Exception {
+        try (TestNode node = patient(SENDS); Peer client = node.client()) {
+            fill(node.backend);
+            client.write(req("r1", "", ""));
+            assertThat(node.event()).startsWith("requested 1");
+            node.act(actions -> actions.refuse(1, 0));
+            assertThat(client.read()).startsWith("HTTP/1.1 503");
+            assertThat(eventStarting(node, "ended")).startsWith("ended 1 0 CANCELLED closed true");
+        }
+    }
+
+    /** Connecting may take longer than a drain's grace: what is told meanwhile ends the fetch, unsent. */
+    @ParameterizedTest
+    @ValueSource(strings = {"draining", "gone", "left out", "moved", "restarted"})
+    void nothingIsSentToABackendOfWhichMoreWasToldWhileTheConnectionCameUp(String what) throws Exception {
+        try (TestNode node = patient(SENDS); Peer client = node.client();
+             ServerSocket moved = Peer.listen()) {
+            fill(node.backend);
+            node.act(Actions::watchList);
+            final Peer director = node.director();
+            director.read();
+            client.write(req("r1", "", ""));
+            assertThat(eventStarting(node, "requested")).startsWith("requested 1");
+            director.write(answer("200 OK", "", switch (what) {
+                case "draining" -> list(2, false, entry("s-1", node.backend, "DRAINING"));
+                case "gone" -> list(2, false, entry("s-1", node.backend, "DELETED"));
+                case "left out" -> list(2, true, "");
+                case "moved" -> list(2, false, entry("s-1", moved, "SERVING"));
+                default -> list(2, false, entry("s-1", node.backend, "SERVING").replace(":7}", ":8}"));
+            }));
+            assertThat(eventStarting(node, "ended")).startsWith("ended 1 0 NOT_SENT closed false");
+            assertThat(client.read()).startsWith("HTTP/1.1 503");
+        }
+    }
+
+    @Test
+    void nothingIsSentToABackendThatAnOperatorTookOutWhileTheConnectionCameUp(@TempDir Path shared)
+        throws Exception {
+        try (TestNode node = new TestNode(shared, null); Peer client = node.client()) {
+            fill(node.backend);
+            // The call is carried out within the connect time-out, which here is the usual one.
+            try (Peer operator = Peer.connect(node.server.managementAddress())) {
+                client.write(req("r1", "", ""));
+                assertThat(node.event()).startsWith("requested 1");
+                operator.write("disable-server s-1\n");
+                assertThat(eventStarting(node, "ended")).startsWith("ended 1 0 NOT_SENT closed false");
+                assertThat(operator.readLine()).startsWith("200");
+            }
+        }
+    }
+
+    /** The client leaves and its backend drains, in this order and the other one: one end, nothing sent. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void endsOnceWhereAClientLeavesAndItsBackendDrains(boolean leavesFirst) throws Exception {
+        try (TestNode node = patient(SENDS); Peer client = node.client()) {
+            fill(node.backend);
+            node.act(Actions::watchList);
+            final Peer director = node.director();
+            director.read();
+            client.write(req("r1", "", ""));
+            assertThat(eventStarting(node, "requested")).startsWith("requested 1");
+            final String news = answer("200 OK", "", list(2, false, entry("s-1", node.backend, "DRAINING")));
+            if (leavesFirst) {
+                client.leave();
+                assertThat(eventStarting(node, "left")).isEqualTo("left 1");
+                assertThat(node.event()).startsWith("ended 1 0 CANCELLED closed true");
+                director.write(news);
+                assertThat(node.event()).startsWith("listed CHANGES 0DRAINING");
+            } else {
+                holding(node, actions -> {
+                    director.write(news);
+                    client.leave();
+                });
+                assertThat(eventStarting(node, "ended")).startsWith("ended 1 0 ");
+            }
+            // A call after the news shows that the watch went on and that no further end came before it.
+            assertThat(director.read()).contains("since=2&");
+            node.act(actions -> actions.wakeAfter(5, 0));
+            assertThat(node.events.stream().filter(each -> each.startsWith("ended")).count()).isZero();
+        }
+    }
+
+    // ---- Clients that leave ----
+
+    /** The end came behind the req in one pass, and was read one pass later: the job was sent for nobody. */
+    @Test
+    void sendsNothingForAClientWhoseEndCameWithItsReq() throws Exception {
+        try (TestNode node = new TestNode()) {
+            final Peer client = node.client().write(req("r1", "", ""));
+            assertThat(node.event()).startsWith("requested 1");
+            final Peer backend = node.backend();
+            backend.read();
+            backend.write(done("r1"));
+            client.read();
+            assertThat(eventStarting(node, "ended")).contains("SERVED");
+            holding(node, actions -> client.write(req("r2", "", "")).leave());
+            assertThat(eventStarting(node, "requested")).startsWith("requested 2");
+            assertThat(node.event()).isEqualTo("left 2");
+            assertThat(node.event()).startsWith("ended 2 0 NOT_SENT closed true");
+            assertThat(backend.hasNews()).isFalse();
+        }
+    }
+
+    /** With 16 reqs taken, reading was paused, and nobody saw that the client had left. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void seesAClientLeaveThatHasSentMoreThanIsTakenAhead(boolean resets) throws Exception {
+        try (TestNode node = new TestNode(HOLDS)) {
+            final Peer client = node.client();
+            for (int i = 1; i <= 16; i++) {
+                client.write(req("r" + i, "", ""));
+                assertThat(node.event()).startsWith("requested " + i + " ");
+            }
+            client.write(req("r17", "", "") + req("r18", "", ""));
+            if (resets) {
+                client.reset();
+            } else {
+                client.leave();
+            }
+            for (int i = 1; i <= 16; i++) {
+                assertThat(node.event()).isEqualTo("left " + i);
+            }
+        }
+    }
+
+    @Test
+    void takesWhatWaitsBehindOthersInOrderOnceThereIsPlace() throws Exception {
+        try (TestNode node = new TestNode(HOLDS); Peer client = node.client()) {
+            for (int i = 1; i <= 18; i++) {
+                client.write(req("r" + i, "", ""));
+            }
+            for (int i = 1; i <= 16; i++) {
+                assertThat(node.event()).startsWith("requested " + i + " ");
+            }
+            node.act(actions -> actions.refuse(2, 0));
+            node.act(actions -> actions.refuse(1, 0));
+            assertThat(client.read()).startsWith("HTTP/1.1 503");
+            assertThat(client.read()).startsWith("HTTP/1.1 503");
+            assertThat(eventStarting(node, "requested")).startsWith("requested 17 ");
+            assertThat(eventStarting(node, "requested")).startsWith("requested 18 ");
+        }
+    }
+
+    /** One client's flood is turned away or closed on, and others are served. */
+    @Test
+    void endsAFloodOfReqsWithoutAnswers() throws Exception {
+        try (TestNode node = new TestNode(HOLDS); Peer flood = node.client(); Peer usual = node.client()) {
+            final StringBuilder reqs = new StringBuilder();
+            for (int i = 0; i <= 120; i++) {
+                reqs.append(req("f" + i, "", ""));
+            }
+            try {
+                flood.write(reqs.toString());
+            } catch (IOException e) {
+                // Closed on before all of it was written.
+            }
+            assertThat(flood.readToEnd()).satisfiesAnyOf(end -> assertThat(end).isNull(),
+                end -> assertThat(end).isEmpty());
+            usual.write(req("r1", "", ""));
+            assertThat(eventStarting(node, "requested 17")).startsWith("requested 17");
+        }
+    }
+
+    // ---- Kept connections ----
+
+    /** Serves r1 on a connection to the backend that is kept, with r2 taken and held by the module. */
+    private static Peer keptWithReqHeld(TestNode node, Peer client, Peer next) throws Exception {
+        client.write(req("r1", "", ""));
+        assertThat(node.event()).startsWith("requested 1");
+        node.act(actions -> actions.send(1, 0, Long.MAX_VALUE));
+        final Peer backend = node.backend();
+        backend.read();
+        backend.write(done("r1"));
+        assertThat(client.read()).endsWith("of r1");
+        next.write(req("r2", "", ""));
+        assertThat(eventStarting(node, "requested")).startsWith("requested 2");
+        return backend;
+    }
+
+    /** Written to a connection whose end was in the buffer, the req ended as a reset and may have run. */
+    @Test
+    void writesNoReqToAKeptConnectionThatHasEnded() throws Exception {
+        try (TestNode node = new TestNode(HOLDS); Peer client = node.client(); Peer next = node.client()) {
+            final Peer backend = keptWithReqHeld(node, client, next);
+            holding(node, actions -> {
+                backend.leave();
+                actions.send(2, 0, Long.MAX_VALUE);
+            });
+            final Peer fresh = node.backend();
+            assertThat(fresh.read()).contains("X-Request-Id: r2");
+            fresh.write(done("r2"));
+            assertThat(next.read()).endsWith("of r2");
+        }
+    }
+
+    /** A second answer that names no req was taken for the next req's: as proof that it never ran. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+        503 No | X-Not-Run: 1
+        500 No | X-Load: x0=1
+        200 OK | X-Load: x0=1
+        """)
+    void takesNoAnswerThatWasThereBeforeTheReq(String status, String header) throws Exception {
+        try (TestNode node = new TestNode(HOLDS); Peer client = node.client(); Peer next = node.client()) {
+            final Peer backend = keptWithReqHeld(node, client, next);
+            holding(node, actions -> {
+                backend.write(answer(status, header + "\r\n", ""));
+                actions.send(2, 0, Long.MAX_VALUE);
+            });
+            final Peer fresh = node.backend();
+            assertThat(fresh.read()).contains("X-Request-Id: r2");
+            fresh.write(done("r2"));
+            assertThat(next.read()).endsWith("of r2");
+            assertThat(eventStarting(node, "ended 2")).startsWith("ended 2 0 SERVED");
+        }
+    }
+
+    /** One backend's second answer had every kept connection to all others closed for 15 s. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "what is this\r\n\r\n", "x"})
+    void closesAloneTheKeptConnectionOnWhichBytesCameUnasked(String bytes) throws Exception {
+        try (TestNode node = new TestNode(); Peer client = node.client(); Peer other = node.client()) {
+            client.write(req("r1", "", ""));
+            final Peer first = node.backend();
+            first.read();
+            other.write(req("r2", "", ""));
+            final Peer second = node.backend();
+            second.read();
+            first.write(done("r1"));
+            client.read();
+            second.write(done("r2"));
+            other.read();
+            first.write(bytes.length() > 1 ? bytes : bytes + "\r\n\r\n");
+            assertThat(first.isClosedByOther()).isTrue();
+            client.write(req("r3", "", ""));
+            assertThat(second.read()).contains("X-Request-Id: r3");
+        }
+    }
+
+    // ---- Shutdown ----
+
+    /** What waited to be accepted was reset with the listener. */
+    @Test
+    void acceptsWhoeverCameBeforeTheListenerCloses() throws Exception {
+        try (TestNode node = new TestNode()) {
+            holding(node, actions -> {
+                held.add(node.client().write(req("r1", "", "")));
+                held.add(node.client().write(req("r2", "", "")));
+                node.server.front().stopAccepting();
+            });
+            final Peer first = node.backend();
+            final Peer second = node.backend();
+            for (final Peer backend : List.of(first, second)) {
+                backend.write(done(backend.read().contains("X-Request-Id: r1") ? "r1" : "r2"));
+            }
+            assertThat(held.get(0).read()).endsWith("of r1");
+            assertThat(held.get(1).read()).endsWith("of r2");
+        }
+    }
+
+    /** A req that lay unread on an idle connection was reset by its closing. */
+    @Test
+    void takesWhatCameOnAnIdleConnectionBeforeItClosesIt() throws Exception {
+        try (TestNode node = new TestNode(); Peer client = node.client()) {
+            client.write(req("r1", "", ""));
+            final Peer backend = node.backend();
+            backend.read();
+            backend.write(done("r1"));
+            client.read();
+            holding(node, actions -> {
+                client.write(req("r2", "", ""));
+                node.server.front().stopAccepting();
+            });
+            backend.read();
+            backend.write(done("r2"));
+            assertThat(client.read()).endsWith("of r2").contains("\r\nconnection: close\r\n");
+            assertThat(client.readToEnd()).isNotNull().isEmpty();
+        }
+    }
+
+    /** A close with the next req unread is a reset, and a reset can eat the answer just written. */
+    @Test
+    void endsAfterTheLastAnswerWithoutAReset() throws Exception {
+        try (TestNode node = new TestNode(HOLDS); Peer client = node.client()) {
+            client.write(req("r1", "", ""));
+            assertThat(node.event()).startsWith("requested 1");
+            holding(node, actions -> {
+                node.server.front().stopAccepting();
+                client.write(req("r2", "", ""));
+                actions.refuse(1, 0);
+            });
+            assertThat(client.read()).startsWith("HTTP/1.1 503").contains("\r\nconnection: close\r\n");
+            assertThat(client.readToEnd()).isNotNull().isEmpty();
+        }
+    }
+
+    /** A req taken late in a stop, at a backend that hangs, had no answer when the platform killed it. */
+    @Test
+    void answersAllBeforeThePlatformKillsIt() throws Exception {
+        try (TestNode node = new TestNode(); Peer early = node.client(); Peer late = node.client()) {
+            early.write(req("r1", "", ""));
+            node.backend().read();
+            final String req = req("r2", "", "body");
+            late.write(req.substring(0, req.length() - 1));
+            final CompletableFuture<Void> stopped = node.server.stop();
+            final Future<?> killed = node.server.loop().schedule(() -> { }, 3_700, TimeUnit.MILLISECONDS);
+            assertThat(node.client().isClosedByOther()).isTrue();
+            late.write(req.substring(req.length() - 1));
+            node.backend().read();
+            assertThat(early.read()).startsWith("HTTP/1.1 503");
+            assertThat(late.read()).startsWith("HTTP/1.1 503").contains("\r\nconnection: close\r\n");
+            assertThat(killed.isDone()).isFalse();
+            stopped.get(8, TimeUnit.SECONDS);
+        }
+    }
+
+    /** What may have had its effect is failed then, and not refused. */
+    @Test
+    void failsWhatMayHaveRunBeforeThePlatformKillsIt() throws Exception {
+        try (TestNode node = new TestNode(); Peer client = node.client()) {
+            client.write("POST /file HTTP/1.1\r\nX-Request-Id: r1\r\nIdempotency-Key: k\r\n"
+                + "Content-Length: 0\r\n\r\n");
+            node.backend().read();
+            final CompletableFuture<Void> stopped = node.server.stop();
+            node.server.stop();
+            assertThat(client.read()).startsWith("HTTP/1.1 500");
+            stopped.get(8, TimeUnit.SECONDS);
+        }
+    }
+
+    // ---- Settings that change ----
+
+    /** A head read under the old settings whose last byte comes under the new ones is of the new ones. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+        gone    | "name":"file"       | "name":"other"      | 404
+        shorter | "deadlineUs":5000000 | "deadlineUs":4000000 | requested 1 class 3
+        """)
+    void takesAReqByTheSettingsAtItsLastByte(String what, String from, String to, String then)
+        throws Exception {
+        try (TestNode node = new TestNode(); Peer client = node.client()) {
+            client.write("POST /file HTTP/1.1\r\nX-Request-Id: r1\r\nIdempotency-Key: k\r\n"
+                + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+            assertThat(client.read()).as(what).startsWith("HTTP/1.1 100");
+            final String text = node.configText().replace(from, to);
+            node.server.reload(() -> NodeConfig.parse(text, java.util.Map.of()));
+            assertThat(node.event()).startsWith("retuned");
+            client.write("body");
+            if (then.startsWith("requested")) {
+                assertThat(node.event()).startsWith(then);
+            } else {
+                assertThat(client.read()).startsWith("HTTP/1.1 " + then);
+            }
+        }
+    }
+
+    /** Of two reqs on one connection, each has what the settings said when it was taken, and no more. */
+    @Test
+    void takesNothingOverFromTheReqBeforeOnItsConnection() throws Exception {
+        try (TestNode node = new TestNode(HOLDS); Peer client = node.client()) {
+            client.write("POST /file?obj=2a HTTP/1.1\r\nX-Request-Id: r1\r\nIdempotency-Key: k\r\n"
+                + "X-Deadline: 900m\r\nContent-Length: 4\r\n\r\nbody");
+            assertThat(node.event()).isEqualTo("requested 1 class 1 key 42");
+            final String text = node.configText().replace("\"idempotency\":\"pure\"",
+                "\"idempotency\":\"side_effect\"");
+            node.server.reload(() -> NodeConfig.parse(text, java.util.Map.of()));
+            assertThat(node.event()).startsWith("retuned");
+            client.write("POST /check HTTP/1.1\r\nX-Request-Id: r2\r\nContent-Length: 0\r\n\r\n");
+            assertThat(node.event()).isEqualTo("requested 2 class 2 key 0");
+            node.act(actions -> actions.send(2, 0, Long.MAX_VALUE));
+            assertThat(node.backend().read()).doesNotContainIgnoringCase("Idempotency-Key")
+                .endsWith("\r\n\r\n").containsPattern("(?i)X-Deadline: 4[0-9]{6}u\r\n");
+        }
+    }
+
+    // ---- The director ----
+
+    /** The module's pause and a second call were to fit into the 6 s after which news counts as told. */
+    @Test
+    void opensASilentWatchAnewAtOnce() throws Exception {
+        try (TestNode node = new TestNode(HOLDS)) {
+            node.act(Actions::watchList);
+            final Peer silent = node.director();
+            silent.read();
+            assertThat(node.event()).isEqualTo("listed FAILED");
+            final Peer again = node.director();
+            assertThat(again.read()).contains("?since=1&timeout_ms=1 ");
+            assertThat(silent.isClosedByOther()).isTrue();
+            // What the silent one says now is not heard.
+            again.write(answer("200 OK", "", list(2, false, entry("s-1", node.backend, "DRAINING"))));
+            assertThat(node.event()).isEqualTo("listed CHANGES 0DRAINING7000");
+            assertThat(again.read()).contains("?since=2&timeout_ms=2500 ");
+        }
+    }
+
+    /** An answer that trickles and never ends is a silent one. */
+    @Test
+    void opensAWatchAnewWhoseAnswerNeverEnds() throws Exception {
+        try (TestNode node = new TestNode(HOLDS)) {
+            node.act(Actions::watchList);
+            final Peer endless = node.director();
+            endless.read();
+            assertThat(node.event()).isEqualTo("listed FAILED");
+            endless.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n");
+            final Peer again = node.director();
+            assertThat(again.read()).contains("?since=1&timeout_ms=1 ");
+        }
+    }
+
+    /** A stale list brought a drained backend back; a director that counts anew is believed in the end. */
+    @Test
+    void doubtsAnOlderListOnce() throws Exception {
+        try (TestNode node = new TestNode(HOLDS)) {
+            node.act(Actions::watchList);
+            final Peer stale = node.director();
+            stale.read();
+            assertThat(node.event()).isEqualTo("listed FAILED");
+            stale.write(answer("200 OK", "", list(0, true, entry("s-2", node.backend, "SERVING"))));
+            assertThat(node.event()).isEqualTo("listed FAILED");
+            node.act(Actions::watchList);
+            final Peer again = node.director();
+            assertThat(again.read()).startsWith("GET /registry/instances HTTP/1.1");
+            assertThat(node.event()).isEqualTo("listed FAILED");
+            again.write(answer("200 OK", "", list(0, true, entry("s-2", node.backend, "SERVING"))));
+            assertThat(node.event()).startsWith("listed FULL 1READY");
+            assertThat(again.read()).contains("?since=0&timeout_ms=2500 ");
+        }
+    }
+
+    /** The old director's answer lies unread when the file names another one: it is not taken. */
+    @Test
+    void hearsNothingOfTheOldDirectorAfterTheMove() throws Exception {
+        try (TestNode node = new TestNode(HOLDS); ServerSocket next = Peer.listen()) {
+            node.act(Actions::watchList);
+            final Peer old = node.director();
+            old.read();
+            assertThat(node.event()).isEqualTo("listed FAILED");
+            final String text = node.configText().replace(":" + node.director.getLocalPort() + "\"",
+                ":" + next.getLocalPort() + "\"");
+            final NodeConfig moved = NodeConfig.parse(text, java.util.Map.of());
+            holding(node, actions -> {
+                old.write(answer("200 OK", "", list(9, false, entry("s-1", node.backend, "DRAINING"))));
+                node.server.reload(() -> moved);
+                actions.watchList();
+            });
+            final Peer director = Peer.accept(next);
+            assertThat(director.read()).startsWith("GET /registry/instances HTTP/1.1");
+            assertThat(eventStarting(node, "listed")).isEqualTo("listed FAILED");
+            director.write(answer("200 OK", "", list(4, true, entry("s-1", node.backend, "SERVING"))));
+            assertThat(node.event()).isEqualTo("listed FULL 0READY7000");
+            assertThat(director.read()).contains("?since=4&");
+        }
+    }
+}
--- a/src/test/java/cresschute/node/Peer.java
+++ b/src/test/java/cresschute/node/Peer.java
@@ -161,6 +161,11 @@
         return socket.getInputStream().available() > 0;
     }
 
+    /** Ends the connection as a client does that has gone. */
+    void leave() throws IOException {
+        socket.close();
+    }
+
     /** Ends the connection as a dying process does. */
     void reset() throws IOException {
         socket.setSoLinger(true, 0);
--- a/src/test/java/cresschute/node/TestNode.java
+++ b/src/test/java/cresschute/node/TestNode.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 
 /** A node on real sockets, with one backend and a director driven by hand and a module that notes events. */
 final class TestNode implements AutoCloseable {
@@ -60,6 +61,12 @@
         sendsLeft = sends - 1;
     }
 
+    /** A node whose configuration's text is this one's, changed. */
+    static TestNode configured(UnaryOperator<String> change, BiConsumer<Actions, Integer> onReq)
+        throws IOException, ConfigException {
+        return new TestNode(onReq, true, null, null, null, change);
+    }
+
     /** A process of an upgrade: it accepts on the platform's listener, which the other one shares. */
     TestNode(ServerSocketChannel passed) throws IOException, ConfigException {
         this((actions, req) -> actions.send(req, 0, Long.MAX_VALUE), true, null, passed, null);
@@ -80,8 +87,14 @@
 
     private TestNode(BiConsumer<Actions, Integer> onReq, boolean known, Bodies bodies,
                      ServerSocketChannel passed, Path shared) throws IOException, ConfigException {
+        this(onReq, known, bodies, passed, shared, UnaryOperator.identity());
+    }
+
+    private TestNode(BiConsumer<Actions, Integer> onReq, boolean known, Bodies bodies,
+                     ServerSocketChannel passed, Path shared, UnaryOperator<String> change)
+        throws IOException, ConfigException {
         final String list = list(1, true, known ? entry("s-1", backend, "SERVING") : "");
-        final NodeConfig read = NodeConfig.parse(config(director, list), Map.of());
+        final NodeConfig read = NodeConfig.parse(change.apply(config(director, list)), Map.of());
         server = new NodeServer(new NodeConfig(read.name(), read.listen(), read.director(), read.seed(),
             read.settings(), read.classes(), read.zones(), read.kinds(), read.connectTimeoutUs(),
             read.connIdleUs(), read.sockets(), read.known(), null, null, bodies,
