--- a/src/test/java/cresschute/LogicTest.java
+++ b/src/test/java/cresschute/LogicTest.java
@@ -29,6 +29,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class LogicTest {
 
@@ -949,6 +950,46 @@
         }
     }
 
+    /** What is chosen is chosen on what holds when it is sent: not on what held when workers were asked. */
+    @ParameterizedTest
+    @ValueSource(strings = {"left", "drained", "both"})
+    void aRequestHeldForAProbeIsSentByWhatHoldsWhenItIsSent(String what) {
+        final Recorder host = probing();
+        host.pass(5 * SECOND);
+        host.probed.clear();
+        host.request(1, 0);
+        assertThat(host.probed).containsExactlyInAnyOrder(1, 2);
+        if (!what.equals("drained")) {
+            host.module.clientLeft(host.nowUs, 1);
+        }
+        if (!what.equals("left")) {
+            host.list(ListForm.CHANGES, new Worker(1, 0, 0, 0, WorkerState.DRAINING, 1, 0));
+        }
+        host.module.probed(host.nowUs, 1, Outcome.SERVED, new LoadReport(4, -1, 0));
+        host.module.probed(host.nowUs, 2, Outcome.SERVED, new LoadReport(0, -1, 9));
+        host.pass(SECOND);
+        assertThat(host.sends).extracting(Recorder.Send::worker)
+            .isEqualTo(what.equals("drained") ? List.of(2) : List.of());
+    }
+
+    /** What was taken back before its first byte tells nothing of any worker, and is chosen for anew. */
+    @ParameterizedTest
+    @EnumSource
+    void aSendThatWasTakenBackIsMadeElsewhereAndNarrowsNothing(Effect effect) {
+        final Recorder host = with(effect, RepeatScope.ALL);
+        host.list(ListForm.CACHED, worker(1, 0, 0), worker(2, 0, 0));
+        for (int id = 1; id <= 200; id++) {
+            host.request(id, 0);
+            host.end(id, 0, host.lastSend().worker(), Outcome.NOT_SENT);
+            assertThat(host.lastSend().request()).isEqualTo(id);
+            host.end(id, 1, host.lastSend().worker(), Outcome.SERVED);
+            host.pass(SECOND / 50);
+        }
+        assertThat(host.sends).hasSize(400);
+        assertThat(host.refused).isEmpty();
+        assertThat(host.failed).isEmpty();
+    }
+
     /** nairobi-noms: reports tell free slots and a queue, and every full worker looked alike. */
     @Test
     void ofTwoFullWorkersTheOneWithTheShorterQueueGetsTheJob() {
--- a/src/test/java/cresschute/RetunedTest.java
+++ b/src/test/java/cresschute/RetunedTest.java
@@ -20,6 +20,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Settings changed while the module runs: new classes work at once, and attempts never grow under way. */
 class RetunedTest {
@@ -86,6 +88,35 @@
         assertThat(more.sends).hasSize(3);
     }
 
+    /** A copy that the file read at SIGHUP allows was sent for reqs taken while there was to be none. */
+    @ParameterizedTest(name = "copies before {0}, after {1}")
+    @CsvSource({"false, true", "true, false"})
+    void aSecondCopyNeedsBothTheSettingsOfItsTakingAndThoseInForce(boolean before, boolean after) {
+        final List<RequestClass> classes = List.of(new RequestClass(1, SECOND, 2, 5 * SECOND, Effect.SAFE,
+            RepeatScope.ALL, 0, Placement.ANYWHERE));
+        final Settings with = Recorder.copying(classes);
+        final Settings without = copies(with, false);
+        final Recorder host = new Recorder(before ? with : without).list(ListForm.CACHED, at(1, 0), at(2, 0),
+            at(3, 0), at(4, 0));
+        host.request(1, 0);
+        host.module.retuned(host.nowUs, after ? with : without);
+        host.pass(SECOND * 5 / 2);
+        assertThat(host.sends).hasSize(1);
+        host.module.retuned(host.nowUs, with);
+        host.request(2, 0);
+        host.pass(SECOND * 5 / 2);
+        assertThat(host.sends.stream().filter(send -> send.request() == 2)).hasSize(2);
+    }
+
+    private static Settings copies(Settings plain, boolean allowed) {
+        return new Settings(plain.dispatchers(), plain.zone(), plain.zones(), plain.kinds(), plain.classes(),
+            plain.tenants(), plain.overShareWorth(), plain.worthByWork(), new Limits(4, 0, allowed),
+            plain.coldStart(), plain.goal(), plain.listMustBeAsked(), plain.askWithinUs(),
+            plain.weightSource(), plain.reportsLoad(), plain.tellsStart(), plain.progressUs(),
+            plain.crossZonePrice(), plain.probing(), plain.peerMessages(), plain.fetchPrice(),
+            plain.fullMayHaveRun(), plain.closeOnDrainWithinUs());
+    }
+
     @Test
     void refusesSettingsThatChangeAClassToldBefore() {
         final Settings start = settings(List.of(SAFE));
--- a/src/test/java/cresschute/node/CrossingRulesTest.java
+++ b/src/test/java/cresschute/node/CrossingRulesTest.java
@@ -26,7 +26,7 @@
 
 /**
  * Two events that cross, each time forced: a backend that does not accept yet, or a peer that writes or
- * closes while the node's loop is held between the one and the other. docs/results/crossings.md has the table.
+ * closes while the node's loop is held between the one and the other. See docs/results/crossings.md.
  */
 @Timeout(30)
 class CrossingRulesTest {
