Pass over a second answer that meets the next req on its connection

A backend that answers twice, the second time after the next req was written to the same connection: a 503 with X-Not-Run, which names no req, ended that one as FULL, so that even an unsafe class was sent again while the first send ran; a 500 or a line about the req before ended it as ERROR. All five cases fail on the code before.

Lines at fault: BackendConnection.channelRead0 handed every head to the exchange at hand; HttpFetch.line took a line about another req for malformed. Within 100 ms after an answer a head that names no req is now believed once nothing has followed it for 50 ms; a second one shows that the first was not this req's. Where the connection ends behind it the fetch ends as broken: it may have run. Left out: letting a connection rest before it is used again, which costs handshakes where jobs follow each other closely.

--- a/src/main/java/cresschute/node/http/BackendConnection.java
+++ b/src/main/java/cresschute/node/http/BackendConnection.java
@@ -1,13 +1,17 @@
 package cresschute.node.http;
 
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -21,16 +25,32 @@
     /** Time for the end of an answer whose outcome is told, before the connection is given up, ms. */
     private static final long TAIL_MS = 1_000;
 
+    /**
+     * How soon after an answer the next exchange on its connection may still meet that answer a second time,
+     * ms; what then names no req is believed once nothing has followed it for as long as the second figure
+     * says. A backend's own answer, or its 200 for a job taken, is there within a round trip or two.
+     */
+    private static final long DOUBT_WITHIN_MS = 100;
+    private static final long DOUBT_MS = 50;
+
     final InetSocketAddress addr;
     private final BackendConnections owner;
     private Channel channel;
     private Exchange exchange;
     private boolean keepAlive;
+    /** Whether more answers have come than were asked for. */
+    private boolean outOfStep;
     private boolean informational;
     private boolean kept;
     private boolean closing;
     private Future<?> retire;
     private Future<?> tail;
+    private long idleSinceNs;
+    /** Whether the answer to the exchange before may come a second time and be taken for this one's. */
+    private boolean doubtful;
+    /** A head that is not yet believed, and when it will be. */
+    private HttpResponse unbelieved;
+    private Future<?> belief;
 
     BackendConnection(InetSocketAddress addr, BackendConnections owner) {
         this.addr = addr;
@@ -48,6 +68,7 @@
             retire.cancel(false);
             retire = null;
             kept = true;
+            doubtful = System.nanoTime() - idleSinceNs < TimeUnit.MILLISECONDS.toNanos(DOUBT_WITHIN_MS);
         }
         exchange = next;
         next.connection = this;
@@ -102,6 +123,7 @@
 
     /** Closes this connection after it has been idle for that long. */
     void retireAfter(long idleUs) {
+        idleSinceNs = System.nanoTime();
         retire = channel.eventLoop().schedule(this::close, idleUs, TimeUnit.MICROSECONDS);
     }
 
@@ -144,25 +166,73 @@
         if (message instanceof HttpResponse response) {
             informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
             if (!informational) {
+                disbelieve();
                 keepAlive = HttpUtil.isKeepAlive(response);
-                exchange.head(response);
+                if (doubtful && !response.status().equals(HttpResponseStatus.OK)) {
+                    unbelieved = response;
+                } else {
+                    exchange.head(response);
+                }
             }
         }
         if (message instanceof HttpContent content && !informational) {
-            content(content);
+            if (unbelieved == null) {
+                content(content);
+            } else if (content instanceof LastHttpContent last) {
+                belief = channel.eventLoop().schedule(() -> believe(last.trailingHeaders()), DOUBT_MS,
+                    TimeUnit.MILLISECONDS);
+            }
+        }
+    }
+
+    /** Whether lines that name another req may be a second answer to the exchange before. */
+    boolean isInDoubt() {
+        return doubtful;
+    }
+
+    /** Another answer follows: the one before was not this exchange's, and proves nothing. */
+    private void disbelieve() {
+        if (unbelieved != null) {
+            unbelieved = null;
+            secondCame();
+        }
+        if (belief != null) {
+            belief.cancel(false);
+            belief = null;
         }
     }
 
+    private void secondCame() {
+        doubtful = false;
+        outOfStep = true;
+        owner.unasked(addr);
+    }
+
+    /** Nothing followed it: it is this exchange's answer. */
+    private void believe(HttpHeaders trailers) {
+        final HttpResponse head = unbelieved;
+        unbelieved = null;
+        belief = null;
+        doubtful = false;
+        exchange.head(head);
+        content(new DefaultLastHttpContent(Unpooled.EMPTY_BUFFER, trailers));
+    }
+
     private void content(HttpContent content) {
         final Exchange current = exchange;
         final boolean wasOver = current.over;
         current.content(content.content());
         if (content instanceof LastHttpContent last) {
+            if (current.isAnothers()) {
+                current.anothersEnded();
+                secondCame();
+                return;
+            }
             forgetTail();
             exchange = null;
             current.last(last.trailingHeaders());
             current.connection = null;
-            if (keepAlive && current.written) {
+            if (keepAlive && current.written && !outOfStep) {
                 owner.idle(this);
             } else {
                 close();
@@ -187,6 +257,10 @@
             retire.cancel(false);
         }
         forgetTail();
+        if (belief != null) {
+            // Whether it was this exchange's answer will not be known: it ends as broken, and may have run.
+            belief.cancel(false);
+        }
         owner.closed(this);
         if (!closing && (kept || exchange == null && keepAlive)) {
             owner.keptOneBroke();
--- a/src/main/java/cresschute/node/http/Exchange.java
+++ b/src/main/java/cresschute/node/http/Exchange.java
@@ -27,6 +27,15 @@
 
     abstract void head(HttpResponse response);
 
+    /** Whether the answer that comes turned out to be another exchange's, so that its own is still due. */
+    boolean isAnothers() {
+        return false;
+    }
+
+    /** That answer is whole; the exchange's own comes next. */
+    void anothersEnded() {
+    }
+
     abstract void content(ByteBuf content);
 
     /** All that was ready has been read. */
--- a/src/main/java/cresschute/node/http/HttpFetch.java
+++ b/src/main/java/cresschute/node/http/HttpFetch.java
@@ -34,13 +34,15 @@
     private final long waitUs;
     private final FetchListener listener;
     private final RateLimitedLog troubles;
-    private final JobLines lines = new JobLines();
+    private JobLines lines = new JobLines();
     /** What carries a long body, or null. */
     private final BodyPump pump;
     /** A long result from its first byte on, or null. */
     private LongResult result;
     private boolean awaiting;
     private Outcome unstreamed;
+    /** Whether a line of this answer named another req, where the answer before may have come twice. */
+    private boolean anothers;
     private LoadReport load = LoadReport.NONE;
 
     HttpFetch(String host, ReqContent content, long waitUs, FetchListener listener, RateLimitedLog troubles) {
@@ -140,7 +142,7 @@
 
     @Override
     void content(ByteBuf chunk) {
-        if (over || unstreamed != null) {
+        if (over || unstreamed != null || anothers) {
             return;
         }
         if (result != null) {
@@ -153,7 +155,7 @@
         }
         for (String line = lines.next(); line != null; line = lines.next()) {
             line(line);
-            if (over) {
+            if (over || anothers) {
                 return;
             }
             if (result != null) {
@@ -234,11 +236,32 @@
             } else {
                 end(line.outcome(), line.load() == LoadReport.NONE ? load : line.load(), line.result());
             }
+        } catch (JobLine.AnotherReq e) {
+            anothers = connection.isInDoubt();
+            if (!anothers) {
+                bad(e);
+            }
         } catch (JsonParseException e) {
             bad(e);
         }
     }
 
+    @Override
+    boolean isAnothers() {
+        final String rest = over || unstreamed != null || anothers || result != null ? "" : lines.rest();
+        if (!rest.isEmpty()) {
+            line(rest);
+        }
+        return anothers;
+    }
+
+    @Override
+    void anothersEnded() {
+        anothers = false;
+        load = LoadReport.NONE;
+        lines = new JobLines();
+    }
+
     @Override
     void last(HttpHeaders trailers) {
         if (result != null) {
@@ -247,10 +270,6 @@
                 : state.equals("done")));
             return;
         }
-        final String rest = over || unstreamed != null ? "" : lines.rest();
-        if (!rest.isEmpty()) {
-            line(rest);
-        }
         broken();
     }
 
--- a/src/main/java/cresschute/node/http/JobLine.java
+++ b/src/main/java/cresschute/node/http/JobLine.java
@@ -18,6 +18,16 @@
 
     private static final double MOST_BYTES = 1L << 50;
 
+    /** A line that names another req than the one that was asked about. */
+    static final class AnotherReq extends JsonParseException {
+
+        private static final long serialVersionUID = 1L;
+
+        AnotherReq() {
+            super("a line about another req");
+        }
+    }
+
     JobLine(Outcome outcome, double share, LoadReport load, String result) {
         this(outcome, share, load, result, null);
     }
@@ -26,7 +36,7 @@
     static JobLine parse(String text, String requestId) {
         final JsonObject json = Json.object(text);
         if (!Json.string(json, "id").equals(requestId)) {
-            throw new JsonParseException("a line about another req");
+            throw new AnotherReq();
         }
         final LoadReport load = json.has("load") ? Loads.parse(Json.child(json, "load")) : LoadReport.NONE;
         final String state = Json.string(json, "state");
--- a/src/test/java/cresschute/node/CrossingRulesTest.java
+++ b/src/test/java/cresschute/node/CrossingRulesTest.java
@@ -334,6 +334,38 @@
         }
     }
 
+    /** The second answer comes after the next req was written; that one's own follows, and alone counts. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+        503 No | X-Not-Run: 1 | ''
+        500 No | X-Load: x0=1 | ''
+        200 OK | X-Load: x0=1 | {"id":"r1","from":"s-1","state":"returned"}
+        200 OK | X-Load: x0=1 | {"id":"r1","from":"s-1","state":"done","result":"again"}
+        """)
+    void passesOverASecondAnswerToTheReqBefore(String status, String header, String line) throws Exception {
+        try (TestNode node = new TestNode(HOLDS); Peer client = node.client(); Peer next = node.client()) {
+            final Peer backend = keptWithReqHeld(node, client, next);
+            node.act(actions -> actions.send(2, 0, Long.MAX_VALUE));
+            assertThat(backend.read()).contains("X-Request-Id: r2");
+            backend.write(answer(status, header + "\r\n", line) + done("r2"));
+            assertThat(next.read()).endsWith("of r2");
+            assertThat(eventStarting(node, "ended 2")).startsWith("ended 2 0 SERVED");
+            assertThat(backend.isClosedByOther()).isTrue();
+        }
+    }
+
+    /** Whether it was the next req's own answer is never known: it may have run. */
+    @Test
+    void takesNoSecondAnswerForProofWhereTheConnectionEndsBehindIt() throws Exception {
+        try (TestNode node = new TestNode(HOLDS); Peer client = node.client(); Peer next = node.client()) {
+            final Peer backend = keptWithReqHeld(node, client, next);
+            node.act(actions -> actions.send(2, 0, Long.MAX_VALUE));
+            assertThat(backend.read()).contains("X-Request-Id: r2");
+            backend.write(answer("503 No", "X-Not-Run: 1\r\n", "")).leave();
+            assertThat(eventStarting(node, "ended 2")).startsWith("ended 2 0 BROKEN closed false");
+        }
+    }
+
     /** One backend's second answer had every kept connection to all others closed for 15 s. */
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "what is this\r\n\r\n", "x"})
