Turn away unheard clients' long bodies, and count reqs against their own tenant's share

Seen, each forced by a test on real sockets that fails on the code before:

- A req with a long body waits in the module, or for its connection, while there is no room to read its client.
Its end stands behind unread bytes and is not seen, so the req was sent whenever its turn came (sendsNothingForAClientThatWentUnheardForWantOfRoom: both cases fail with the bound of 0.25 s taken out).
Ruled out: seeing the end some other way.
Where the window is full the end has not left the client's machine.
Core.send, and a fetch whose connection has come up, now ask ReqClient.unheardUs.
- ReqHead gave every req tenant 0: each counted against the first customer's share.
- DirectorClient.told let go of its call before the core had the list: an error there, behind an answer that closes its connection, would have left nobody to ask again.
Read, not seen; the order is the other way now.

--- a/src/main/java/cresschute/DispatchApi.java
+++ b/src/main/java/cresschute/DispatchApi.java
@@ -123,8 +123,9 @@
     }
 
     /** A customer's share: requests a second within it, over all dispatchers together. */
-    public record Tenant(double quotaPerS) {
+    public record Tenant(String name, double quotaPerS) {
         public Tenant {
+            require(name != null, "tenant name");
             require(quotaPerS >= 0, "tenant quotaPerS");
         }
     }
--- a/src/main/java/cresschute/benchlink/SettingsParser.java
+++ b/src/main/java/cresschute/benchlink/SettingsParser.java
@@ -124,7 +124,12 @@
         final int count = (int) number("tenants.count", 0);
         final List<Tenant> tenants = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            tenants.add(new Tenant(number("tenants." + i + ".quotaPerS")));
+            tenants.add(new Tenant(word("tenants." + i + ".name", Integer.toString(i)),
+                number("tenants." + i + ".quotaPerS")));
+        }
+        // Guards against one customer's requests that count against another's share.
+        if (tenants.stream().map(Tenant::name).distinct().count() != count) {
+            throw new IllegalArgumentException("a tenant is named twice");
         }
         return tenants;
     }
--- a/src/main/java/cresschute/node/Backends.java
+++ b/src/main/java/cresschute/node/Backends.java
@@ -31,6 +31,11 @@
     /** Who hears of a fetch. */
     interface FetchListener {
 
+        /** Whether its first byte may go out now that a new connection is up; it has ended where not. */
+        default boolean mayBegin() {
+            return true;
+        }
+
         /** The job has started (share 0), or how much of it is done. */
         void progressed(double shareDone);
 
--- a/src/main/java/cresschute/node/Core.java
+++ b/src/main/java/cresschute/node/Core.java
@@ -45,6 +45,11 @@
     static final long ANSWER_MARGIN_US = 15_000;
     /** Past its due time by this, us, a req that the module left unanswered is failed by the node. */
     static final long OVERDUE_US = 10_000;
+    /**
+     * A req of which nothing is out is not sent on once its client has gone unheard for this, us: it may have
+     * left, and 0.3 s after that the platform's page allows no send.
+     */
+    static final long UNHEARD_US = 250_000;
     /** When to come back with what the node itself turns away, us, where advice is allowed. */
     private static final long OWN_RETRY_US = 1_000_000;
     private static final long US_A_MS = 1_000;
@@ -305,6 +310,8 @@
         if (req.client.hasLeft()) {
             // Its end was read behind its last req, and is told after the turn for which that req came.
             clientLeft(req);
+        } else {
+            turnAwayIfUnheard(req);
         }
         if (req.closed || req.streaming != null || !req.content.canBeSentAnew()) {
             // The client left, or was answered, in the turn in which the module chose: nothing is sent. Nor
@@ -333,8 +340,23 @@
         }
     }
 
+    /** Guards against sending for nobody: where there is no room for its body, it is not seen to leave. */
+    private void turnAwayIfUnheard(Req req) {
+        if (!req.closed && req.client.unheardUs() > UNHEARD_US
+            && req.out.stream().noneMatch(fetch -> fetch.call.hasBegun())) {
+            troubles.trouble(Trouble.NO_ROOM_FOR_BODY, null, "not sent: its client went unheard");
+            answerWhatIsNotSentAnew(req);
+        }
+    }
+
     private Backends.FetchListener listenerOf(Fetch fetch) {
         return new Backends.FetchListener() {
+            @Override
+            public boolean mayBegin() {
+                turnAwayIfUnheard(fetch.req);
+                return !fetch.ended;
+            }
+
             @Override
             public void progressed(double shareDone) {
                 fetch.watch.told(clock.nowUs());
@@ -383,7 +405,7 @@
         req.out.remove(fetch);
         req.mayHaveRun |= mayHaveRun(outcome);
         if (!req.closed && req.streaming == null && req.out.isEmpty() && !req.content.canBeSentAnew()) {
-            answerWhatCannotBeSentAnew(req);
+            answerWhatIsNotSentAnew(req);
         }
         forgetIfDone(req);
         final long elapsedUs = clock.nowUs() - fetch.sentUs;
@@ -458,7 +480,7 @@
      * Guards against repeats that would end one by one, each told as a loss at a backend that saw nothing of
      * them: where the body is partly gone, no choice is left to the module, which hears that it is closed.
      */
-    private void answerWhatCannotBeSentAnew(Req req) {
+    private void answerWhatIsNotSentAnew(Req req) {
         if (req.mayHaveRun) {
             answer(req, CoreWatcher.Answer.FAILED, 0, req.client::failed);
         } else {
--- a/src/main/java/cresschute/node/FlatSettings.java
+++ b/src/main/java/cresschute/node/FlatSettings.java
@@ -7,7 +7,7 @@
 import java.util.StringJoiner;
 
 /** Flattens nested settings to the path=value lines that the settings parser reads. */
-final class FlatSettings {
+public final class FlatSettings {
 
     private final StringBuilder lines = new StringBuilder();
 
@@ -54,8 +54,12 @@
         lines.append(path).append('=').append(value).append('\n');
     }
 
-    /** Guards against values that would read as two: the lines know no quoting. */
     private static String word(JsonElement element) {
-        return element.getAsString().replaceAll("[\\s,]", "_");
+        return word(element.getAsString());
+    }
+
+    /** A value as the lines have it. Guards against values that would read as two: they know no quoting. */
+    public static String word(String value) {
+        return value.replaceAll("[\\s,]", "_");
     }
 }
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -253,7 +253,7 @@
         classTable = table;
         told = retold;
         core.retune(table.names(), retold);
-        front.retune(table.live(), table.classes());
+        front.retune(table.live(), table.classes(), retold.tenants());
         return "; settings in force" + (changes.isEmpty() ? "" : ", classes " + changes)
             + (retold.limits().equals(now.limits()) ? ""
             : ", attempts at most " + retold.limits().maxAttempts());
--- a/src/main/java/cresschute/node/ReqClient.java
+++ b/src/main/java/cresschute/node/ReqClient.java
@@ -8,6 +8,14 @@
         return false;
     }
 
+    /**
+     * For how long nothing of what it sends has been read, as there was no room, us; 0 while it is read. Its
+     * leaving is not seen then: what stands before its end in the connection holds that up.
+     */
+    default long unheardUs() {
+        return 0;
+    }
+
     /** Served with the result that a backend made for it. */
     void served(String result);
 
--- a/src/main/java/cresschute/node/http/BackendConnections.java
+++ b/src/main/java/cresschute/node/http/BackendConnections.java
@@ -120,7 +120,7 @@
             if (!done.isSuccess()) {
                 opened--;
                 exchange.broken();
-            } else if (exchange.over) {
+            } else if (exchange.over || !exchange.mayBegin()) {
                 // Given up before it was up.
                 connecting.channel().close();
             } else {
--- a/src/main/java/cresschute/node/http/ClientConnection.java
+++ b/src/main/java/cresschute/node/http/ClientConnection.java
@@ -68,6 +68,8 @@
     /** The body that is being read where it is long, and whether a read of it is asked for. */
     private LongBody longBody;
     private boolean awaiting;
+    /** Since when there has been no room for a read of it; 0 while there is. */
+    private long unheardSinceNs;
     private boolean deaf;
     /** Whether nothing is sent here any more. */
     private boolean ending;
@@ -295,8 +297,10 @@
         }
         if (longBody.hasRoom()) {
             awaiting = true;
+            unheardSinceNs = 0;
             context.read();
         } else {
+            unheardSinceNs = unheardSinceNs == 0 ? System.nanoTime() : unheardSinceNs;
             // Guards against a wait without end: without a fetch no room comes free.
             takeLong();
         }
@@ -324,6 +328,7 @@
     /** Reads no more of a long body than to let its client see the answer. */
     private void endLong() {
         longBody = null;
+        unheardSinceNs = 0;
         context.channel().config().setAutoRead(true);
     }
 
@@ -634,6 +639,12 @@
             return !context.channel().isActive();
         }
 
+        @Override
+        public long unheardUs() {
+            return body == null || body != longBody || unheardSinceNs == 0 ? 0
+                : TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - unheardSinceNs);
+        }
+
         void clientLeft() {
             if (req != null) {
                 front.core().clientLeft(req);
--- a/src/main/java/cresschute/node/http/ClientFront.java
+++ b/src/main/java/cresschute/node/http/ClientFront.java
@@ -1,6 +1,7 @@
 package cresschute.node.http;
 
 import cresschute.DispatchApi.RequestClass;
+import cresschute.DispatchApi.Tenant;
 import cresschute.node.Core;
 import cresschute.node.Door;
 import cresschute.node.NodeConfig;
@@ -76,17 +77,18 @@
     public ClientFront(EventLoop loop, Core core, NodeConfig config, int most) {
         this.loop = loop;
         this.core = core;
-        this.parser = new ReqHead.Parser(config.classes(), config.settings().classes());
+        this.parser = new ReqHead.Parser(config.classes(), config.settings().classes(),
+            config.settings().tenants());
         this.most = most;
         this.bodies = config.bodies() == null ? null : new LongBodies(config.bodies(), core);
     }
 
     /**
      * Reads reqs of these classes from now on, on the loop: {@code live} gives the number of each class that
-     * new reqs may be of, {@code classes} all of them by number.
+     * new reqs may be of, {@code classes} all of them by number, {@code tenants} the customers.
      */
-    public void retune(Map<String, Integer> live, List<RequestClass> classes) {
-        parser = new ReqHead.Parser(live, classes);
+    public void retune(Map<String, Integer> live, List<RequestClass> classes, List<Tenant> tenants) {
+        parser = new ReqHead.Parser(live, classes, tenants);
     }
 
     /** Listens on this address only. */
--- a/src/main/java/cresschute/node/http/DirectorClient.java
+++ b/src/main/java/cresschute/node/http/DirectorClient.java
@@ -189,13 +189,14 @@
         newcomer = false;
         doubted = false;
         anew = false;
+        // Before this call is over: should anything fail on the list, its deadline still opens a new watch.
+        core.directorTold(list);
         deadline.cancel(false);
         if (!HttpUtil.isKeepAlive(response)) {
             final Channel last = channel;
             channel = null;
             last.close();
         }
-        core.directorTold(list);
         // Guards against the watch lapsing: it goes on only if the next call comes within 200 ms.
         call();
     }
--- a/src/main/java/cresschute/node/http/Exchange.java
+++ b/src/main/java/cresschute/node/http/Exchange.java
@@ -25,6 +25,11 @@
         return null;
     }
 
+    /** Whether it is still wanted once a new connection for it is up; it is over where not. */
+    boolean mayBegin() {
+        return true;
+    }
+
     abstract void head(HttpResponse response);
 
     /** Whether the answer that comes turned out to be another exchange's, so that its own is still due. */
--- a/src/main/java/cresschute/node/http/Headers.java
+++ b/src/main/java/cresschute/node/http/Headers.java
@@ -8,6 +8,7 @@
     static final AsciiString REQUEST_ID = AsciiString.cached("X-Request-Id");
     static final AsciiString DEADLINE = AsciiString.cached("X-Deadline");
     static final AsciiString IDEMPOTENCY_KEY = AsciiString.cached("Idempotency-Key");
+    static final AsciiString TENANT = AsciiString.cached("X-Tenant");
     static final AsciiString RETRY = AsciiString.cached("X-Retry");
     static final AsciiString EXTRAS = AsciiString.cached("X-Extras");
     static final AsciiString LOAD = AsciiString.cached("X-Load");
--- a/src/main/java/cresschute/node/http/HttpFetch.java
+++ b/src/main/java/cresschute/node/http/HttpFetch.java
@@ -82,6 +82,11 @@
         return pump;
     }
 
+    @Override
+    boolean mayBegin() {
+        return listener.mayBegin();
+    }
+
     /**
      * The backend holds a slot for the job from here on. Guards its good name against clients that send a
      * long body slowly: a job that does not start would be taken for a backend that starts none.
--- a/src/main/java/cresschute/node/http/ReqHead.java
+++ b/src/main/java/cresschute/node/http/ReqHead.java
@@ -3,6 +3,8 @@
 import cresschute.DispatchApi.Effect;
 import cresschute.DispatchApi.Job;
 import cresschute.DispatchApi.RequestClass;
+import cresschute.DispatchApi.Tenant;
+import cresschute.node.FlatSettings;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -43,20 +45,23 @@
     static final class Parser {
 
         private static final List<AsciiString> SAID_ONCE = List.of(HttpHeaderNames.HOST, Headers.REQUEST_ID,
-            Headers.IDEMPOTENCY_KEY, Headers.DEADLINE, Headers.EXTRAS, Headers.RETRY);
+            Headers.IDEMPOTENCY_KEY, Headers.DEADLINE, Headers.EXTRAS, Headers.RETRY, Headers.TENANT);
 
         private final Map<String, Integer> numbers = new HashMap<>();
         private final List<RequestClass> classes;
+        private final List<Tenant> tenants;
 
-        Parser(List<String> names, List<RequestClass> classes) {
+        Parser(List<String> names, List<RequestClass> classes, List<Tenant> tenants) {
             names.forEach(name -> numbers.put(name, numbers.size()));
             this.classes = classes;
+            this.tenants = tenants;
         }
 
         /** Classes by the numbers that the module knows them by; only those named are taken. */
-        Parser(Map<String, Integer> live, List<RequestClass> classes) {
+        Parser(Map<String, Integer> live, List<RequestClass> classes, List<Tenant> tenants) {
             numbers.putAll(live);
             this.classes = classes;
+            this.tenants = tenants;
         }
 
         ReqHead parse(HttpRequest request) throws UnusableHead {
@@ -92,7 +97,7 @@
             if (objects.size() > 1) {
                 throw bad("obj is given twice");
             }
-            final Job job = new Job(requestClass, 0, extras.getOrDefault("slots", 1.0), 0,
+            final Job job = new Job(requestClass, tenant(headers), extras.getOrDefault("slots", 1.0), 0,
                 objects.isEmpty() ? 0 : keyNumber(objects.get(0)), "1".equals(headers.get(Headers.RETRY)));
             return new ReqHead(requestId, target, key, job, waitUs);
         }
@@ -113,6 +118,23 @@
             }
         }
 
+        /**
+         * Whose share the req counts against, by its number in the settings; 0 where these have no shares.
+         * Guards against counting one customer's reqs as another's.
+         */
+        private int tenant(HttpHeaders headers) throws UnusableHead {
+            if (tenants.isEmpty()) {
+                return 0;
+            }
+            final String name = FlatSettings.word(headers.get(Headers.TENANT, "").strip());
+            for (int number = 0; number < tenants.size(); number++) {
+                if (tenants.get(number).name().equals(name)) {
+                    return number;
+                }
+            }
+            throw bad("X-Tenant is missing or names no tenant");
+        }
+
         /** Also takes the form with scheme and host, as every HTTP server must. */
         private static String originForm(String uri) throws UnusableHead {
             final int host = uri.startsWith("http://") ? "http://".length() : 0;
--- a/src/test/java/cresschute/LogicTest.java
+++ b/src/test/java/cresschute/LogicTest.java
@@ -701,7 +701,7 @@
     @Test
     void trafficBeyondATenantsShareGoesFirst() {
         final Recorder host = new Recorder(settings(List.of(job(1, Effect.UNSAFE, RepeatScope.ALL)),
-            List.of(new Tenant(10), new Tenant(1000)), 1, false));
+            List.of(new Tenant("a", 10), new Tenant("b", 1000)), 1, false));
         host.list(ListForm.CACHED, worker(1, 0, 0), worker(2, 0, 0));
         int served = 0;
         int overServed = 0;
@@ -1097,7 +1097,7 @@
     @Test
     void contradictorySettingsAreRefusedByName() {
         assertThatThrownBy(() -> settings(List.of())).hasMessageContaining("classes");
-        assertThatThrownBy(() -> new Tenant(-1)).hasMessageContaining("quotaPerS");
+        assertThatThrownBy(() -> new Tenant("a", -1)).hasMessageContaining("quotaPerS");
         assertThatThrownBy(() -> new RequestClass(1, 0, 2, 5, Effect.SAFE, RepeatScope.ALL, 0,
             Placement.ANYWHERE))
             .hasMessageContaining("aimUs");
--- a/src/test/java/cresschute/node/CrossingRulesTest.java
+++ b/src/test/java/cresschute/node/CrossingRulesTest.java
@@ -7,6 +7,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import cresschute.DispatchApi.Actions;
+import cresschute.settings.ApplianceSettings.Bodies;
+import cresschute.settings.ApplianceSettings.ClassBodies;
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.nio.file.Path;
@@ -16,6 +18,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -51,8 +54,12 @@
 
     /** A node to whose backend connections do not come up until it accepts, which may take for ever. */
     private static TestNode patient(BiConsumer<Actions, Integer> onReq) throws Exception {
+        return patient(onReq, null);
+    }
+
+    private static TestNode patient(BiConsumer<Actions, Integer> onReq, Bodies bodies) throws Exception {
         return TestNode.configured(text -> text.replace("\"connectTimeoutUs\":250000",
-            "\"connectTimeoutUs\":20000000"), onReq);
+            "\"connectTimeoutUs\":20000000"), onReq, bodies);
     }
 
     /** Fills a listener's queue: further connections come up only once some of these are accepted. */
@@ -242,6 +249,41 @@
         }
     }
 
+    /**
+     * With no room for the rest of a long body its client's end cannot be seen, as it stands behind that: the
+     * req was sent whenever the module, or its connection, came to it.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void sendsNothingForAClientThatWentUnheardForWantOfRoom(boolean connecting) throws Exception {
+        final Bodies bodies = LongBodyNode.bodies(new ClassBodies(8L << 20, 1024, 20_000_000, false, false));
+        try (TestNode node = patient(connecting ? SENDS : HOLDS, bodies); Peer other = node.client()) {
+            if (connecting) {
+                fill(node.backend);
+            }
+            final Peer client = node.client().write(LongBodyNode.head("r1", 8L << 20, ""));
+            client.writeBytes(0, LongBodyNode.MOST_OF_ONE);
+            assertThat(eventStarting(node, "requested")).startsWith("requested 1");
+            client.leave();
+            // By the node's own clock; more than the 0.25 s after which nobody can be taken to be there.
+            node.act(actions -> actions.wakeAfter(5, 400_000));
+            assertThat(eventStarting(node, "woken")).isEqualTo("woken 5");
+            if (connecting) {
+                acceptFilled(node.backend);
+                // Its connection came up, and ends without a byte.
+                assertThat(node.backend().isClosedByOther()).isTrue();
+                assertThat(eventStarting(node, "ended")).startsWith("ended 1 0 CANCELLED closed true");
+            } else {
+                node.act(actions -> actions.send(1, 0, Long.MAX_VALUE));
+                assertThat(eventStarting(node, "ended")).startsWith("ended 1 0 NOT_SENT closed true");
+                other.write(req("r2", "", ""));
+                assertThat(eventStarting(node, "requested")).startsWith("requested 2");
+                node.act(actions -> actions.send(2, 0, Long.MAX_VALUE));
+                assertThat(node.backend().read()).contains("X-Request-Id: r2");
+            }
+        }
+    }
+
     @Test
     void takesWhatWaitsBehindOthersInOrderOnceThereIsPlace() throws Exception {
         try (TestNode node = new TestNode(HOLDS); Peer client = node.client()) {
@@ -524,6 +566,71 @@
         }
     }
 
+    private static final UnaryOperator<String> SHARED = text -> text.replace("\"zones\":", "\"tenants\":["
+        + "{\"name\":\"alpha\",\"quotaPerS\":5},{\"name\":\"beta co\",\"quotaPerS\":7}],\"zones\":");
+
+    /** Every req counted against the first customer's share, whoever had sent it. */
+    @Test
+    void countsEachReqAgainstTheShareOfItsOwnCustomer() throws Exception {
+        try (TestNode node = TestNode.configured(SHARED, HOLDS); Peer client = node.client()) {
+            client.write(req("r1", "X-Tenant: beta co\r\n", "") + req("r2", "X-Tenant: alpha\r\n", ""));
+            assertThat(node.event()).isEqualTo("requested 1 class 0 key 42 tenant 1");
+            assertThat(node.event()).isEqualTo("requested 2 class 0 key 42");
+            // The same name has another place, and no other setting has changed its meaning.
+            reload(node, text -> SHARED.apply(text).replace("alpha", "gamma"));
+            assertThat(node.event()).startsWith("retuned");
+            client.write(req("r3", "X-Tenant: gamma\r\n", ""));
+            assertThat(node.event()).isEqualTo("requested 3 class 0 key 42");
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "X-Tenant: \r\n", "X-Tenant: other\r\n",
+        "X-Tenant: alpha\r\nX-Tenant: beta co\r\n"})
+    void answers400WhereAReqNamesNoCustomer(String headers) throws Exception {
+        try (TestNode node = TestNode.configured(SHARED, HOLDS); Peer client = node.client()) {
+            client.write(req("r1", headers, ""));
+            assertThat(client.read()).startsWith("HTTP/1.1 400").containsIgnoringCase("X-Tenant");
+            client.write(req("r1", "X-Tenant: alpha\r\n", ""));
+            assertThat(node.event()).startsWith("requested 1");
+        }
+    }
+
+    /** Takes this configuration in place of the node's own; it is in force when this returns. */
+    private static void reload(TestNode node, UnaryOperator<String> change) throws Exception {
+        final String text = change.apply(node.configText());
+        node.server.reload(() -> NodeConfig.parse(text, java.util.Map.of()));
+        node.server.loop().submit(() -> { }).get(8, TimeUnit.SECONDS);
+    }
+
+    /** Both limits held until a restart; what waits here waits for less than the old ones. */
+    @Test
+    void closesIdleConnectionsThatTheNewSettingsKeepLessLong() throws Exception {
+        try (TestNode node = TestNode.configured(text -> text.replace("\"connIdleUs\":2000000",
+            "\"connIdleUs\":60000000"), SENDS); Peer client = node.client()) {
+            client.write(req("r1", "", ""));
+            final Peer backend = node.backend();
+            backend.read();
+            backend.write(done("r1"));
+            client.read();
+            reload(node, text -> text.replace("\"connIdleUs\":2000000", "\"connIdleUs\":50000000"));
+            assertThat(backend.isClosedByOther()).isTrue();
+        }
+    }
+
+    @Test
+    void opensConnectionsByTheNewSettingsLimit() throws Exception {
+        final UnaryOperator<String> patient = text ->
+            text.replace("deadlineUs\":5000000", "deadlineUs\":60000000");
+        try (TestNode node = TestNode.configured(text -> patient.apply(text).replace("250000", "40000000"),
+            SENDS); Peer client = node.client()) {
+            fill(node.backend);
+            reload(node, patient);
+            client.write(req("r1", "", ""));
+            assertThat(eventStarting(node, "ended")).startsWith("ended 1 0 CONNECT_FAILED closed false");
+        }
+    }
+
     // ---- The director ----
 
     /** The module's pause and a second call were to fit into the 6 s after which news counts as told. */
--- a/src/test/java/cresschute/node/TestNode.java
+++ b/src/test/java/cresschute/node/TestNode.java
@@ -64,7 +64,13 @@
     /** A node whose configuration's text is this one's, changed. */
     static TestNode configured(UnaryOperator<String> change, BiConsumer<Actions, Integer> onReq)
         throws IOException, ConfigException {
-        return new TestNode(onReq, true, null, null, null, change);
+        return configured(change, onReq, null);
+    }
+
+    /** The same, with long bodies where they are not null. */
+    static TestNode configured(UnaryOperator<String> change, BiConsumer<Actions, Integer> onReq,
+                               Bodies bodies) throws IOException, ConfigException {
+        return new TestNode(onReq, true, bodies, null, null, change);
     }
 
     /** A process of an upgrade: it accepts on the platform's listener, which the other one shares. */
@@ -207,7 +213,8 @@
 
         @Override
         public void requested(long nowUs, int requestId, Job job, long giveUpUs) {
-            events.add("requested " + requestId + " class " + job.requestClass() + " key " + job.dataKey());
+            events.add("requested " + requestId + " class " + job.requestClass() + " key " + job.dataKey()
+                + (job.tenant() == 0 ? "" : " tenant " + job.tenant()));
             onReq.accept(actions, requestId);
         }
 
