--- a/src/test/java/cresschute/node/CrossingRulesTest.java
+++ b/src/test/java/cresschute/node/CrossingRulesTest.java
@@ -507,6 +507,20 @@
         }
     }
 
+    /** The signal comes while the node starts: whoever still gets in is let go, and the node ends. */
+    @Test
+    void endsWhereItIsToldToBeforeItListens() throws Exception {
+        try (ServerSocket director = Peer.listen()) {
+            final NodeServer node = new NodeServer(NodeConfig.parse(TestNode.config(director,
+                list(1, true, "")), java.util.Map.of()));
+            final CompletableFuture<Void> stopped = node.stop();
+            try (Peer client = Peer.connect(node.start())) {
+                assertThat(client.isClosedByOther()).isTrue();
+            }
+            stopped.get(8, TimeUnit.SECONDS);
+        }
+    }
+
     /** What may have had its effect is failed then, and not refused. */
     @Test
     void failsWhatMayHaveRunBeforeThePlatformKillsIt() throws Exception {
