--- a/src/main/java/cresschute/cli/TrialCommand.java
+++ b/src/main/java/cresschute/cli/TrialCommand.java
@@ -34,12 +34,13 @@
 @Command(name = "trial", mixinStandardHelpOptions = true,
     description = "Measures what drains and consoles cost, on loopback, and prints tables.",
     footer = {"", "Trials: drains (how soon new work stops), consoles (the node's CPU with 0, 1 and 8 of "
-        + "them), screen (drawing 1,000 workers), reqs (very many small ones).",
+        + "them), screen (drawing 1,000 workers), reqs (very many small ones), lists (what a node needs "
+        + "with 14, 200 and 1,024 workers).",
         "", "Example: cresschute trial drains --count 200"})
 final class TrialCommand implements Callable<Integer> {
 
     /** What may be measured. */
-    enum Trial { drains, consoles, screen, reqs }
+    enum Trial { drains, consoles, screen, reqs, lists }
 
     private static final double RATE = 25;
     private static final int WORKERS = 8;
@@ -47,6 +48,11 @@
     private static final int WIDE = 1_000;
     private static final int CHURN = 200;
     private static final int CLIENTS = 200;
+    private static final int[] LISTED = {14, 200, 1_024};
+    /** The memory bounds of the platform's command line. */
+    private static final List<String> PLATFORM = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+        "-Xms24m", "-Xmx64m", "-Xss512k", "-XX:MaxMetaspaceSize=40m", "-XX:ReservedCodeCacheSize=16m",
+        "-XX:MaxDirectMemorySize=16m", "-Dio.netty.allocator.type=pooled");
 
     @Parameters(paramLabel = "TRIAL", description = "${COMPLETION-CANDIDATES}")
     private Trial trial;
@@ -87,6 +93,7 @@
                 case consoles -> consoles(out, folder);
                 case screen -> screen(out);
                 case reqs -> reqs(out, folder);
+                case lists -> lists(out, folder);
             };
         } finally {
             log.close();
@@ -286,22 +293,11 @@
     private int reqs(PrintWriter out, Path folder) throws IOException, InterruptedException {
         final Path script = folder.resolve("site.star");
         final Path collections = folder.resolve("gc.log");
+        final List<String> options = new ArrayList<>(PLATFORM);
+        options.add("-Xlog:gc:file=" + collections);
         try (SmallReqs load = new SmallReqs()) {
-            final StringBuilder site = new StringBuilder("""
-                node(name = "small", listen = "127.0.0.1:0", seed = 1)
-                job_class(name = "small", worth = 1, aim = 1 * s, deadline = 5 * s, effect = "safe")
-                limits(sockets = 4096)
-                """);
-            int number = 0;
-            for (final InetSocketAddress each : load.startWorkers(WORKERS)) {
-                site.append("worker(id = \"w").append(++number).append("\", address = \"127.0.0.1:")
-                    .append(each.getPort()).append("\")\n");
-            }
-            Files.writeString(script, site);
-            try (NodeProcess node = new NodeProcess(script, List.of("-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", "-Xms24m", "-Xmx64m", "-Xss512k", "-XX:MaxMetaspaceSize=40m",
-                "-XX:ReservedCodeCacheSize=16m", "-XX:MaxDirectMemorySize=16m",
-                "-Dio.netty.allocator.type=pooled", "-Xlog:gc:file=" + collections))) {
+            Files.writeString(script, smallSite(load.startWorkers(WORKERS), WORKERS));
+            try (NodeProcess node = new NodeProcess(script, options)) {
                 load.connect(node.address(), CLIENTS);
                 out.println("| run of " + seconds + " s at " + rate + " reqs a second | ms p50 | p99 | p99.9 |"
                     + " max | not served | node's CPU, us a req | bytes made a req | full collections |"
@@ -331,4 +327,64 @@
         }
         return ExitCodes.DONE;
     }
+
+    /** A site of so many workers, which share these addresses. */
+    private static String smallSite(List<InetSocketAddress> addresses, int workers) {
+        final StringBuilder site = new StringBuilder("""
+            node(name = "small", listen = "127.0.0.1:0", seed = 1)
+            job_class(name = "small", worth = 1, aim = 1 * s, deadline = 5 * s, effect = "safe")
+            limits(sockets = 4096)
+            """);
+        for (int i = 0; i < workers; i++) {
+            site.append("worker(id = \"w").append(i + 1).append("\", address = \"127.0.0.1:")
+                .append(addresses.get(i % addresses.size()).getPort()).append("\")\n");
+        }
+        return site.toString();
+    }
+
+    // ---- What a long list costs ----
+
+    /** What one node used: CPU for a req, and the heap that it held after its reqs; medians. */
+    private record Used(double usAReq, double heapMb) {
+    }
+
+    /** A node for each length of the list, in turn; each has the same reqs at the same eight addresses. */
+    private int lists(PrintWriter out, Path folder) throws IOException, InterruptedException {
+        out.println("| workers listed | node's CPU, us a req: median (least to most) | against "
+            + LISTED[0] + " | heap held, MB: median | against " + LISTED[0] + " | not served |\n"
+            + "| --- | --- | --- | --- | --- | --- |");
+        Used least = null;
+        for (final int listed : LISTED) {
+            try (SmallReqs load = new SmallReqs()) {
+                final Path script = folder.resolve("listed" + listed + ".star");
+                Files.writeString(script, smallSite(load.startWorkers(WORKERS), listed));
+                final List<Double> us = new ArrayList<>();
+                final List<Double> heap = new ArrayList<>();
+                int notServed = 0;
+                try (NodeProcess node = new NodeProcess(script, PLATFORM)) {
+                    load.connect(node.address(), CLIENTS);
+                    // The first round is for the program's warming alone.
+                    for (int round = 0; round <= rounds; round++) {
+                        final long beforeNs = node.cpuNs();
+                        load.run(rate, seconds * 1_000L);
+                        final long usedNs = node.cpuNs() - beforeNs;
+                        if (round > 0) {
+                            us.add(usedNs / 1e3 / Math.max(1, rate * (long) seconds));
+                            heap.add(node.memoryHeld().heap() / 1e6);
+                            notServed += load.notServed();
+                        }
+                    }
+                }
+                us.sort(null);
+                heap.sort(null);
+                final Used used = new Used(median(us), median(heap));
+                least = least == null ? used : least;
+                out.println(String.format(Locale.ROOT, "| %d | %.0f (%.0f to %.0f) | %.2f | %.1f | %.2f | %d |",
+                    listed, used.usAReq(), us.get(0), us.get(us.size() - 1), used.usAReq() / least.usAReq(),
+                    used.heapMb(), used.heapMb() / least.heapMb(), notServed));
+                out.flush();
+            }
+        }
+        return ExitCodes.DONE;
+    }
 }
