Hold the backends that hang in two tests of a stop: left to the collector they may be closed

On the code before the mends the whole class passed answersAllBeforeThePlatformKillsIt once, though alone it fails there: the hanging backend's socket was referred to by nobody, and its closing ends the fetch early.

--- a/src/test/java/cresschute/node/CrossingRulesTest.java
+++ b/src/test/java/cresschute/node/CrossingRulesTest.java
@@ -95,6 +95,13 @@
         over.get(8, TimeUnit.SECONDS);
     }
 
+    /** Takes a fetch and answers nothing. Held, for a socket that nobody refers to may be closed at any time. */
+    private void hang(TestNode node) throws IOException {
+        final Peer backend = node.backend();
+        held.add(backend);
+        backend.read();
+    }
+
     private static String eventStarting(TestNode node, String start) throws InterruptedException {
         String event = node.event();
         while (event != null && !event.startsWith(start)) {
@@ -492,14 +499,14 @@
     void answersAllBeforeThePlatformKillsIt() throws Exception {
         try (TestNode node = new TestNode(); Peer early = node.client(); Peer late = node.client()) {
             early.write(req("r1", "", ""));
-            node.backend().read();
+            hang(node);
             final String req = req("r2", "", "body");
             late.write(req.substring(0, req.length() - 1));
             final CompletableFuture<Void> stopped = node.server.stop();
             final Future<?> killed = node.server.loop().schedule(() -> { }, 3_700, TimeUnit.MILLISECONDS);
             assertThat(node.client().isClosedByOther()).isTrue();
             late.write(req.substring(req.length() - 1));
-            node.backend().read();
+            hang(node);
             assertThat(early.read()).startsWith("HTTP/1.1 503");
             assertThat(late.read()).startsWith("HTTP/1.1 503").contains("\r\nconnection: close\r\n");
             assertThat(killed.isDone()).isFalse();
@@ -527,7 +534,7 @@
         try (TestNode node = new TestNode(); Peer client = node.client()) {
             client.write("POST /file HTTP/1.1\r\nX-Request-Id: r1\r\nIdempotency-Key: k\r\n"
                 + "Content-Length: 0\r\n\r\n");
-            node.backend().read();
+            hang(node);
             final CompletableFuture<Void> stopped = node.server.stop();
             node.server.stop();
             assertThat(client.read()).startsWith("HTTP/1.1 500");
