--- a/src/test/java/cresschute/node/CrossingRulesTest.java
+++ b/src/test/java/cresschute/node/CrossingRulesTest.java
@@ -95,7 +95,7 @@
         over.get(8, TimeUnit.SECONDS);
     }
 
-    /** Takes a fetch and answers nothing. Held, for a socket that nobody refers to may be closed at any time. */
+    /** Takes a fetch and answers nothing. Held: a socket that nobody refers to may be closed at any time. */
     private void hang(TestNode node) throws IOException {
         final Peer backend = node.backend();
         held.add(backend);
