--- a/src/main/java/cresschute/cli/TrialCommand.java
+++ b/src/main/java/cresschute/cli/TrialCommand.java
@@ -296,7 +296,7 @@
         final List<String> options = new ArrayList<>(PLATFORM);
         options.add("-Xlog:gc:file=" + collections);
         try (SmallReqs load = new SmallReqs()) {
-            Files.writeString(script, smallSite(load.startWorkers(WORKERS), WORKERS));
+            Files.writeString(script, smallSite(load.startWorkers(WORKERS)));
             try (NodeProcess node = new NodeProcess(script, options)) {
                 load.connect(node.address(), CLIENTS);
                 out.println("| run of " + seconds + " s at " + rate + " reqs a second | ms p50 | p99 | p99.9 |"
@@ -328,16 +328,15 @@
         return ExitCodes.DONE;
     }
 
-    /** A site of so many workers, which share these addresses. */
-    private static String smallSite(List<InetSocketAddress> addresses, int workers) {
+    private static String smallSite(List<InetSocketAddress> workers) {
         final StringBuilder site = new StringBuilder("""
             node(name = "small", listen = "127.0.0.1:0", seed = 1)
             job_class(name = "small", worth = 1, aim = 1 * s, deadline = 5 * s, effect = "safe")
             limits(sockets = 4096)
             """);
-        for (int i = 0; i < workers; i++) {
+        for (int i = 0; i < workers.size(); i++) {
             site.append("worker(id = \"w").append(i + 1).append("\", address = \"127.0.0.1:")
-                .append(addresses.get(i % addresses.size()).getPort()).append("\")\n");
+                .append(workers.get(i).getPort()).append("\")\n");
         }
         return site.toString();
     }
@@ -348,7 +347,7 @@
     private record Used(double usAReq, double heapMb) {
     }
 
-    /** A node for each length of the list, in turn; each has the same reqs at the same eight addresses. */
+    /** A node for each length of the list, in turn, with the same reqs. */
     private int lists(PrintWriter out, Path folder) throws IOException, InterruptedException {
         out.println("| workers listed | node's CPU, us a req: median (least to most) | against "
             + LISTED[0] + " | heap held, MB: median | against " + LISTED[0] + " | not served |\n"
@@ -357,7 +356,7 @@
         for (final int listed : LISTED) {
             try (SmallReqs load = new SmallReqs()) {
                 final Path script = folder.resolve("listed" + listed + ".star");
-                Files.writeString(script, smallSite(load.startWorkers(WORKERS), listed));
+                Files.writeString(script, smallSite(load.startWorkers(listed)));
                 final List<Double> us = new ArrayList<>();
                 final List<Double> heap = new ArrayList<>();
                 int notServed = 0;
