--- a/src/test/java/cresschute/node/CrossingRulesTest.java
+++ b/src/test/java/cresschute/node/CrossingRulesTest.java
@@ -234,6 +234,22 @@
         }
     }
 
+    /** The end of a client's sending is taken for its leaving: its own connection ends and nothing else. */
+    @Test
+    void takesAHalfCloseForLeavingAndServesOthers() throws Exception {
+        try (TestNode node = new TestNode(HOLDS); Peer client = node.client(); Peer other = node.client()) {
+            client.write(req("r1", "", ""));
+            assertThat(node.event()).startsWith("requested 1");
+            other.write(req("r2", "", ""));
+            assertThat(node.event()).startsWith("requested 2");
+            client.endSending();
+            assertThat(node.event()).isEqualTo("left 1");
+            assertThat(client.isClosedByOther()).isTrue();
+            node.act(actions -> actions.refuse(2, 0));
+            assertThat(other.read()).startsWith("HTTP/1.1 503");
+        }
+    }
+
     /** With 16 reqs taken, reading was paused, and nobody saw that the client had left. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
@@ -331,6 +347,16 @@
 
     // ---- Kept connections ----
 
+    /** Serves r1, as the module sends it, on a connection to the backend that is kept. */
+    private static Peer kept(TestNode node, Peer client) throws IOException {
+        client.write(req("r1", "", ""));
+        final Peer backend = node.backend();
+        backend.read();
+        backend.write(done("r1"));
+        client.read();
+        return backend;
+    }
+
     /** Serves r1 on a connection to the backend that is kept, with r2 taken and held by the module. */
     private static Peer keptWithReqHeld(TestNode node, Peer client, Peer next) throws Exception {
         client.write(req("r1", "", ""));
@@ -462,11 +488,7 @@
     @Test
     void takesWhatCameOnAnIdleConnectionBeforeItClosesIt() throws Exception {
         try (TestNode node = new TestNode(); Peer client = node.client()) {
-            client.write(req("r1", "", ""));
-            final Peer backend = node.backend();
-            backend.read();
-            backend.write(done("r1"));
-            client.read();
+            final Peer backend = kept(node, client);
             holding(node, actions -> {
                 client.write(req("r2", "", ""));
                 node.server.front().stopAccepting();
@@ -629,11 +651,7 @@
     void closesIdleConnectionsThatTheNewSettingsKeepLessLong() throws Exception {
         try (TestNode node = TestNode.configured(text -> text.replace("\"connIdleUs\":2000000",
             "\"connIdleUs\":60000000"), SENDS); Peer client = node.client()) {
-            client.write(req("r1", "", ""));
-            final Peer backend = node.backend();
-            backend.read();
-            backend.write(done("r1"));
-            client.read();
+            final Peer backend = kept(node, client);
             reload(node, text -> text.replace("\"connIdleUs\":2000000", "\"connIdleUs\":50000000"));
             assertThat(backend.isClosedByOther()).isTrue();
         }
@@ -654,14 +672,20 @@
 
     // ---- The director ----
 
+    /** Begins a watch; the connection on which the director has its first call, unanswered. */
+    private static Peer watch(TestNode node) throws Exception {
+        node.act(Actions::watchList);
+        final Peer director = node.director();
+        director.read();
+        assertThat(node.event()).isEqualTo("listed FAILED");
+        return director;
+    }
+
     /** The module's pause and a second call were to fit into the 6 s after which news counts as told. */
     @Test
     void opensASilentWatchAnewAtOnce() throws Exception {
         try (TestNode node = new TestNode(HOLDS)) {
-            node.act(Actions::watchList);
-            final Peer silent = node.director();
-            silent.read();
-            assertThat(node.event()).isEqualTo("listed FAILED");
+            final Peer silent = watch(node);
             final Peer again = node.director();
             assertThat(again.read()).contains("?since=1&timeout_ms=1 ");
             assertThat(silent.isClosedByOther()).isTrue();
@@ -676,10 +700,7 @@
     @Test
     void opensAWatchAnewWhoseAnswerNeverEnds() throws Exception {
         try (TestNode node = new TestNode(HOLDS)) {
-            node.act(Actions::watchList);
-            final Peer endless = node.director();
-            endless.read();
-            assertThat(node.event()).isEqualTo("listed FAILED");
+            final Peer endless = watch(node);
             endless.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n");
             final Peer again = node.director();
             assertThat(again.read()).contains("?since=1&timeout_ms=1 ");
@@ -690,10 +711,7 @@
     @Test
     void doubtsAnOlderListOnce() throws Exception {
         try (TestNode node = new TestNode(HOLDS)) {
-            node.act(Actions::watchList);
-            final Peer stale = node.director();
-            stale.read();
-            assertThat(node.event()).isEqualTo("listed FAILED");
+            final Peer stale = watch(node);
             stale.write(answer("200 OK", "", list(0, true, entry("s-2", node.backend, "SERVING"))));
             assertThat(node.event()).isEqualTo("listed FAILED");
             node.act(Actions::watchList);
@@ -710,10 +728,7 @@
     @Test
     void hearsNothingOfTheOldDirectorAfterTheMove() throws Exception {
         try (TestNode node = new TestNode(HOLDS); ServerSocket next = Peer.listen()) {
-            node.act(Actions::watchList);
-            final Peer old = node.director();
-            old.read();
-            assertThat(node.event()).isEqualTo("listed FAILED");
+            final Peer old = watch(node);
             final String text = node.configText().replace(":" + node.director.getLocalPort() + "\"",
                 ":" + next.getLocalPort() + "\"");
             final NodeConfig moved = NodeConfig.parse(text, java.util.Map.of());
--- a/src/test/java/cresschute/node/Peer.java
+++ b/src/test/java/cresschute/node/Peer.java
@@ -161,6 +161,11 @@
         return socket.getInputStream().available() > 0;
     }
 
+    /** Sends no more, and goes on reading. */
+    void endSending() throws IOException {
+        socket.shutdownOutput();
+    }
+
     /** Ends the connection as a client does that has gone. */
     void leave() throws IOException {
         socket.close();
