--- a/src/main/java/cresschute/DispatchApi.java
+++ b/src/main/java/cresschute/DispatchApi.java
@@ -12,14 +12,15 @@
  */
 public final class DispatchApi {
 
-    private DispatchApi() {
-    }
+    private DispatchApi() {}
 
     /** What a repeat of a request may do. */
     public enum Effect { SAFE, KEYED, UNSAFE }
 
     /** The workers among which a repeat of a keyed request is dropped. */
-    public enum RepeatScope { ALL, ZONE, CELL }
+    public enum RepeatScope {
+        ALL, ZONE, CELL
+    }
 
     /** How an attempt ended; {@code UNUSABLE}: no fault of the worker, the request is none it can use. */
     public enum Outcome {
@@ -30,10 +31,14 @@
     public enum WorkerState { READY, DRAINING, GONE }
 
     /** What a piece of list news holds; {@code FAILED} means a watch or fetch failed and the list stands. */
-    public enum ListForm { CHANGES, FULL, CACHED, FAILED }
+    public enum ListForm {
+        CHANGES, FULL, CACHED, FAILED
+    }
 
     /** Meaning of a worker's weight. {@code LIVE} is its size over one plus the requests held by a core. */
-    public enum WeightSource { NONE, NOMINAL, ROUGH, LIVE }
+    public enum WeightSource {
+        NONE, NOMINAL, ROUGH, LIVE
+    }
 
     /**
      * What came along of a worker's load, some while old. A negative value was not told.
@@ -99,12 +104,12 @@
      * @param maxAttempts sends for one request at the most, within those that {@link Limits} allow
      */
     public record RequestClass(double worth, long aimUs, double aimStretch, long deadlineUs, Effect effect,
-                               RepeatScope scope, long repeatWindowUs, Placement placement,
-                               int maxAttempts) {
+        RepeatScope scope, long repeatWindowUs, Placement placement,
+        int maxAttempts) {
 
         /** A class with no bound of its own on attempts. */
         public RequestClass(double worth, long aimUs, double aimStretch, long deadlineUs, Effect effect,
-                            RepeatScope scope, long repeatWindowUs, Placement placement) {
+            RepeatScope scope, long repeatWindowUs, Placement placement) {
             this(worth, aimUs, aimStretch, deadlineUs, effect, scope, repeatWindowUs, placement,
                 Integer.MAX_VALUE);
         }
@@ -184,12 +189,12 @@
      *     notice or the last outcome there; {@link #UNLIMITED} where nothing is stated
      */
     public record Settings(int dispatchers, int zone, int zones, int kinds, List<RequestClass> classes,
-                           List<Tenant> tenants, double overShareWorth, boolean worthByWork,
-                           Limits limits, ColdStart coldStart, Goal goal,
-                           boolean listMustBeAsked, long askWithinUs, WeightSource weightSource,
-                           boolean reportsLoad, boolean tellsStart, long progressUs,
-                           double crossZonePrice, boolean probing, boolean peerMessages, double fetchPrice,
-                           boolean fullMayHaveRun, long closeOnDrainWithinUs) {
+        List<Tenant> tenants, double overShareWorth, boolean worthByWork,
+        Limits limits, ColdStart coldStart, Goal goal,
+        boolean listMustBeAsked, long askWithinUs, WeightSource weightSource,
+        boolean reportsLoad, boolean tellsStart, long progressUs,
+        double crossZonePrice, boolean probing, boolean peerMessages, double fetchPrice,
+        boolean fullMayHaveRun, long closeOnDrainWithinUs) {
 
         /** A time that is never up. */
         public static final long UNLIMITED = Long.MAX_VALUE;
@@ -232,8 +237,7 @@
 
     /** One entry of the worker list; {@code startedAtUs} is 0 where it started long ago. */
     public record Worker(int id, int zone, int kind, int cell, WorkerState state, double weight,
-                         long startedAtUs) {
-    }
+        long startedAtUs) {}
 
     /**
      * What is known of a request when it arrives.
@@ -245,8 +249,7 @@
      * @param repeated set where clients mark their retries
      */
     public record Job(int requestClass, int tenant, double slots, long runHintUs, long dataKey,
-                      boolean repeated) {
-    }
+        boolean repeated) {}
 
     /** What the host tells the module. Each call carries the clock of the moment. */
     public interface Events {
@@ -265,7 +268,7 @@
 
         /** An attempt ended, once for each send. {@code requestClosed}: no answer is owed any more. */
         void ended(long nowUs, int requestId, int attempt, int workerId, Outcome outcome, long elapsedUs,
-                   boolean requestClosed, LoadReport report);
+            boolean requestClosed, LoadReport report);
 
         /** A probe ended, one call for each: {@code SERVED} where the worker answered. */
         void probed(long nowUs, int workerId, Outcome outcome, LoadReport report);
--- a/src/main/java/cresschute/Logic.java
+++ b/src/main/java/cresschute/Logic.java
@@ -216,7 +216,7 @@
             // A connection that breaks under a job is chance too: a process that dies refuses the next one.
             case ERROR, TIMED_OUT, BROKEN -> node.failures++;
             case CONNECT_FAILED -> node.failures += ERRORS_BORNE;
-            default -> { }
+            default -> {}
         }
         final int times = Math.min(node.failures / ERRORS_BORNE, REST_TIMES);
         final long fullUs = outcome == Outcome.FULL ? (long) meanRunUs : 0;
@@ -579,7 +579,7 @@
 
     @Override
     public void ended(long nowUs, int requestId, int number, int workerId, Outcome outcome, long elapsedUs,
-                      boolean requestClosed, LoadReport report) {
+        boolean requestClosed, LoadReport report) {
         final Request request = open.get(requestId);
         final Attempt attempt = request == null ? null : request.find(number);
         if (attempt == null) {
--- a/src/main/java/cresschute/Request.java
+++ b/src/main/java/cresschute/Request.java
@@ -34,7 +34,7 @@
     Pool bound;
 
     Request(int id, ClassState owner, double worth, double slots, double hintUs, long dataKey,
-            long arrivedUs, long giveUpUs, Limits limits) {
+        long arrivedUs, long giveUpUs, Limits limits) {
         this.id = id;
         this.owner = owner;
         this.worth = worth;
--- a/src/main/java/cresschute/benchlink/InstanceHost.java
+++ b/src/main/java/cresschute/benchlink/InstanceHost.java
@@ -99,7 +99,7 @@
             case WireCodes.DATAGRAM -> deliverPeer(module, nowUs);
             case WireCodes.VANISHED -> module.clientLeft(nowUs, reader.u32());
             case WireCodes.TIMER -> module.woken(nowUs, reader.u64());
-            default -> { }
+            default -> {}
         }
     }
 
@@ -210,8 +210,7 @@
         }
     }
 
-    private record Instance(Events module, ReportLayout reports) {
-    }
+    private record Instance(Events module, ReportLayout reports) {}
 
     /** Writes one instance's actions into the reply. */
     private record InstanceActions(int instance, FrameWriter reply) implements Actions {
--- a/src/main/java/cresschute/benchlink/Main.java
+++ b/src/main/java/cresschute/benchlink/Main.java
@@ -8,8 +8,7 @@
 /** The command line: {@code benchlink} speaks the simulator's wire on standard input and output. */
 public final class Main {
 
-    private Main() {
-    }
+    private Main() {}
 
     /** Runs the named subcommand; exits with 2 on bad usage or malformed input, with 1 on a broken stream. */
     public static void main(String[] args) {
--- a/src/main/java/cresschute/benchlink/WireCodes.java
+++ b/src/main/java/cresschute/benchlink/WireCodes.java
@@ -25,6 +25,5 @@
     static final int CLOSE = 74;
     static final int SLEEP = 75;
 
-    private WireCodes() {
-    }
+    private WireCodes() {}
 }
--- a/src/main/java/cresschute/cli/DemoCommand.java
+++ b/src/main/java/cresschute/cli/DemoCommand.java
@@ -81,8 +81,8 @@
     public Integer call() throws InterruptedException {
         final PrintWriter out = spec.commandLine().getOut();
         if (listTroubles) {
-            Arrays.stream(Trouble.Kind.values()).forEach(kind ->
-                out.println(String.format("%-9s %s", kind.word(), kind.meaning())));
+            Arrays.stream(Trouble.Kind.values()).forEach(kind -> out.println(String.format("%-9s %s", kind
+                .word(), kind.meaning())));
             out.flush();
             return ExitCodes.DONE;
         }
--- a/src/main/java/cresschute/cli/ExitCodes.java
+++ b/src/main/java/cresschute/cli/ExitCodes.java
@@ -10,6 +10,5 @@
     /** The command line, the environment or the settings cannot be used. */
     static final int UNUSABLE = 2;
 
-    private ExitCodes() {
-    }
+    private ExitCodes() {}
 }
--- a/src/main/java/cresschute/cli/Main.java
+++ b/src/main/java/cresschute/cli/Main.java
@@ -11,8 +11,7 @@
  */
 public final class Main {
 
-    private Main() {
-    }
+    private Main() {}
 
     /** Runs a command line and, unless it started something that goes on, exits with its code. */
     public static void main(String[] args) {
@@ -38,7 +37,7 @@
     private static void serveOnPlatform() {
         try {
             Serving.start(NodeConfig.load(System.getenv()), () -> NodeConfig.reload(System.getenv()),
-                () -> { });
+                () -> {});
         } catch (ConfigException e) {
             exit(ExitCodes.UNUSABLE, e.getMessage());
         } catch (RuntimeException e) {
--- a/src/main/java/cresschute/cli/Operating.java
+++ b/src/main/java/cresschute/cli/Operating.java
@@ -87,7 +87,7 @@
     }
 
     private static int told(JsonObject request, JsonObject answer, NodeTalk talk, boolean wait, boolean json,
-                            PrintWriter out, PrintWriter err) throws NoAnswer, InterruptedException {
+        PrintWriter out, PrintWriter err) throws NoAnswer, InterruptedException {
         final String worker = answer.get("worker").getAsString();
         final String outcome = answer.get("outcome").getAsString();
         final boolean drain = request.get("do").getAsString().equals("drain");
--- a/src/main/java/cresschute/cli/ServeCommand.java
+++ b/src/main/java/cresschute/cli/ServeCommand.java
@@ -60,7 +60,7 @@
             log.close();
             spec.commandLine().getErr().println("cresschute: cannot start: " + e.getMessage()
                 + (e.getCause() instanceof SocketException
-                ? "; see who listens there, or give node another listen address" : ""));
+                    ? "; see who listens there, or give node another listen address" : ""));
             return ExitCodes.FAILED;
         }
         return GOES_ON;
--- a/src/main/java/cresschute/cli/Serving.java
+++ b/src/main/java/cresschute/cli/Serving.java
@@ -10,8 +10,7 @@
 /** A node as the main work of the process: it heeds the process's signals. */
 final class Serving {
 
-    private Serving() {
-    }
+    private Serving() {}
 
     /**
      * Starts a node and returns once clients can connect.
--- a/src/main/java/cresschute/cli/SettingsOf.java
+++ b/src/main/java/cresschute/cli/SettingsOf.java
@@ -10,8 +10,7 @@
 /** Brings settings scripts to the commands. */
 final class SettingsOf {
 
-    private SettingsOf() {
-    }
+    private SettingsOf() {}
 
     /** A file that cannot be read, or states what cannot be used. */
     static final class UnusableFile extends Exception {
--- a/src/main/java/cresschute/cli/TrialCommand.java
+++ b/src/main/java/cresschute/cli/TrialCommand.java
@@ -201,8 +201,9 @@
     }
 
     private int consoles(PrintWriter out, Path folder) throws NoAnswer, InterruptedException {
-        out.println("| site | consoles | node's CPU, per cent of a core: median (least to most) | heap after a"
-            + " collection, MB: median |\n| --- | --- | --- | --- |");
+        out.println(
+            "| site | consoles | node's CPU, per cent of a core: median (least to most) | heap after a"
+                + " collection, MB: median |\n| --- | --- | --- | --- |");
         final Path one = folder.resolve("fleet");
         try (Fleet fleet = new Fleet(new Fleet.Plan(WORKERS, RATE, seed, List.of(), one.toString(), null))) {
             fleet.start();
@@ -254,7 +255,7 @@
 
     private static ControlLink follow(Path socket) throws NoAnswer {
         try {
-            final ControlLink link = ControlLink.open(socket, line -> { }, why -> { });
+            final ControlLink link = ControlLink.open(socket, line -> {}, why -> {});
             link.send(ControlLink.request("1", "subscribe"));
             link.send(ControlLink.request("2", "events"));
             return link;
@@ -276,9 +277,10 @@
 
     private int screen(PrintWriter out) {
         ScreenCost.measure(WIDE, CHURN, count);
-        out.println("| workers, of which changed | ms to take the news in and draw 120x50: p50 | p99 | max |\n"
-            + "| --- | --- | --- | --- |");
-        for (final int changed : new int[] {0, CHURN / 10, CHURN, WIDE}) {
+        out.println(
+            "| workers, of which changed | ms to take the news in and draw 120x50: p50 | p99 | max |\n"
+                + "| --- | --- | --- | --- |");
+        for (final int changed : new int[]{0, CHURN / 10, CHURN, WIDE}) {
             final Histogram ns = ScreenCost.measure(WIDE, changed, count);
             out.println(String.format(Locale.ROOT, "| %d, %d | %.2f | %.2f | %.2f |", WIDE, changed,
                 ns.getValueAtPercentile(50) / 1e6, ns.getValueAtPercentile(99) / 1e6,
@@ -299,7 +301,8 @@
             Files.writeString(script, smallSite(load.startWorkers(WORKERS)));
             try (NodeProcess node = new NodeProcess(script, options)) {
                 load.connect(node.address(), CLIENTS);
-                out.println("| run of " + seconds + " s at " + rate + " reqs a second | ms p50 | p99 | p99.9 |"
+                out.println("| run of " + seconds + " s at " + rate
+                    + " reqs a second | ms p50 | p99 | p99.9 |"
                     + " max | not served | node's CPU, us a req | bytes made a req | full collections |"
                     + " young ones | heap held at its end, MB |\n"
                     + "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
@@ -344,8 +347,7 @@
     // ---- What a long list costs ----
 
     /** What one node used: CPU for a req, and the heap that it held after its reqs; medians. */
-    private record Used(double usAReq, double heapMb) {
-    }
+    private record Used(double usAReq, double heapMb) {}
 
     /** A node for each length of the list, in turn, with the same reqs. */
     private int lists(PrintWriter out, Path folder) throws IOException, InterruptedException {
@@ -378,7 +380,8 @@
                 heap.sort(null);
                 final Used used = new Used(median(us), median(heap));
                 least = least == null ? used : least;
-                out.println(String.format(Locale.ROOT, "| %d | %.0f (%.0f to %.0f) | %.2f | %.1f | %.2f | %d |",
+                out.println(String.format(Locale.ROOT,
+                    "| %d | %.0f (%.0f to %.0f) | %.2f | %.1f | %.2f | %d |",
                     listed, used.usAReq(), us.get(0), us.get(us.size() - 1), used.usAReq() / least.usAReq(),
                     used.heapMb(), used.heapMb() / least.heapMb(), notServed));
                 out.flush();
--- a/src/main/java/cresschute/cli/VersionCommand.java
+++ b/src/main/java/cresschute/cli/VersionCommand.java
@@ -24,7 +24,7 @@
 
         @Override
         public String[] getVersion() {
-            return new String[] {"cresschute " + version()};
+            return new String[]{"cresschute " + version()};
         }
     }
 
--- a/src/main/java/cresschute/console/Console.java
+++ b/src/main/java/cresschute/console/Console.java
@@ -208,7 +208,7 @@
             case DRAIN -> operate("drain", false);
             case FORCED_DRAIN -> operate("drain", true);
             case UNDRAIN -> operate("undrain", false);
-            case NOTHING -> { }
+            case NOTHING -> {}
         }
     }
 
--- a/src/main/java/cresschute/console/ScreenCost.java
+++ b/src/main/java/cresschute/console/ScreenCost.java
@@ -11,8 +11,7 @@
 
     private static final long MOST_NS = 10_000_000_000L;
 
-    private ScreenCost() {
-    }
+    private ScreenCost() {}
 
     /**
      * Takes news of some workers in and draws the screen, again and again.
--- a/src/main/java/cresschute/console/ScreenState.java
+++ b/src/main/java/cresschute/console/ScreenState.java
@@ -118,7 +118,7 @@
         final int head = headLength(one);
         return one.length() != other.length() && head == headLength(other)
             && one.regionMatches(0, other, 0, head) ? Integer.compare(one.length(), other.length())
-            : one.compareTo(other);
+                : one.compareTo(other);
     }
 
     private static int headLength(String name) {
@@ -172,7 +172,7 @@
             case CHAR -> {
                 return letter(key.character(), model);
             }
-            default -> { }
+            default -> {}
         }
         return Wish.NOTHING;
     }
@@ -232,7 +232,7 @@
             case QUIT -> {
                 return Wish.QUIT;
             }
-            default -> { }
+            default -> {}
         }
         return Wish.NOTHING;
     }
--- a/src/main/java/cresschute/console/ScreenView.java
+++ b/src/main/java/cresschute/console/ScreenView.java
@@ -38,11 +38,9 @@
      * @param color whether it has colours and they are wanted
      * @param unicode whether it shows block characters
      */
-    record Look(int columns, int rows, boolean color, boolean unicode, ZoneId zone) {
-    }
+    record Look(int columns, int rows, boolean color, boolean unicode, ZoneId zone) {}
 
-    private record Column(String title, int width, boolean left, int leastScreen) {
-    }
+    private record Column(String title, int width, boolean left, int leastScreen) {}
 
     /** In the order in which they stand; a column is shown on screens of at least its width. */
     private static final List<Column> COLUMNS = List.of(
@@ -51,8 +49,7 @@
         new Column("QUEUE", 5, false, 64), new Column("FREE", 4, false, 70),
         new Column("REPORT", 6, false, 78), new Column("LAST MINUTE", 12, true, 92));
 
-    private ScreenView() {
-    }
+    private ScreenView() {}
 
     /** The whole screen. */
     static List<AttributedString> draw(SiteModel model, ScreenState state, Look look, long nowMs) {
@@ -96,7 +93,7 @@
             parts.add("worth kept " + (kept < 0 ? "-" : Math.round(kept * 100) + "%"));
             parts.add(node.get("fixed_list").getAsBoolean() ? "list fixed"
                 : "list " + node.get("list_version").getAsLong() + ", "
-                + age(nowMs - node.get("list_ms").getAsLong()) + " ago");
+                    + age(nowMs - node.get("list_ms").getAsLong()) + " ago");
             if (node.get("broken").getAsLong() > 0) {
                 parts.add("invariants broken " + node.get("broken").getAsLong());
             }
@@ -112,7 +109,7 @@
     }
 
     private static void body(List<AttributedString> lines, SiteModel model, ScreenState state, Look look,
-                             long nowMs, boolean old) {
+        long nowMs, boolean old) {
         final List<JsonObject> rows = state.rows(model);
         final int room = look.rows() - 3;
         int classLines = Math.min(model.classes().size(), Math.max(1, room / 4)) + 1;
@@ -146,8 +143,8 @@
                 classLine(each, look), plain, look)));
         }
         final List<JsonObject> events = model.events();
-        events.subList(Math.max(0, events.size() - eventLines), events.size()).forEach(each ->
-            lines.add(line(" " + clock(each.get("at_ms").getAsLong(), look) + " "
+        events.subList(Math.max(0, events.size() - eventLines), events.size()).forEach(each -> lines.add(line(
+            " " + clock(each.get("at_ms").getAsLong(), look) + " "
                 + clean(ScreenState.text(each, "text")), plain, look)));
     }
 
@@ -170,7 +167,7 @@
     }
 
     private static AttributedString worker(JsonObject row, boolean selected, AttributedStyle plain, Look look,
-                                           long nowMs) {
+        long nowMs) {
         final String state = ScreenState.text(row, "state");
         final AttributedStringBuilder out = new AttributedStringBuilder();
         final AttributedStyle style = selected ? plain.inverse() : plain;
@@ -211,7 +208,7 @@
     }
 
     private static AttributedString selection(SiteModel model, ScreenState state, int shown, int room,
-                                              Look look, long nowMs) {
+        Look look, long nowMs) {
         final StringBuilder text = new StringBuilder(" ");
         final JsonObject row = state.selected() == null ? null : model.worker(state.selected());
         if (row != null) {
@@ -285,8 +282,8 @@
             case HELP -> "";
             case BROWSE -> !state.message().isEmpty() ? " " + state.message()
                 : (state.filter().isEmpty() ? "" : "[/" + state.filter() + "]")
-                + (look.columns() < FULL_HINTS ? " d drain  u undo  ? help  q quit"
-                : " d drain  u undo  / filter  s sort  ? help  q quit");
+                    + (look.columns() < FULL_HINTS ? " d drain  u undo  ? help  q quit"
+                        : " d drain  u undo  / filter  s sort  ? help  q quit");
         };
         return line(clean(text), state.mode() == ScreenState.Mode.BROWSE ? AttributedStyle.DEFAULT
             : AttributedStyle.DEFAULT.bold(), look);
--- a/src/main/java/cresschute/console/WorkerTable.java
+++ b/src/main/java/cresschute/console/WorkerTable.java
@@ -8,8 +8,7 @@
 /** The workers as plain lines, for scripts and for terminals that cannot show a screen. Pure. */
 public final class WorkerTable {
 
-    private WorkerTable() {
-    }
+    private WorkerTable() {}
 
     /** A line of titles and one a worker, by name. */
     public static List<String> lines(SiteModel model, long nowMs) {
--- a/src/main/java/cresschute/control/Board.java
+++ b/src/main/java/cresschute/control/Board.java
@@ -18,11 +18,9 @@
     /** Rows that went away and are remembered; a console from before the oldest needs a whole picture. */
     static final int MOST_GONE = 4_096;
 
-    private record Row(String text, long number) {
-    }
+    private record Row(String text, long number) {}
 
-    private record Gone(String key, long number) {
-    }
+    private record Gone(String key, long number) {}
 
     /**
      * News from some number on.
@@ -32,8 +30,7 @@
      * @param rows rows that are new or other, by key
      * @param gone keys of rows that went away
      */
-    public record News(boolean whole, long number, Map<String, String> rows, List<String> gone) {
-    }
+    public record News(boolean whole, long number, Map<String, String> rows, List<String> gone) {}
 
     private final Map<String, Row> rows = new LinkedHashMap<>();
     private final Deque<Gone> gone = new ArrayDeque<>();
--- a/src/main/java/cresschute/control/Drains.java
+++ b/src/main/java/cresschute/control/Drains.java
@@ -30,8 +30,7 @@
      * @param untilUs when it ends by itself, or {@link #FOREVER}
      * @param who who asked for it, in the words of their console
      */
-    public record Drain(String worker, long sinceUs, long untilUs, String who, String reason) {
-    }
+    public record Drain(String worker, long sinceUs, long untilUs, String who, String reason) {}
 
     /**
      * What an operator asks for.
@@ -42,7 +41,7 @@
      * @param forced whether to drain although work would have nowhere to go
      */
     public record Operation(String id, boolean start, String worker, long forUs, String who, String reason,
-                            boolean forced) {
+        boolean forced) {
         public Operation {
             Objects.requireNonNull(id);
             Objects.requireNonNull(worker);
@@ -53,7 +52,9 @@
     }
 
     /** How an operation ended: it changed something, found it so already, or was refused. */
-    public enum Kind { DONE, ALREADY, REFUSED }
+    public enum Kind {
+        DONE, ALREADY, REFUSED
+    }
 
     /** The outcome of an operation, with its reason where it is not done. */
     public record Outcome(Kind kind, String why) {
@@ -70,12 +71,10 @@
     }
 
     /** A worker as the list has it, under its name. */
-    public record Listed(String name, Worker worker) {
-    }
+    public record Listed(String name, Worker worker) {}
 
     /** A class, and where its reqs may be sent. */
-    public record ClassBound(String name, Placement placement) {
-    }
+    public record ClassBound(String name, Placement placement) {}
 
     /**
      * What a drain is judged by.
@@ -83,12 +82,10 @@
      * @param workers the list without any overlay
      * @param boundCells cells that keyed reqs may only be repeated in, as their first sends are out there
      */
-    public record Site(List<Listed> workers, List<ClassBound> classes, Set<Integer> boundCells) {
-    }
+    public record Site(List<Listed> workers, List<ClassBound> classes, Set<Integer> boundCells) {}
 
     /** An operation that was carried out, and how it ended: what makes it harmless to send it again. */
-    public record Remembered(Operation operation, Outcome outcome) {
-    }
+    public record Remembered(Operation operation, Outcome outcome) {}
 
     private final Map<String, Drain> drains = new LinkedHashMap<>();
     private final Map<String, Remembered> remembered = new LinkedHashMap<>();
--- a/src/main/java/cresschute/control/EventRing.java
+++ b/src/main/java/cresschute/control/EventRing.java
@@ -21,12 +21,10 @@
      * @param kind one lower-case word for programs
      * @param worker whom it befell, or null
      */
-    public record Happening(long number, long atUs, String kind, String worker, String text) {
-    }
+    public record Happening(long number, long atUs, String kind, String worker, String text) {}
 
     /** What there is from some number on, and how many before it are not kept any more. */
-    public record Read(List<Happening> happenings, long missed) {
-    }
+    public record Read(List<Happening> happenings, long missed) {}
 
     private final Deque<Happening> kept = new ArrayDeque<>();
     private long last;
--- a/src/main/java/cresschute/control/OperatorsState.java
+++ b/src/main/java/cresschute/control/OperatorsState.java
@@ -29,8 +29,7 @@
     private static final String KIND = "cresschute-operators 1";
     private static final Gson GSON = new Gson();
 
-    private record Body(List<String> banned, boolean drained) {
-    }
+    private record Body(List<String> banned, boolean drained) {}
 
     public OperatorsState {
         banned = Collections.unmodifiableSortedSet(new TreeSet<>(banned));
--- a/src/main/java/cresschute/control/Snapshot.java
+++ b/src/main/java/cresschute/control/Snapshot.java
@@ -20,8 +20,7 @@
     private static final String KIND = "cresschute-drains 1";
     private static final Gson GSON = new Gson();
 
-    private record Body(List<Drain> drains, List<Remembered> operations) {
-    }
+    private record Body(List<Drain> drains, List<Remembered> operations) {}
 
     /** The bytes of a file. */
     public byte[] encode() {
--- a/src/main/java/cresschute/control/files/PrivateFolder.java
+++ b/src/main/java/cresschute/control/files/PrivateFolder.java
@@ -8,8 +8,7 @@
 /** Folders for what is nobody else's. */
 public final class PrivateFolder {
 
-    private PrivateFolder() {
-    }
+    private PrivateFolder() {}
 
     /** Makes a folder, and those above it, with mode 0700; one that is there stays as it is. Blocks. */
     public static void make(Path folder) throws IOException {
--- a/src/main/java/cresschute/control/files/SharedState.java
+++ b/src/main/java/cresschute/control/files/SharedState.java
@@ -88,8 +88,7 @@
     }
 
     /** A shared state and what it held at the start. */
-    public record Opened(SharedState shared, OperatorsState found) {
-    }
+    public record Opened(SharedState shared, OperatorsState found) {}
 
     /**
      * Changes the state in the file, under the lock, from what it holds then. {@code done} hears the state as
@@ -125,7 +124,7 @@
         synchronized (IN_THIS_PROCESS) {
             try (FileChannel lockFile = FileChannel.open(folder.resolve(FILE + ".lock"),
                 StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-                 FileLock lock = lockFile.lock()) {
+                FileLock lock = lockFile.lock()) {
                 Objects.requireNonNull(lock);
                 final OperatorsState now = read();
                 final OperatorsState next = how.apply(now == null ? OperatorsState.NONE : now);
--- a/src/main/java/cresschute/flow/Body.java
+++ b/src/main/java/cresschute/flow/Body.java
@@ -25,8 +25,7 @@
     /** How far the body has come in. */
     public enum State { OPEN, WHOLE, BROKEN, CLOSED }
 
-    private record Piece<P>(P content, long cost) {
-    }
+    private record Piece<P>(P content, long cost) {}
 
     private final Budget.Account account;
     private final long spoolBound;
--- a/src/main/java/cresschute/flow/Budget.java
+++ b/src/main/java/cresschute/flow/Budget.java
@@ -53,8 +53,7 @@
     public enum Refusal { NODE_FULL, CLIENT_FULL }
 
     /** Either an account or the reason why there is none. */
-    public record Admission(Account account, Refusal refusal) {
-    }
+    public record Admission(Account account, Refusal refusal) {}
 
     /**
      * Opens an account for a body, if its window fits.
--- a/src/main/java/cresschute/health/HealthBook.java
+++ b/src/main/java/cresschute/health/HealthBook.java
@@ -34,8 +34,7 @@
     /**
      * Times of served jobs, in milliseconds, or -1 where there were none.
      */
-    public record Times(long p50Ms, long p99Ms) {
-    }
+    public record Times(long p50Ms, long p99Ms) {}
 
     /**
      * How a worker is.
@@ -51,9 +50,8 @@
      * @param reportUs when that report came, or 0
      */
     public record View(Condition condition, String why, long sinceUs, int inFlight, int[] inFlightByClass,
-                       double ratePerS, int failed, Times minute, Times tenMinutes, int[] sparks,
-                       double queue, double free, long reportUs) {
-    }
+        double ratePerS, int failed, Times minute, Times tenMinutes, int[] sparks,
+        double queue, double free, long reportUs) {}
 
     /**
      * How a class is served, over the last minute.
@@ -62,12 +60,10 @@
      * @param inTime reqs answered within their aim, as far as it can be told from here
      */
     public record ClassView(int asked, int admitted, int served, int refused, int failed, int inTime,
-                            int inFlight, Times minute, Times tenMinutes) {
-    }
+        int inFlight, Times minute, Times tenMinutes) {}
 
     /** What counts as in time in a class, and what that is worth. */
-    public record Aim(double worth, long aimUs, double stretch) {
-    }
+    public record Aim(double worth, long aimUs, double stretch) {}
 
     /** How a req was answered. */
     public enum Answer { SERVED, REFUSED, FAILED, LEFT }
@@ -263,7 +259,7 @@
      * @param ranUs how long the job ran that served it
      */
     public void answered(long nowUs, int requestClass, Answer answer, int fetches, long waitedUs,
-                         long ranUs) {
+        long ranUs) {
         final ClassSeen seen = classes.get(requestClass);
         seen.admitted.add(nowUs, fetches > 0 ? 1 : 0);
         switch (answer) {
@@ -277,15 +273,14 @@
             }
             case REFUSED -> seen.refused.add(nowUs, 1);
             case FAILED -> seen.failed.add(nowUs, 1);
-            case LEFT -> { }
+            case LEFT -> {}
         }
     }
 
     // ---- Conditions ----
 
     /** A condition that has just changed. */
-    public record Change(int worker, Condition from, Condition to, String why) {
-    }
+    public record Change(int worker, Condition from, Condition to, String why) {}
 
     /** Looks at all workers anew; to be called a few times a second. Returns what has changed. */
     public List<Change> look(long nowUs) {
--- a/src/main/java/cresschute/health/Thresholds.java
+++ b/src/main/java/cresschute/health/Thresholds.java
@@ -15,7 +15,7 @@
  * @param warmWithinUs how long a worker is cold after its start
  */
 public record Thresholds(long progressUs, long quietUs, long reportFreshUs, double slowFrom, double slowUntil,
-                         long worseAfterUs, long betterAfterUs, int connectFailures, long warmWithinUs) {
+    long worseAfterUs, long betterAfterUs, int connectFailures, long warmWithinUs) {
 
     private static final long S = 1_000_000;
 
--- a/src/main/java/cresschute/lab/DirectorStandIn.java
+++ b/src/main/java/cresschute/lab/DirectorStandIn.java
@@ -34,7 +34,7 @@
     private static final int MOST_CHANGES = 10_000;
 
     private record Entry(String id, InetSocketAddress address, String zone, String kind, int cell,
-                         String state, long startedMs) {
+        String state, long startedMs) {
 
         JsonObject json() {
             final JsonObject json = new JsonObject();
@@ -50,11 +50,9 @@
         }
     }
 
-    private record Change(long version, String id) {
-    }
+    private record Change(long version, String id) {}
 
-    private record Watch(ChannelHandlerContext ctx, long since) {
-    }
+    private record Watch(ChannelHandlerContext ctx, long since) {}
 
     private final EventLoop loop;
     private final Recorder recorder;
--- a/src/main/java/cresschute/lab/Durations.java
+++ b/src/main/java/cresschute/lab/Durations.java
@@ -8,8 +8,7 @@
 
     private static final Pattern FORM = Pattern.compile("([0-9]{1,9}(?:\\.[0-9]{1,6})?)(ms|s|m)");
 
-    private Durations() {
-    }
+    private Durations() {}
 
     /** The duration in microseconds, or an {@link IllegalArgumentException}. */
     public static long parseUs(String text) {
--- a/src/main/java/cresschute/lab/Fleet.java
+++ b/src/main/java/cresschute/lab/Fleet.java
@@ -50,7 +50,7 @@
      * @param stateFolder where the node keeps its operators' drains, or null
      */
     public record Plan(int workers, double ratePerS, long seed, List<Trouble> troubles, String controlSocket,
-                       String stateFolder) {
+        String stateFolder) {
 
         /** A fleet whose node no console can connect to. */
         public Plan(int workers, double ratePerS, long seed, List<Trouble> troubles) {
@@ -123,7 +123,7 @@
                 + each.make().cell() + ")")
                 .collect(Collectors.joining(", ")) + "]\n" + demoScript()
             + (plan.controlSocket() == null ? ""
-            : "\ncontrol(socket = " + quoted(plan.controlSocket()) + ")\n")
+                : "\ncontrol(socket = " + quoted(plan.controlSocket()) + ")\n")
             + (plan.stateFolder() == null ? "" : "\nstate(folder = " + quoted(plan.stateFolder()) + ")\n");
         final SettingsFile.Result result = SettingsFile.parse(script);
         if (result.settings() == null) {
--- a/src/main/java/cresschute/lab/FleetReport.java
+++ b/src/main/java/cresschute/lab/FleetReport.java
@@ -85,7 +85,7 @@
             outcomes.classes().forEach((name, each) -> lines.add(String.format(Locale.ROOT,
                 "%-12s %6d %6d %7d %6d %7d %9.0f %9.0f", cut(name, 12), each.asked(), each.ended(End.SERVED),
                 each.ended(End.REFUSED), failed(each), each.inTime(), each.servedMs(P50),
-                    each.servedMs(P99))));
+                each.servedMs(P99))));
             lines.add(String.format(Locale.ROOT, "%-12s %6d %6d %7d %6d %7d", "all", outcomes.asked(),
                 outcomes.ended(End.SERVED), outcomes.ended(End.REFUSED), allFailed(), outcomes.inTime()));
         } else {
--- a/src/main/java/cresschute/lab/JobClass.java
+++ b/src/main/java/cresschute/lab/JobClass.java
@@ -16,7 +16,7 @@
  */
 public record JobClass(String name, double worth, long aimUs, double aimStretch, long deadlineUs,
     Effect effect,
-                       RepeatScope scope, long repeatWindowUs, int mostSends, double share, long meanWorkUs) {
+    RepeatScope scope, long repeatWindowUs, int mostSends, double share, long meanWorkUs) {
 
     /** The classes of settings; a job takes a fifth of its aim on average, and all are sent as often. */
     static List<JobClass> of(ApplianceSettings settings, List<Demand> demands) {
@@ -35,8 +35,7 @@
     }
 
     /** How much of a class is asked for. */
-    record Demand(String className, double share, long meanWorkUs) {
-    }
+    record Demand(String className, double share, long meanWorkUs) {}
 
     /** Whether an answer this long after the first try was sent is in time. */
     boolean isInTime(long tookUs, long workUs) {
--- a/src/main/java/cresschute/lab/LoadClients.java
+++ b/src/main/java/cresschute/lab/LoadClients.java
@@ -76,7 +76,7 @@
     private int lastOrigin;
 
     LoadClients(EventLoop loop, Recorder recorder, UniformRandomProvider chance, List<JobClass> classes,
-                double ratePerS) {
+        double ratePerS) {
         this.loop = loop;
         this.recorder = recorder;
         this.chance = chance;
--- a/src/main/java/cresschute/lab/NodeProcess.java
+++ b/src/main/java/cresschute/lab/NodeProcess.java
@@ -24,8 +24,7 @@
 public final class NodeProcess implements AutoCloseable {
 
     /** Bytes in use: by objects, after a collection where one was asked for, and by direct buffers. */
-    public record Memory(long heap, long direct) {
-    }
+    public record Memory(long heap, long direct) {}
 
     private final Process process;
     private final InetSocketAddress address;
@@ -57,7 +56,7 @@
         }
         address = new InetSocketAddress("127.0.0.1", Integer.parseInt(told.group(1)));
         // What it logs later is read away, so that it never waits for us.
-        final Thread reader = new Thread(() -> log.lines().forEach(later -> { }), "lab-node-log");
+        final Thread reader = new Thread(() -> log.lines().forEach(later -> {}), "lab-node-log");
         reader.setDaemon(true);
         reader.start();
         try {
--- a/src/main/java/cresschute/lab/Outcomes.java
+++ b/src/main/java/cresschute/lab/Outcomes.java
@@ -23,7 +23,9 @@
     private static final int TOO_MANY = 429;
 
     /** How a job ended, as its last try did. */
-    public enum End { SERVED, REFUSED, FAILED, UNANSWERED, UNFINISHED }
+    public enum End {
+        SERVED, REFUSED, FAILED, UNANSWERED, UNFINISHED
+    }
 
     /** What became of one class. */
     public static final class OfClass {
@@ -68,11 +70,9 @@
 
     private final Map<String, OfClass> classes = new LinkedHashMap<>();
 
-    private Outcomes() {
-    }
+    private Outcomes() {}
 
-    private record Job(ReqSent first, ReqSent last) {
-    }
+    private record Job(ReqSent first, ReqSent last) {}
 
     /** Reads what was seen. */
     public static Outcomes of(List<Observation> seen, List<JobClass> jobClasses) {
--- a/src/main/java/cresschute/lab/RuleChecker.java
+++ b/src/main/java/cresschute/lab/RuleChecker.java
@@ -40,8 +40,7 @@
     public enum Rule { ONE_ANSWER, NO_EFFECT_TWICE, DRAINS_KEPT, COLD_STARTS_KEPT }
 
     /** A rule that was broken, and how. */
-    public record Breach(Rule rule, long us, String what) {
-    }
+    public record Breach(Rule rule, long us, String what) {}
 
     private final Map<String, JobClass> classes = new HashMap<>();
     private final ColdStart coldStart;
--- a/src/main/java/cresschute/lab/Trouble.java
+++ b/src/main/java/cresschute/lab/Trouble.java
@@ -82,7 +82,7 @@
                 .filter(each -> each.word().equals(matcher.group(1))).findFirst()
                 .orElseThrow(() -> new IllegalArgumentException("no trouble is called '"
                     + matcher.group(1) + "'; there are " + String.join(", ",
-                    Arrays.stream(Kind.values()).map(Kind::word).toList())));
+                        Arrays.stream(Kind.values()).map(Kind::word).toList())));
             if (matcher.group(2) != null && !kind.isOfWorker()) {
                 throw new IllegalArgumentException(kind.word() + " befalls no worker; leave out ':"
                     + matcher.group(2) + "'");
--- a/src/main/java/cresschute/lab/WorkerStandIn.java
+++ b/src/main/java/cresschute/lab/WorkerStandIn.java
@@ -85,11 +85,10 @@
     /** Told apart from what was planned before a crash. */
     private int life;
 
-    private record Report(long us, double freeSlots, int queue) {
-    }
+    private record Report(long us, double freeSlots, int queue) {}
 
     WorkerStandIn(EventLoop loop, Recorder recorder, UniformRandomProvider chance, Make make, CellKeys keys,
-                  ColdStart coldStart) {
+        ColdStart coldStart) {
         this.loop = loop;
         this.recorder = recorder;
         this.chance = chance;
@@ -188,7 +187,7 @@
         if (recorder.nowUs() - bootedUs < coldStart.warmWithinUs()) {
             loop.schedule(() -> {
                 if (life == now) {
-                    replan(() -> { });
+                    replan(() -> {});
                     warm();
                 }
             }, WARMING_STEP_US, TimeUnit.MICROSECONDS);
--- a/src/main/java/cresschute/lab/bodies/BodiesTrial.java
+++ b/src/main/java/cresschute/lab/bodies/BodiesTrial.java
@@ -40,11 +40,9 @@
      * @param slow bodies that are open beside small reqs
      * @param seconds that slow ones, and small reqs beside them, go on
      */
-    public record Size(long bytes, int rounds, int slow, int seconds) {
-    }
+    public record Size(long bytes, int rounds, int slow, int seconds) {}
 
-    private record Pair(String what, boolean isResult, long client, long worker) {
-    }
+    private record Pair(String what, boolean isResult, long client, long worker) {}
 
     private final Size size;
     private final PrintWriter out;
@@ -84,7 +82,7 @@
     }
 
     private BodyClient.Plan plan(InetSocketAddress to, Pair pair, long bytes, long leaveAfter,
-                                 boolean ownLines) {
+        boolean ownLines) {
         final String id = "body-" + lastId.incrementAndGet();
         final String target = (pair.isResult() ? "/report?result=" + bytes + "&out=" : "/upload?in=")
             + pair.worker();
@@ -148,7 +146,8 @@
         final BodyClient.Came came = play(plan(node, new Pair("", true, MODEM, 0), size.bytes(),
             MODEM * size.seconds(), false));
         final NodeProcess.Memory most = memory.mostSince(since);
-        row("| result, client at 7 kB/s, left after %d s | %.4f | | %.1f | %.1f |", size.seconds(), rate(came),
+        row("| result, client at 7 kB/s, left after %d s | %.4f | | %.1f | %.1f |", size.seconds(), rate(
+            came),
             most.heap() / MB, most.direct() / MB);
     }
 
--- a/src/main/java/cresschute/lab/bodies/BodyClient.java
+++ b/src/main/java/cresschute/lab/bodies/BodyClient.java
@@ -21,8 +21,7 @@
      * @param ownLines whether the worker's own lines come before a result, as they do without a node between
      */
     record Plan(InetSocketAddress to, String id, String target, long upload, boolean chunked, LineSpeed up,
-                LineSpeed down, long leaveAfter, boolean ownLines) {
-    }
+        LineSpeed down, long leaveAfter, boolean ownLines) {}
 
     /**
      * What came of it.
@@ -31,11 +30,9 @@
      * @param whole whether its body ended as it should, and each byte was the right one
      * @param bytes bytes of the body that went up, or of the result that came down
      */
-    record Came(int status, boolean whole, long bytes, long ns, String text) {
-    }
+    record Came(int status, boolean whole, long bytes, long ns, String text) {}
 
-    private BodyClient() {
-    }
+    private BodyClient() {}
 
     static Came run(Plan plan) {
         final long startNs = System.nanoTime();
@@ -91,7 +88,7 @@
     }
 
     private static boolean read(Plan plan, HttpBody body, int status, SeededBytes expected,
-                                StringBuilder text) throws IOException {
+        StringBuilder text) throws IOException {
         final byte[] block = new byte[PacedSocket.BLOCK];
         final boolean isResult = status == OK && plan.target().contains("result=");
         boolean lines = plan.ownLines();
--- a/src/main/java/cresschute/lab/bodies/MemoryLine.java
+++ b/src/main/java/cresschute/lab/bodies/MemoryLine.java
@@ -23,8 +23,7 @@
     private static final double MB = 1e6;
     private static final double NS_A_S = 1e9;
 
-    private record Sample(double s, NodeProcess.Memory memory) {
-    }
+    private record Sample(double s, NodeProcess.Memory memory) {}
 
     private final NodeProcess node;
     private final long startNs = System.nanoTime();
--- a/src/main/java/cresschute/lab/bodies/PlainRelay.java
+++ b/src/main/java/cresschute/lab/bodies/PlainRelay.java
@@ -44,8 +44,8 @@
     private static void copy(Socket from, Socket to) {
         final byte[] block = new byte[BLOCK];
         try (from; to) {
-            for (int count = from.getInputStream().read(block); count >= 0;
-                count = from.getInputStream().read(block)) {
+            for (int count = from.getInputStream().read(block); count >= 0; count = from.getInputStream()
+                .read(block)) {
                 to.getOutputStream().write(block, 0, count);
             }
         } catch (IOException e) {
--- a/src/main/java/cresschute/lab/model/Agenda.java
+++ b/src/main/java/cresschute/lab/model/Agenda.java
@@ -6,8 +6,7 @@
 /** What is to happen in virtual time, one thing after the other; of the same moment, in order of planning. */
 final class Agenda {
 
-    private record Plan(long atUs, long number, Runnable event) {
-    }
+    private record Plan(long atUs, long number, Runnable event) {}
 
     private final PriorityQueue<Plan> plans =
         new PriorityQueue<>(Comparator.comparingLong(Plan::atUs).thenComparingLong(Plan::number));
--- a/src/main/java/cresschute/lab/model/FleetModel.java
+++ b/src/main/java/cresschute/lab/model/FleetModel.java
@@ -21,12 +21,10 @@
 public final class FleetModel {
 
     /** What is asked of a class: its part of all jobs, and mean and deviation of the work of one, us. */
-    public record Demand(double share, double meanWorkUs, double deviationUs, double partWithTwoSlots) {
-    }
+    public record Demand(double share, double meanWorkUs, double deviationUs, double partWithTwoSlots) {}
 
     /** A kind of worker: its slots, a core's speed and its part of all workers. */
-    public record Kind(int slots, double speed, double share) {
-    }
+    public record Kind(int slots, double speed, double share) {}
 
     /**
      * The whole of a fleet.
@@ -37,12 +35,10 @@
      * @param skew how many times the mean a dispatcher may get: traffic is spread from 1/skew to skew
      */
     public record Plan(Settings settings, List<Demand> demands, List<Kind> kinds, int workers, int cellSize,
-                       double load, double skew, long seed) {
-    }
+        double load, double skew, long seed) {}
 
     /** How many of a class's requests came within a time, and what became of them. */
-    public record Tally(int asked, int inTime, int late, int refused) {
-    }
+    public record Tally(int asked, int inTime, int late, int refused) {}
 
     private static final class First {
         private final int requestClass;
@@ -123,8 +119,8 @@
 
     private double meanWorkUs() {
         final double shares = plan.demands().stream().mapToDouble(Demand::share).sum();
-        return plan.demands().stream().mapToDouble(each ->
-            each.share() / shares * each.meanWorkUs() * (1 + each.partWithTwoSlots())).sum();
+        return plan.demands().stream().mapToDouble(each -> each.share() / shares * each.meanWorkUs() * (1
+            + each.partWithTwoSlots())).sum();
     }
 
     /** Requests a second that all dispatchers get together, apart from bursts. */
--- a/src/main/java/cresschute/lab/model/ModelWorker.java
+++ b/src/main/java/cresschute/lab/model/ModelWorker.java
@@ -62,7 +62,7 @@
     private boolean fell;
 
     ModelWorker(Agenda agenda, ColdStart cold, int id, int zone, int kind, int cell, int slots, double speed,
-                double meanWorkUs) {
+        double meanWorkUs) {
         this.agenda = agenda;
         this.cold = cold;
         this.id = id;
@@ -153,7 +153,7 @@
         if (!up || warmth(nowUs) >= 1) {
             return;
         }
-        colds.add(new long[] {nowUs, (long) work});
+        colds.add(new long[]{nowUs, (long) work});
         while (colds.peek()[0] < nowUs - cold.tipAfterUs()) {
             colds.poll();
         }
--- a/src/main/java/cresschute/logs/LogEvent.java
+++ b/src/main/java/cresschute/logs/LogEvent.java
@@ -14,8 +14,7 @@
 public final class LogEvent {
 
     /** A field; its value is a text, a number or a truth value. */
-    public record Field(String name, Object value) {
-    }
+    public record Field(String name, Object value) {}
 
     private final String name;
     private final String text;
--- a/src/main/java/cresschute/node/Addresses.java
+++ b/src/main/java/cresschute/node/Addresses.java
@@ -10,8 +10,7 @@
 
     private static final int MAX_PORT = 65_535;
 
-    private Addresses() {
-    }
+    private Addresses() {}
 
     static InetSocketAddress parse(String text) {
         final int colon = text.lastIndexOf(':');
--- a/src/main/java/cresschute/node/ClassTable.java
+++ b/src/main/java/cresschute/node/ClassTable.java
@@ -19,8 +19,7 @@
     static final int MOST = 64;
 
     /** A class under its number. */
-    record Entry(String name, RequestClass stated, boolean live) {
-    }
+    record Entry(String name, RequestClass stated, boolean live) {}
 
     private final List<Entry> entries;
     private final Map<String, Integer> live;
--- a/src/main/java/cresschute/node/ControlDesk.java
+++ b/src/main/java/cresschute/node/ControlDesk.java
@@ -81,8 +81,7 @@
     private boolean stopping;
 
     /** An answer that waits until a snapshot is kept. */
-    private record Waiting(long generation, Runnable answer) {
-    }
+    private record Waiting(long generation, Runnable answer) {}
 
     ControlDesk(NodeConfig config, EventLoop loop, Clock clock) {
         this.config = config;
@@ -276,7 +275,7 @@
 
     @Override
     public void answered(long nowUs, int requestClass, Answer answer, int fetches, long waitedUs,
-                         long ranUs) {
+        long ranUs) {
         health.answered(nowUs, requestClass, HealthBook.Answer.valueOf(answer.name()), fetches, waitedUs,
             ranUs);
     }
@@ -475,7 +474,7 @@
     public void audit(long session, ControlRequest request) {
         final LogEvent event = LogEvent.of("console_asked", "console " + session + " asks: "
             + request.what().name().toLowerCase(Locale.ROOT) + (request.operation() == null ? ""
-            : " " + request.operation().worker() + " by " + request.operation().who()))
+                : " " + request.operation().worker() + " by " + request.operation().who()))
             .with("session", session).with("what", request.what().name().toLowerCase(Locale.ROOT));
         if (request.operation() != null) {
             final Operation asked = request.operation();
--- a/src/main/java/cresschute/node/Core.java
+++ b/src/main/java/cresschute/node/Core.java
@@ -85,7 +85,7 @@
 
     /** A core that nobody watches. */
     public Core(NodeConfig config, ScheduledExecutorService loop, Clock clock, RateLimitedLog troubles,
-                Function<Actions, Events> module) {
+        Function<Actions, Events> module) {
         this(config, loop, clock, troubles, CoreWatcher.NONE, module);
     }
 
@@ -94,7 +94,7 @@
      * {@code watcher} hears what passes and may lay drains over the list.
      */
     Core(NodeConfig config, ScheduledExecutorService loop, Clock clock, RateLimitedLog troubles,
-         CoreWatcher watcher, Function<Actions, Events> module) {
+        CoreWatcher watcher, Function<Actions, Events> module) {
         this.loop = loop;
         this.clock = clock;
         this.troubles = troubles;
@@ -580,8 +580,7 @@
 
     // ---- The loop ----
 
-    private record Event(Req req, LongConsumer tell) {
-    }
+    private record Event(Req req, LongConsumer tell) {}
 
     /** Keeps what happened for the turn that follows once the loop has read all that is ready. */
     private void gather(Req req, LongConsumer tell) {
--- a/src/main/java/cresschute/node/CoreWatcher.java
+++ b/src/main/java/cresschute/node/CoreWatcher.java
@@ -13,8 +13,7 @@
 interface CoreWatcher {
 
     /** Nobody: what a node has that no console can connect to. */
-    CoreWatcher NONE = new CoreWatcher() {
-    };
+    CoreWatcher NONE = new CoreWatcher() {};
 
     /** How a req was answered. */
     enum Answer { SERVED, REFUSED, FAILED, LEFT }
@@ -23,16 +22,13 @@
     interface FetchWatch {
 
         /** Of no interest. */
-        FetchWatch NONE = new FetchWatch() {
-        };
+        FetchWatch NONE = new FetchWatch() {};
 
         /** Its start or its progress was told. */
-        default void told(long nowUs) {
-        }
+        default void told(long nowUs) {}
 
         /** Its end, once. */
-        default void ended(long nowUs, Outcome outcome, LoadReport report) {
-        }
+        default void ended(long nowUs, Outcome outcome, LoadReport report) {}
 
         /** How long its job has run; from its send on where no start was told. */
         default long ranUs(long nowUs) {
@@ -46,12 +42,10 @@
     }
 
     /** The roster has taken in a list or a change, perhaps an empty one; these have been told anew by it. */
-    default void listed(long nowUs, List<Worker> told) {
-    }
+    default void listed(long nowUs, List<Worker> told) {}
 
     /** A req was taken. */
-    default void asked(long nowUs, int requestClass) {
-    }
+    default void asked(long nowUs, int requestClass) {}
 
     /**
      * A req was answered or left, once.
@@ -59,8 +53,7 @@
      * @param ranUs how long the job ran that served it, or 0
      */
     default void answered(long nowUs, int requestClass, Answer answer, int fetches, long waitedUs,
-                          long ranUs) {
-    }
+        long ranUs) {}
 
     /** A fetch goes out. */
     default FetchWatch sent(long nowUs, int backend, int requestClass) {
@@ -68,6 +61,5 @@
     }
 
     /** A probe came back. */
-    default void probed(long nowUs, int backend, LoadReport report) {
-    }
+    default void probed(long nowUs, int backend, LoadReport report) {}
 }
--- a/src/main/java/cresschute/node/DirectorList.java
+++ b/src/main/java/cresschute/node/DirectorList.java
@@ -17,8 +17,7 @@
 
     /** One backend as listed; {@code startedMs} is Unix time, or 0 for long ago. */
     public record Entry(String id, InetSocketAddress addr, String zone, String kind, int cell,
-                        WorkerState state, double weight, long startedMs) {
-    }
+        WorkerState state, double weight, long startedMs) {}
 
     /** Reads an answer whole; any flaw in it is a {@link JsonParseException}. */
     public static DirectorList parse(JsonObject json) {
--- a/src/main/java/cresschute/node/FlatSettings.java
+++ b/src/main/java/cresschute/node/FlatSettings.java
@@ -11,8 +11,7 @@
 
     private final StringBuilder lines = new StringBuilder();
 
-    private FlatSettings() {
-    }
+    private FlatSettings() {}
 
     static String of(JsonObject settings) {
         final FlatSettings flat = new FlatSettings();
--- a/src/main/java/cresschute/node/Hangup.java
+++ b/src/main/java/cresschute/node/Hangup.java
@@ -9,8 +9,7 @@
  */
 public final class Hangup {
 
-    private Hangup() {
-    }
+    private Hangup() {}
 
     /** Calls this, on a thread of the JVM, whenever the signal comes; unheard, it would end the process. */
     public static void onEach(Runnable call) {
@@ -23,7 +22,7 @@
             };
             signal.getMethod("handle", signal, handler).invoke(null,
                 signal.getConstructor(String.class).newInstance("HUP"),
-                Proxy.newProxyInstance(Hangup.class.getClassLoader(), new Class<?>[] {handler}, invocation));
+                Proxy.newProxyInstance(Hangup.class.getClassLoader(), new Class<?>[]{handler}, invocation));
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException("this JVM does not pass on SIGHUP", e);
         }
--- a/src/main/java/cresschute/node/Json.java
+++ b/src/main/java/cresschute/node/Json.java
@@ -14,8 +14,7 @@
 /** Strict reading of JSON objects; whatever is wrong with one is a {@link JsonParseException}. */
 public final class Json {
 
-    private Json() {
-    }
+    private Json() {}
 
     /** The one object that the text holds. */
     public static JsonObject object(String text) {
--- a/src/main/java/cresschute/node/NodeConfig.java
+++ b/src/main/java/cresschute/node/NodeConfig.java
@@ -38,10 +38,10 @@
  * @param shape the keys of the platform's file, which a file read again must have too
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress director, long seed,
-                         Settings settings, List<String> classes, List<String> zones, List<String> kinds,
-                         long connectTimeoutUs, long connIdleUs, int sockets, DirectorList known,
-                         String controlSocket, String stateFolder, Bodies bodies, Operators operators,
-                         ConfigShape shape) {
+    Settings settings, List<String> classes, List<String> zones, List<String> kinds,
+    long connectTimeoutUs, long connIdleUs, int sockets, DirectorList known,
+    String controlSocket, String stateFolder, Bodies bodies, Operators operators,
+    ConfigShape shape) {
 
     /**
      * What the platform's operators are given: a management listener, the clients' listener held by the
@@ -61,18 +61,18 @@
 
     /** A node without the platform's operators. */
     public NodeConfig(String name, InetSocketAddress listen, InetSocketAddress director, long seed,
-                      Settings settings, List<String> classes, List<String> zones, List<String> kinds,
-                      long connectTimeoutUs, long connIdleUs, int sockets, DirectorList known,
-                      String controlSocket, String stateFolder, Bodies bodies) {
+        Settings settings, List<String> classes, List<String> zones, List<String> kinds,
+        long connectTimeoutUs, long connIdleUs, int sockets, DirectorList known,
+        String controlSocket, String stateFolder, Bodies bodies) {
         this(name, listen, director, seed, settings, classes, zones, kinds, connectTimeoutUs, connIdleUs,
             sockets, known, controlSocket, stateFolder, bodies, Operators.NONE, ConfigShape.NONE);
     }
 
     /** A node with the platform's operators, of a file whose keys are not looked at again. */
     public NodeConfig(String name, InetSocketAddress listen, InetSocketAddress director, long seed,
-                      Settings settings, List<String> classes, List<String> zones, List<String> kinds,
-                      long connectTimeoutUs, long connIdleUs, int sockets, DirectorList known,
-                      String controlSocket, String stateFolder, Bodies bodies, Operators operators) {
+        Settings settings, List<String> classes, List<String> zones, List<String> kinds,
+        long connectTimeoutUs, long connIdleUs, int sockets, DirectorList known,
+        String controlSocket, String stateFolder, Bodies bodies, Operators operators) {
         this(name, listen, director, seed, settings, classes, zones, kinds, connectTimeoutUs, connIdleUs,
             sockets, known, controlSocket, stateFolder, bodies, operators, ConfigShape.NONE);
     }
@@ -92,8 +92,8 @@
 
     /** What a settings script states, with the seed to use. */
     public static NodeConfig of(ApplianceSettings settings, long seed) {
-        final List<DirectorList.Entry> workers = settings.workers().stream().map(each ->
-            new DirectorList.Entry(each.id(), each.address(), each.zone(), each.kind(), each.cell(),
+        final List<DirectorList.Entry> workers = settings.workers().stream().map(
+            each -> new DirectorList.Entry(each.id(), each.address(), each.zone(), each.kind(), each.cell(),
                 WorkerState.READY, each.weight(), 0)).toList();
         // Before the first answer of a director no version is held, so that it is asked for its whole list.
         return new NodeConfig(settings.name(), settings.listen(), settings.director(), seed,
@@ -209,7 +209,7 @@
     }
 
     private static String setting(Map<String, String> environment, String variable, JsonObject json,
-                                  String name) {
+        String name) {
         final String value = environment.get(variable);
         return value == null || value.isBlank() ? Json.string(json, name) : value;
     }
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -113,7 +113,7 @@
     /** Starts all of it; returns, with the address, once clients can connect. */
     public SocketAddress start() {
         openDesk();
-        loop.execute(() -> core.start(backends, director == null ? () -> { } : director, config.known()));
+        loop.execute(() -> core.start(backends, director == null ? () -> {} : director, config.known()));
         final ChannelFuture bound = front.listen(group, config.listen(), passed).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             halt();
@@ -256,7 +256,7 @@
         front.retune(table.live(), table.classes(), retold.tenants());
         return "; settings in force" + (changes.isEmpty() ? "" : ", classes " + changes)
             + (retold.limits().equals(now.limits()) ? ""
-            : ", attempts at most " + retold.limits().maxAttempts());
+                : ", attempts at most " + retold.limits().maxAttempts());
     }
 
     private static String text(SocketAddress address) {
--- a/src/main/java/cresschute/node/PassedListener.java
+++ b/src/main/java/cresschute/node/PassedListener.java
@@ -10,8 +10,7 @@
  */
 public final class PassedListener {
 
-    private PassedListener() {
-    }
+    private PassedListener() {}
 
     /**
      * The inherited listener; called once a process, from its main thread, before any loop runs.
--- a/src/main/java/cresschute/node/ReqContent.java
+++ b/src/main/java/cresschute/node/ReqContent.java
@@ -9,7 +9,7 @@
  * @param longBody the body where it is passed on as it arrives, or null
  */
 public record ReqContent(String requestId, String target, String idempotencyKey, byte[] body,
-                         ReqBody longBody) {
+    ReqBody longBody) {
 
     /** A req whose body is here. */
     public ReqContent(String requestId, String target, String idempotencyKey, byte[] body) {
--- a/src/main/java/cresschute/node/http/BackendConnections.java
+++ b/src/main/java/cresschute/node/http/BackendConnections.java
@@ -49,7 +49,7 @@
      * @param longResults whether results may come that are passed on as they are made
      */
     public BackendConnections(EventLoop loop, RateLimitedLog troubles, long connectTimeoutUs, long connIdleUs,
-                              int most, boolean longResults) {
+        int most, boolean longResults) {
         this.loop = loop;
         this.troubles = troubles;
         this.most = most;
--- a/src/main/java/cresschute/node/http/BodyPump.java
+++ b/src/main/java/cresschute/node/http/BodyPump.java
@@ -21,8 +21,7 @@
          * It flows, or waits for whoever sends it: called with the first piece that is written, and again
          * every second or so unless the peer is what it waits for.
          */
-        default void flows() {
-        }
+        default void flows() {}
 
         /** The last byte is written. */
         void written();
--- a/src/main/java/cresschute/node/http/Deadline.java
+++ b/src/main/java/cresschute/node/http/Deadline.java
@@ -9,8 +9,7 @@
     private static final Pattern FORM = Pattern.compile("([0-9]{1,12})(?:\\.([0-9]{1,9}))?([mu])");
     private static final long MOST_US = 3_600_000_000L;
 
-    private Deadline() {
-    }
+    private Deadline() {}
 
     /** The time in microseconds, an hour at the most, or -1 where the text is none. */
     static long parseUs(String text) {
--- a/src/main/java/cresschute/node/http/Exchange.java
+++ b/src/main/java/cresschute/node/http/Exchange.java
@@ -38,14 +38,12 @@
     }
 
     /** That answer is whole; the exchange's own comes next. */
-    void anothersEnded() {
-    }
+    void anothersEnded() {}
 
     abstract void content(ByteBuf content);
 
     /** All that was ready has been read. */
-    void readComplete() {
-    }
+    void readComplete() {}
 
     /** The answer is whole; what stood behind it. */
     abstract void last(HttpHeaders trailers);
--- a/src/main/java/cresschute/node/http/Headers.java
+++ b/src/main/java/cresschute/node/http/Headers.java
@@ -17,6 +17,5 @@
     /** Behind a long result: whether it is whole. */
     static final AsciiString JOB_STATE = AsciiString.cached("X-Job-State");
 
-    private Headers() {
-    }
+    private Headers() {}
 }
--- a/src/main/java/cresschute/node/http/Loads.java
+++ b/src/main/java/cresschute/node/http/Loads.java
@@ -8,8 +8,7 @@
 /** Load reports in their two forms: a header's name=value list and a JSON object. */
 final class Loads {
 
-    private Loads() {
-    }
+    private Loads() {}
 
     /** Reads a header; null is no report, and what is not a name with a number is an error. */
     static LoadReport parseHeader(String header) {
--- a/src/main/java/cresschute/node/http/LongBody.java
+++ b/src/main/java/cresschute/node/http/LongBody.java
@@ -12,7 +12,7 @@
     private final Runnable room;
 
     LongBody(LongBodies owner, Budget.Account account, ClassBodies limits, long spool, long length,
-             Runnable room) {
+        Runnable room) {
         super(owner, account, limits, spool);
         this.length = length;
         this.spool = spool;
--- a/src/main/java/cresschute/node/http/Reading.java
+++ b/src/main/java/cresschute/node/http/Reading.java
@@ -11,8 +11,7 @@
     /** Reads of one connection in one pass of the loop, as Netty has it for sockets. */
     private static final int READS_A_PASS = 16;
 
-    private Reading() {
-    }
+    private Reading() {}
 
     /**
      * For connections whose end is to be seen in the pass of the loop that reads what came before it: by
--- a/src/main/java/cresschute/node/http/RetryAfter.java
+++ b/src/main/java/cresschute/node/http/RetryAfter.java
@@ -5,8 +5,7 @@
 
     private static final long MS = 1_000;
 
-    private RetryAfter() {
-    }
+    private RetryAfter() {}
 
     /** Rounded up to a millisecond, so that nobody comes back too early. */
     static String format(long us) {
--- a/src/main/java/cresschute/settings/ApplianceSettings.java
+++ b/src/main/java/cresschute/settings/ApplianceSettings.java
@@ -23,11 +23,11 @@
  * @param shown the settings in force as a script of their own, with all that holds without being stated
  */
 public record ApplianceSettings(String name, InetSocketAddress listen, Long seed, Settings module,
-                                List<String> classes, List<String> zones, List<String> kinds,
-                                List<WorkerEntry> workers, InetSocketAddress director, long connectTimeoutUs,
-                                long idleTimeoutUs, int sockets, String logFormat, String logLevel,
-                                String controlSocket, String stateFolder, Bodies bodies,
-                                String shown) {
+    List<String> classes, List<String> zones, List<String> kinds,
+    List<WorkerEntry> workers, InetSocketAddress director, long connectTimeoutUs,
+    long idleTimeoutUs, int sockets, String logFormat, String logLevel,
+    String controlSocket, String stateFolder, Bodies bodies,
+    String shown) {
 
     /**
      * The room for long bodies, all in bytes.
@@ -35,8 +35,7 @@
      * @param classes what each class allows, in their order
      */
     public record Bodies(long budget, long window, long lent, long spool, long ofAClient,
-                         List<ClassBodies> classes) {
-    }
+        List<ClassBodies> classes) {}
 
     /**
      * What a class allows of bodies.
@@ -48,11 +47,9 @@
      * @param deadlineToFirst whether the deadline of such a result counts to its first byte
      */
     public record ClassBodies(long longest, long leastRate, long stallUs, boolean longResults,
-                              boolean deadlineToFirst) {
-    }
+        boolean deadlineToFirst) {}
 
     /** A worker of the list. */
     public record WorkerEntry(String id, InetSocketAddress address, String zone, String kind, int cell,
-                              double weight) {
-    }
+        double weight) {}
 }
--- a/src/main/java/cresschute/settings/IpAddress.java
+++ b/src/main/java/cresschute/settings/IpAddress.java
@@ -17,8 +17,7 @@
     private static final int MOST_BYTE = 255;
     private static final int MOST_PORT = 65_535;
 
-    private IpAddress() {
-    }
+    private IpAddress() {}
 
     /** The address that a text gives, or null. */
     static InetSocketAddress parse(String text) {
--- a/src/main/java/cresschute/settings/Kind.java
+++ b/src/main/java/cresschute/settings/Kind.java
@@ -69,7 +69,7 @@
             + (mostUs >= US_A_S ? "2 * s" : "20 * ms"),
             value -> value instanceof Quantity quantity && quantity.dimension() == Dimension.TIME
                 && quantity.amount() >= leastUs && quantity.amount() <= mostUs
-                ? (Long) Math.round(quantity.amount()) : null,
+                    ? (Long) Math.round(quantity.amount()) : null,
             Kind::time);
     }
 
@@ -82,7 +82,7 @@
         return new Kind<>("a size from " + size(least) + " to " + size(most) + ", such as 2 * MiB",
             value -> value instanceof Quantity quantity && quantity.dimension() == Dimension.SIZE
                 && quantity.amount() >= least && quantity.amount() <= most
-                ? (Long) Math.round(quantity.amount()) : null,
+                    ? (Long) Math.round(quantity.amount()) : null,
             Kind::size);
     }
 
--- a/src/main/java/cresschute/settings/Schema.java
+++ b/src/main/java/cresschute/settings/Schema.java
@@ -171,8 +171,7 @@
     static final List<Block> BLOCKS = List.of(NODE, JOB_CLASS, WORKER, DIRECTOR, LIMITS, BODIES, REPORTS,
         COLD_START, GOAL, LOGS, CONTROL, STATE);
 
-    private Schema() {
-    }
+    private Schema() {}
 
     /** The reference in Markdown, one table a block. */
     static String reference() {
--- a/src/main/java/cresschute/settings/SettingsChecks.java
+++ b/src/main/java/cresschute/settings/SettingsChecks.java
@@ -164,9 +164,9 @@
             node.get(Schema.SEED),
             module(zones, kinds, director),
             all(Schema.JOB_CLASS).stream().map(each -> each.get(Schema.CLASS_NAME)).toList(), zones, kinds,
-                workers,
+            workers,
             director == null ? null : director.get(Schema.DIRECTOR_ADDRESS),
-                limits.get(Schema.CONNECT_TIMEOUT),
+            limits.get(Schema.CONNECT_TIMEOUT),
             limits.get(Schema.IDLE_TIMEOUT), limits.get(Schema.SOCKETS).intValue(),
             one(Schema.LOGS).get(Schema.LOG_FORMAT), one(Schema.LOGS).get(Schema.LOG_LEVEL),
             one(Schema.CONTROL).get(Schema.SOCKET), one(Schema.STATE).get(Schema.FOLDER),
@@ -218,7 +218,7 @@
         }
         return new Settings(one(Schema.NODE).get(Schema.DISPATCHERS).intValue(),
             zones.indexOf(one(Schema.NODE).get(Schema.NODE_ZONE)), zones.size(), Math.max(1, kinds.size()),
-                classes,
+            classes,
             List.of(), 1, false,
             new Limits(limits.get(Schema.ATTEMPTS).intValue(), limits.get(Schema.RETRY_AFTER),
                 limits.get(Schema.SECOND_COPIES)),
@@ -252,8 +252,8 @@
             for (final Statement statement : all(block).isEmpty() && optional
                 ? List.of(Statement.unstated(block)) : all(block)) {
                 final Map<String, Object> values = new HashMap<>(statement.values());
-                values.computeIfPresent(Schema.CLASS_ATTEMPTS.name(), (name, own) ->
-                    block == Schema.JOB_CLASS ? attempts(statement) : own);
+                values.computeIfPresent(Schema.CLASS_ATTEMPTS.name(), (name, own) -> block == Schema.JOB_CLASS
+                    ? attempts(statement) : own);
                 out.append(out.isEmpty() ? "" : "\n").append(Schema.show(block, values));
             }
         }
--- a/src/main/java/cresschute/settings/SettingsFile.java
+++ b/src/main/java/cresschute/settings/SettingsFile.java
@@ -31,11 +31,9 @@
      * @param settings the settings, or null where there are problems
      * @param problems what is wrong, in the order of the text
      */
-    public record Result(ApplianceSettings settings, List<Problem> problems) {
-    }
+    public record Result(ApplianceSettings settings, List<Problem> problems) {}
 
-    private SettingsFile() {
-    }
+    private SettingsFile() {}
 
     /** Reads a file of UTF-8 text; one that cannot be read is an exception, one that is wrong is a result. */
     public static Result read(Path file) throws IOException {
--- a/src/main/java/cresschute/settings/script/Builtin.java
+++ b/src/main/java/cresschute/settings/script/Builtin.java
@@ -11,8 +11,7 @@
     Object call(Call call) throws ScriptError;
 
     /** One argument, and where it stands. */
-    record Argument(Object value, Position at) {
-    }
+    record Argument(Object value, Position at) {}
 
     /**
      * A call, its arguments evaluated.
@@ -21,7 +20,7 @@
      * @param at where the call begins
      */
     record Call(String name, Position at, List<Argument> positional, Map<String, Argument> named,
-                Meter meter) {
+        Meter meter) {
 
         /** The positional arguments, which must be so many, and no named ones. */
         List<Argument> exactly(int least, int most) throws ScriptError {
--- a/src/main/java/cresschute/settings/script/Interpreter.java
+++ b/src/main/java/cresschute/settings/script/Interpreter.java
@@ -56,8 +56,7 @@
         }
     }
 
-    private record Parameter(String name, Object otherwise) {
-    }
+    private record Parameter(String name, Object otherwise) {}
 
     private final class Function implements Builtin {
         private final String name;
@@ -339,8 +338,7 @@
         store(place, value);
     }
 
-    private record Place(Object container, Object key, Position at) {
-    }
+    private record Place(Object container, Object key, Position at) {}
 
     private Place place(ScriptParser.TestContext target, Frame frame) throws ScriptError {
         ParseTree tree = target;
@@ -369,7 +367,7 @@
     }
 
     private void augment(ScriptParser.ExpressionListContext targets, String operator, Object value,
-                         Frame frame) throws ScriptError {
+        Frame frame) throws ScriptError {
         final Position at = Script.position(targets.start);
         final ScriptParser.TestContext target = targets.test(0);
         if (targets.test().size() > 1 || endsWithComma(targets)) {
@@ -501,7 +499,7 @@
     }
 
     private Object call(Object function, String name, ScriptParser.CallContext context, Position at,
-                        Frame frame) throws ScriptError {
+        Frame frame) throws ScriptError {
         if (!(function instanceof Builtin builtin)) {
             throw new ScriptError(at, Values.kind(function) + " cannot be called");
         }
@@ -560,7 +558,7 @@
     private Object slice(Object value, Object low, Object high, Position at) throws ScriptError {
         final int size = value instanceof String text ? text.length()
             : value instanceof ListValue list ? list.elements().size()
-            : value instanceof TupleValue tuple ? tuple.elements().size() : -1;
+                : value instanceof TupleValue tuple ? tuple.elements().size() : -1;
         if (size < 0) {
             throw new ScriptError(at, Values.kind(value)
                 + " cannot be cut; a text, a list and a tuple can");
--- a/src/main/java/cresschute/settings/script/Nearest.java
+++ b/src/main/java/cresschute/settings/script/Nearest.java
@@ -9,8 +9,7 @@
 
     private static final LevenshteinDistance DISTANCE = LevenshteinDistance.getDefaultInstance();
 
-    private Nearest() {
-    }
+    private Nearest() {}
 
     /** Words that name the nearest known name, to follow an error; none where nothing is near. */
     public static String hint(String name, Collection<String> known) {
--- a/src/main/java/cresschute/settings/script/Script.java
+++ b/src/main/java/cresschute/settings/script/Script.java
@@ -22,8 +22,7 @@
     /** More alternatives than these would not help anybody. */
     private static final int MOST_EXPECTED = 4;
 
-    private Script() {
-    }
+    private Script() {}
 
     /**
      * Runs a script from its first line to its last, or to the first error. It can reach nothing but its
@@ -71,7 +70,7 @@
 
         @Override
         public void syntaxError(Recognizer<?, ?> recognizer, Object offending, int line, int column,
-                                String message, RecognitionException e) {
+            String message, RecognitionException e) {
             final boolean known = errors.stream().anyMatch(error -> error.position().line() == line);
             if (!known && errors.size() < MOST_SYNTAX_ERRORS) {
                 errors.add(new ScriptError(position((Token) offending), "unexpected "
--- a/src/main/java/cresschute/settings/script/ScriptTokens.java
+++ b/src/main/java/cresschute/settings/script/ScriptTokens.java
@@ -19,15 +19,14 @@
     private static final Set<String> RESERVED = Set.of("as", "assert", "async", "await", "class", "del",
         "except",
         "finally", "from", "global", "import", "is", "lambda", "nonlocal", "raise", "try", "while", "with",
-            "yield");
+        "yield");
 
     private final List<Token> laidOut = new ArrayList<>();
     private final Deque<Integer> indents = new ArrayDeque<>(List.of(0));
     private final Deque<Token> brackets = new ArrayDeque<>();
     private boolean lineBegins = true;
 
-    private ScriptTokens() {
-    }
+    private ScriptTokens() {}
 
     static List<Token> of(Lexer lexer) throws ScriptError {
         final ScriptTokens tokens = new ScriptTokens();
@@ -62,7 +61,7 @@
         switch (token.getText()) {
             case "(", "[", "{" -> brackets.push(token);
             case ")", "]", "}" -> brackets.poll();
-            default -> { }
+            default -> {}
         }
         laidOut.add(token);
     }
--- a/src/main/java/cresschute/settings/script/Texts.java
+++ b/src/main/java/cresschute/settings/script/Texts.java
@@ -6,8 +6,7 @@
 /** Literals of texts, and the two ways of formatting them. */
 final class Texts {
 
-    private Texts() {
-    }
+    private Texts() {}
 
     /** What a literal with its quotes stands for. */
     static String unquoted(String literal, Position at) throws ScriptError {
--- a/src/main/java/cresschute/settings/script/Units.java
+++ b/src/main/java/cresschute/settings/script/Units.java
@@ -13,8 +13,7 @@
     private static final List<Map.Entry<String, Double>> SIZES = List.of(Map.entry("B", 1.0),
         Map.entry("KiB", 1024.0), Map.entry("MiB", 1024.0 * 1024), Map.entry("GiB", 1024.0 * 1024 * 1024));
 
-    private Units() {
-    }
+    private Units() {}
 
     /** Each unit of a dimension with how much it is. */
     static List<Map.Entry<String, Double>> of(Dimension dimension) {
@@ -24,8 +23,7 @@
     /** Makes the units known under their names. */
     static void addTo(Map<String, Object> names) {
         for (final Dimension dimension : Dimension.values()) {
-            of(dimension).forEach(unit ->
-                names.put(unit.getKey(), new Quantity(dimension, unit.getValue())));
+            of(dimension).forEach(unit -> names.put(unit.getKey(), new Quantity(dimension, unit.getValue())));
         }
     }
 }
--- a/src/main/java/cresschute/settings/script/Values.java
+++ b/src/main/java/cresschute/settings/script/Values.java
@@ -20,15 +20,15 @@
         }
     };
 
-    private Values() {
-    }
+    private Values() {}
 
     /** A time or a size: what a number times a unit makes. */
-    public record Quantity(Dimension dimension, double amount) {
-    }
+    public record Quantity(Dimension dimension, double amount) {}
 
     /** What a quantity measures, and in what: times in microseconds, sizes in bytes. */
-    public enum Dimension { TIME, SIZE }
+    public enum Dimension {
+        TIME, SIZE
+    }
 
     /** A list; it may not change while a loop is going through it. */
     public static final class ListValue {
@@ -58,8 +58,7 @@
     }
 
     /** A sequence that never changes. */
-    public record TupleValue(List<Object> elements) {
-    }
+    public record TupleValue(List<Object> elements) {}
 
     /** The numbers from one to another, not laid out in memory. */
     public record RangeValue(long start, long stop, long step) {
@@ -241,7 +240,7 @@
     }
 
     private static void writeAll(List<Object> elements, String open, String close, StringBuilder out,
-                                 int depth, Meter meter, Position at) throws ScriptError {
+        int depth, Meter meter, Position at) throws ScriptError {
         String gap = open;
         for (final Object element : elements) {
             out.append(gap);
--- a/src/test/java/cresschute/FillTest.java
+++ b/src/test/java/cresschute/FillTest.java
@@ -36,7 +36,7 @@
         final Cell poor = cell(1, 1, 1, Placement.ANYWHERE);
         final Cell large = cell(10, 1, 20, Placement.ANYWHERE);
         all.left = 1.5 + Logic.FLOOR * 20;
-        Logic.fill(new Cell[] {large, poor, rich}, 1);
+        Logic.fill(new Cell[]{large, poor, rich}, 1);
         assertThat(rich.admit).isCloseTo(1, within(1e-9));
         assertThat(poor.admit).isCloseTo(0.5, within(1e-9));
         assertThat(large.admit).isCloseTo(Logic.FLOOR, within(1e-9));
@@ -48,7 +48,7 @@
         final Cell free = cell(1, 1, 1, Placement.ANYWHERE);
         all.left = 100;
         kind.left = 0.25;
-        Logic.fill(new Cell[] {bound, free}, 1);
+        Logic.fill(new Cell[]{bound, free}, 1);
         assertThat(bound.admit).isCloseTo(0.25, within(1e-9));
         assertThat(free.admit).isCloseTo(1, within(1e-9));
     }
@@ -57,7 +57,7 @@
     void anOpenBudgetAdmitsEverything() {
         final Cell cell = cell(1, 50, 3, Placement.ANYWHERE);
         all.left = Double.POSITIVE_INFINITY;
-        Logic.fill(new Cell[] {cell}, 1);
+        Logic.fill(new Cell[]{cell}, 1);
         assertThat(cell.admit).isEqualTo(1);
     }
 
--- a/src/test/java/cresschute/Recorder.java
+++ b/src/test/java/cresschute/Recorder.java
@@ -23,8 +23,7 @@
 /** A module under test: feeds it events and records what it asks for. */
 final class Recorder implements Actions {
 
-    record Send(int request, int worker) {
-    }
+    record Send(int request, int worker) {}
 
     static final long SECOND = 1_000_000;
 
@@ -82,8 +81,8 @@
     }
 
     private static Settings settings(List<RequestClass> classes, List<Tenant> tenants, int dispatchers,
-                                     boolean ask, boolean probing, boolean fullMayHaveRun,
-                                     long closeOnDrainWithinUs) {
+        boolean ask, boolean probing, boolean fullMayHaveRun,
+        long closeOnDrainWithinUs) {
         return new Settings(dispatchers, 0, 3, 2, classes, tenants, 0.05, false, new Limits(4, 0, false),
             new ColdStart(0.2, 20 * SECOND, 3, SECOND), new Goal(0.6, 0.2, 0.2, 0), ask, 10 * SECOND,
             WeightSource.NOMINAL, true, true, 0, 0.02, probing, true, 0.1, fullMayHaveRun,
--- a/src/test/java/cresschute/benchlink/SettingsParserTest.java
+++ b/src/test/java/cresschute/benchlink/SettingsParserTest.java
@@ -81,7 +81,7 @@
 
     @Test
     void contradictoryPlacementsAndTimesAreNamed() {
-        for (final String line : new String[] {"runsOn=1", "runsOn=", "zonesOpen=3", "zonesOpen=-1"}) {
+        for (final String line : new String[]{"runsOn=1", "runsOn=", "zonesOpen=3", "zonesOpen=-1"}) {
             assertThatThrownBy(() -> SettingsParser.parse(SMALL + "classes.1." + line))
                 .as(line).hasMessageContaining("placement");
         }
--- a/src/test/java/cresschute/cli/CommandsTest.java
+++ b/src/test/java/cresschute/cli/CommandsTest.java
@@ -23,8 +23,7 @@
 
     private static final String SAMPLE = "deploy/appliance.star";
 
-    private record Ran(int code, String out, String err) {
-    }
+    private record Ran(int code, String out, String err) {}
 
     private static Ran run(String... args) {
         final StringWriter out = new StringWriter();
@@ -127,7 +126,7 @@
         """)
     void screenIsReadFromTheEnvironment(String columns, String term, String noColor, boolean terminal,
         int width,
-                                        boolean color) {
+        boolean color) {
         final Map<String, String> environment = new HashMap<>();
         environment.put("COLUMNS", columns == null ? "80" : columns);
         if (term != null) {
--- a/src/test/java/cresschute/cli/ConsoleProgramTest.java
+++ b/src/test/java/cresschute/cli/ConsoleProgramTest.java
@@ -178,7 +178,7 @@
     @Test
     void oneOfAThousandIsDrainedWhileTheListChangesUnderTheScreen() throws Exception {
         try (WideSite site = new WideSite(1_000, 1, socket);
-             VirtualScreen screen = console(100, 30, Map.of())) {
+            VirtualScreen screen = console(100, 30, Map.of())) {
             screen.await("1/1000");
             site.churn(200);
             screen.type("s");
@@ -213,8 +213,7 @@
 
     // ---- Commands ----
 
-    private record Ran(int code, String out, String err) {
-    }
+    private record Ran(int code, String out, String err) {}
 
     private Ran run(String... args) {
         final List<String> all = new ArrayList<>(List.of(args));
@@ -299,7 +298,7 @@
     void killedNodeKeepsWhatItConfirmed() throws Exception {
         final Path script = folder.resolve("site.star");
         try (ServerSocket w1 = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-             ServerSocket w2 = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            ServerSocket w2 = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
             final int port;
             try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
                 port = free.getLocalPort();
--- a/src/test/java/cresschute/cli/ProgramTest.java
+++ b/src/test/java/cresschute/cli/ProgramTest.java
@@ -172,7 +172,7 @@
             final Process node = start(program("serve", "--settings", file.toString()));
             assertThat(node.errorReader().lines()).containsExactly(
                 "cresschute: cannot start: cannot listen on 127.0.0.1:" + taken.getLocalPort()
-                + ": Address already in use; see who listens there, or give node another listen address");
+                    + ": Address already in use; see who listens there, or give node another listen address");
             assertThat(node.waitFor()).isEqualTo(1);
         }
     }
--- a/src/test/java/cresschute/console/ScreenTest.java
+++ b/src/test/java/cresschute/console/ScreenTest.java
@@ -142,7 +142,7 @@
         for (int i = 0; i < workers; i++) {
             rows.add(worker((random.nextInt(5) == 0 ? "日本" : "w") + i,
                 List.of("taking", "full", "slowing", "silent", "cold", "draining", "gone")
-                .get(random.nextInt(7)), random.nextInt(1_000)));
+                    .get(random.nextInt(7)), random.nextInt(1_000)));
         }
         load(rows.toArray(String[]::new));
         for (int i = 0; i < random.nextInt(30); i++) {
--- a/src/test/java/cresschute/control/ControlRequestTest.java
+++ b/src/test/java/cresschute/control/ControlRequestTest.java
@@ -51,7 +51,7 @@
     void readsAllFields() throws Exception {
         final ControlRequest drain = ControlRequest.parse(
             "{\"v\":1,\"id\":\"1\",\"do\":\"drain\",\"op\":\"o\","
-            + "\"worker\":\"w1\",\"for_ms\":2000,\"who\":\"ann\",\"reason\":\"disk\",\"force\":true}");
+                + "\"worker\":\"w1\",\"for_ms\":2000,\"who\":\"ann\",\"reason\":\"disk\",\"force\":true}");
         assertThat(drain.what()).isEqualTo(What.DRAIN);
         assertThat(drain.operation()).isEqualTo(new Operation("o", true, "w1", 2_000_000, "ann", "disk",
             true));
--- a/src/test/java/cresschute/control/files/StateFolderTest.java
+++ b/src/test/java/cresschute/control/files/StateFolderTest.java
@@ -78,7 +78,7 @@
     @Test
     void halfWrittenFileIsNotLookedAt() throws IOException {
         keepTo(2);
-        Files.write(folder().resolve("drains.new"), new byte[] {1, 2, 3});
+        Files.write(folder().resolve("drains.new"), new byte[]{1, 2, 3});
         assertThat(load()).isEqualTo(snapshot(2));
         try (StateFolder state = StateFolder.open(folder())) {
             assertThat(keep(state, snapshot(3))).isNull();
@@ -89,7 +89,7 @@
     @Test
     void bothDamagedStartsWithNothing() throws IOException {
         keepTo(2);
-        Files.write(folder().resolve("drains.0"), new byte[] {1});
+        Files.write(folder().resolve("drains.0"), new byte[]{1});
         Files.write(folder().resolve("drains.1"), new byte[0]);
         assertThat(load().drains()).isEmpty();
     }
--- a/src/test/java/cresschute/flow/BodyTest.java
+++ b/src/test/java/cresschute/flow/BodyTest.java
@@ -23,7 +23,7 @@
     private final Body<String> body = body(budget, 10);
 
     private Body<String> body(Budget of, long spoolBound) {
-        return new Body<>(of.open("c", () -> { }).account(), spoolBound,
+        return new Body<>(of.open("c", () -> {}).account(), spoolBound,
             piece -> assertThat(released.add(piece)).as("released once: " + piece).isTrue());
     }
 
@@ -111,7 +111,7 @@
     void spoolGivesWayWhereNothingElseCould() {
         final Budget small = new Budget(8, 8, 0, 1, 8);
         final Body<String> large = body(small, 1_000);
-        final Body<String>.Sender sender = large.send(() -> { });
+        final Body<String>.Sender sender = large.send(() -> {});
         assertThat(large.room(100)).isEqualTo(8);
         large.add("abcdefgh", 8);
         assertThat(large.room(100)).isZero();
@@ -149,7 +149,7 @@
         final List<Played> bodies = new ArrayList<>();
         for (int step = 0; step < 300; step++) {
             if (bodies.isEmpty() || random.nextInt(20) == 0) {
-                final Budget.Account account = shared.open("c", () -> { }).account();
+                final Budget.Account account = shared.open("c", () -> {}).account();
                 if (account != null) {
                     bodies.add(new Played(account, random.nextInt(40)));
                 }
@@ -181,8 +181,8 @@
         private final List<Way> ways = new ArrayList<>();
 
         Played(Budget.Account account, long spoolBound) {
-            body = new Body<>(account, spoolBound, piece ->
-                assertThat(gone.add(piece)).as("released once").isTrue());
+            body = new Body<>(account, spoolBound, piece -> assertThat(gone.add(piece)).as("released once")
+                .isTrue());
         }
 
         long heldBytes() {
@@ -204,7 +204,7 @@
                         case 0 -> body.whole();
                         case 1 -> body.broken();
                         case 2 -> body.close();
-                        default -> { }
+                        default -> {}
                     }
                 }
             }
@@ -224,7 +224,7 @@
 
         private void begin(Random random) {
             final boolean can = body.canBeSentAnew();
-            final Body<Integer>.Sender next = body.send(() -> { });
+            final Body<Integer>.Sender next = body.send(() -> {});
             assertThat(next != null).isEqualTo(can);
             if (next != null) {
                 // From byte 0, all of it: nothing may have gone.
--- a/src/test/java/cresschute/flow/BudgetTest.java
+++ b/src/test/java/cresschute/flow/BudgetTest.java
@@ -69,12 +69,12 @@
         final Budget budget = new Budget(60, 20, 60, 1, 40);
         open(budget, "a");
         final Account second = open(budget, "a");
-        assertThat(budget.open("a", () -> { }).refusal()).isEqualTo(Refusal.CLIENT_FULL);
+        assertThat(budget.open("a", () -> {}).refusal()).isEqualTo(Refusal.CLIENT_FULL);
         final Account other = open(budget, "b");
-        assertThat(budget.open("c", () -> { }).refusal()).isEqualTo(Refusal.NODE_FULL);
+        assertThat(budget.open("c", () -> {}).refusal()).isEqualTo(Refusal.NODE_FULL);
         second.close();
         second.close();
-        assertThat(budget.open("a", () -> { }).account()).isNotNull();
+        assertThat(budget.open("a", () -> {}).account()).isNotNull();
         other.close();
         assertThat(budget.inUse()).isEqualTo(40);
     }
--- a/src/test/java/cresschute/lab/ControlledFleetTest.java
+++ b/src/test/java/cresschute/lab/ControlledFleetTest.java
@@ -239,8 +239,8 @@
                 assertThat(peer.operate("undrain", "u" + i, "w" + i)).isEqualTo("done: ");
             }
             final int before = fleet.seen().size();
-            await(() -> since(before).stream().anyMatch(each ->
-                each instanceof ReqAnswered answer && answer.status() == LoadClients.OK));
+            await(() -> since(before).stream().anyMatch(each -> each instanceof ReqAnswered answer && answer
+                .status() == LoadClients.OK));
         }
     }
 
--- a/src/test/java/cresschute/lab/FleetTest.java
+++ b/src/test/java/cresschute/lab/FleetTest.java
@@ -147,8 +147,8 @@
             final int before = fleet.seen().size();
             Awaitility.await().atMost(Duration.ofSeconds(20)).until(() -> {
                 final List<Observation> seen = fleet.seen();
-                return seen.subList(before, seen.size()).stream().anyMatch(each ->
-                    each instanceof SendCame send && send.worker().equals("w1"));
+                return seen.subList(before, seen.size()).stream().anyMatch(
+                    each -> each instanceof SendCame send && send.worker().equals("w1"));
             });
             sound(cut(fleet));
         }
@@ -165,7 +165,8 @@
             sound(cut(fleet));
             assertThat(fleet.seen().subList(before,
                 fleet.seen().size())).noneMatch(seen -> seen instanceof SendCame send
-                && send.worker().equals("w1") && send.firstByteUs() > toldUs + RuleChecker.DRAIN_WITHIN_US);
+                    && send.worker().equals("w1") && send.firstByteUs() > toldUs
+                        + RuleChecker.DRAIN_WITHIN_US);
         }
     }
 
@@ -183,7 +184,7 @@
     @Test
     void burstBringsMore() {
         try (Fleet calm = new Fleet(new Fleet.Plan(2, 20, SEED, List.of()));
-             Fleet burst = new Fleet(new Fleet.Plan(2, 20, SEED, Trouble.parse("burstx10@0s+30s")))) {
+            Fleet burst = new Fleet(new Fleet.Plan(2, 20, SEED, Trouble.parse("burstx10@0s+30s")))) {
             calm.start();
             burst.start();
             Awaitility.await().until(() -> count(calm, ReqSent.class) >= 15);
@@ -214,8 +215,8 @@
         try (Fleet fleet = fleet("")) {
             await(fleet, FleetTest::serves);
             final FleetReport report = cut(fleet);
-            assertThat(report.table(40)).allMatch(line -> line.length() <= 40).anyMatch(line ->
-                line.equals("one answer         kept"));
+            assertThat(report.table(40)).allMatch(line -> line.length() <= 40).anyMatch(line -> line.equals(
+                "one answer         kept"));
             assertThat(report.table(80)).allMatch(line -> line.length() <= 80);
         }
     }
--- a/src/test/java/cresschute/lab/StandInsTest.java
+++ b/src/test/java/cresschute/lab/StandInsTest.java
@@ -93,8 +93,8 @@
     }
 
     private void await(Class<? extends Observation> kind, int count) {
-        Awaitility.await().atMost(Duration.ofSeconds(20)).until(() ->
-            recorder.seen().stream().filter(kind::isInstance).count() >= count);
+        Awaitility.await().atMost(Duration.ofSeconds(20)).until(() -> recorder.seen().stream().filter(
+            kind::isInstance).count() >= count);
     }
 
     @Test
--- a/src/test/java/cresschute/lab/WideSiteTest.java
+++ b/src/test/java/cresschute/lab/WideSiteTest.java
@@ -43,7 +43,7 @@
                 assertThat(news.has("whole") && news.get("whole").getAsBoolean()).isFalse();
                 drains += news.has("rows") ? (int) news.getAsJsonObject("rows").entrySet().stream()
                     .filter(each -> each.getKey().startsWith("w/") && each.getValue().getAsJsonObject()
-                    .get("listed").getAsString().equals("draining")).count() : 0;
+                        .get("listed").getAsString().equals("draining")).count() : 0;
                 take(held, news);
             }
             assertThat(drains).isGreaterThan(50);
--- a/src/test/java/cresschute/logs/structured/StructuredLogTest.java
+++ b/src/test/java/cresschute/logs/structured/StructuredLogTest.java
@@ -67,9 +67,9 @@
         } finally {
             LogFinder.usePlain();
         }
-        assertThat(out.toString(StandardCharsets.UTF_8).lines().map(line ->
-            Json.object(line).get("event").getAsString() + " "
-                + Json.object(line).get("message").getAsString()))
+        assertThat(out.toString(StandardCharsets.UTF_8).lines().map(line -> Json.object(line).get("event")
+            .getAsString() + " "
+            + Json.object(line).get("message").getAsString()))
             .containsExactly("plain plain 7", "plain with braces {0}", "plain thrown", "named by name");
     }
 }
--- a/src/test/java/cresschute/node/ControlDeskTest.java
+++ b/src/test/java/cresschute/node/ControlDeskTest.java
@@ -29,11 +29,11 @@
         }
         final ControlDesk desk = new ControlDesk(config, loop.eventLoop(), () -> nowUs);
         final Events module = (Events) Proxy.newProxyInstance(getClass().getClassLoader(),
-            new Class<?>[] {Events.class}, (proxy, method, args) -> null);
+            new Class<?>[]{Events.class}, (proxy, method, args) -> null);
         final Core core = new Core(config, loop.eventLoop(), () -> nowUs,
             new RateLimitedLog(System.getLogger("test"), () -> nowUs), desk, actions -> module);
         desk.open(core);
-        core.start(null, () -> { }, config.known());
+        core.start(null, () -> {}, config.known());
         desk.look();
         assertThat(desk.board().since(0).rows()).containsKeys("w/s-1", "w/s-2");
         core.directorTold(new DirectorList(2, true, List.of(config.known().entries().get(0))));
--- a/src/test/java/cresschute/node/CoreTest.java
+++ b/src/test/java/cresschute/node/CoreTest.java
@@ -52,7 +52,7 @@
         core.start(new Backends() {
             @Override
             public Call fetch(InetSocketAddress addr, ReqContent content, long waitUs,
-                              FetchListener listener) {
+                FetchListener listener) {
                 fetches.add(listener);
                 if (connectionsThrow) {
                     throw new IllegalStateException("no connections");
@@ -80,7 +80,7 @@
 
     /** Notes calls by name, request and outcome; sends each req, and again whatever ended unserved. */
     private Events module() {
-        return (Events) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {Events.class},
+        return (Events) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[]{Events.class},
             (proxy, method, args) -> {
                 if (moduleThrows) {
                     throw new IllegalStateException("the module is broken");
--- a/src/test/java/cresschute/node/CrossingRulesTest.java
+++ b/src/test/java/cresschute/node/CrossingRulesTest.java
@@ -34,7 +34,7 @@
 @Timeout(30)
 class CrossingRulesTest {
 
-    private static final BiConsumer<Actions, Integer> HOLDS = (actions, req) -> { };
+    private static final BiConsumer<Actions, Integer> HOLDS = (actions, req) -> {};
     private static final BiConsumer<Actions, Integer> SENDS =
         (actions, req) -> actions.send(req, 0, Long.MAX_VALUE);
 
@@ -145,8 +145,9 @@
     @ParameterizedTest
     @ValueSource(strings = {"draining", "gone", "left out", "moved", "restarted"})
     void nothingIsSentToABackendOfWhichMoreWasToldWhileTheConnectionCameUp(String what) throws Exception {
-        try (TestNode node = patient(SENDS); Peer client = node.client();
-             ServerSocket moved = Peer.listen()) {
+        try (TestNode node = patient(SENDS);
+            Peer client = node.client();
+            ServerSocket moved = Peer.listen()) {
             fill(node.backend);
             node.act(Actions::watchList);
             final Peer director = node.director();
@@ -525,7 +526,7 @@
             final String req = req("r2", "", "body");
             late.write(req.substring(0, req.length() - 1));
             final CompletableFuture<Void> stopped = node.server.stop();
-            final Future<?> killed = node.server.loop().schedule(() -> { }, 3_700, TimeUnit.MILLISECONDS);
+            final Future<?> killed = node.server.loop().schedule(() -> {}, 3_700, TimeUnit.MILLISECONDS);
             assertThat(node.client().isClosedByOther()).isTrue();
             late.write(req.substring(req.length() - 1));
             hang(node);
@@ -643,7 +644,7 @@
     private static void reload(TestNode node, UnaryOperator<String> change) throws Exception {
         final String text = change.apply(node.configText());
         node.server.reload(() -> NodeConfig.parse(text, java.util.Map.of()));
-        node.server.loop().submit(() -> { }).get(8, TimeUnit.SECONDS);
+        node.server.loop().submit(() -> {}).get(8, TimeUnit.SECONDS);
     }
 
     /** Both limits held until a restart; what waits here waits for less than the old ones. */
@@ -659,8 +660,8 @@
 
     @Test
     void opensConnectionsByTheNewSettingsLimit() throws Exception {
-        final UnaryOperator<String> patient = text ->
-            text.replace("deadlineUs\":5000000", "deadlineUs\":60000000");
+        final UnaryOperator<String> patient = text -> text.replace("deadlineUs\":5000000",
+            "deadlineUs\":60000000");
         try (TestNode node = TestNode.configured(text -> patient.apply(text).replace("250000", "40000000"),
             SENDS); Peer client = node.client()) {
             fill(node.backend);
--- a/src/test/java/cresschute/node/LongBodyNode.java
+++ b/src/test/java/cresschute/node/LongBodyNode.java
@@ -26,8 +26,7 @@
         void run() throws IOException;
     }
 
-    private LongBodyNode() {
-    }
+    private LongBodyNode() {}
 
     static Bodies bodies(ClassBodies each) {
         return new Bodies(BUDGET, WINDOW, MOST_OF_ONE - WINDOW, SPOOL, 3 * WINDOW, List.of(each, each));
--- a/src/test/java/cresschute/node/LongBodyRulesTest.java
+++ b/src/test/java/cresschute/node/LongBodyRulesTest.java
@@ -205,8 +205,11 @@
     /** Before any of it is read, also where the client waits to be told to go on. */
     @Test
     void refusesBodyWithoutRoomAtOnce() throws Exception {
-        try (TestNode node = node(1); Peer first = node.client(); Peer second = node.client();
-            Peer third = node.client(); Peer fourth = node.client()) {
+        try (TestNode node = node(1);
+            Peer first = node.client();
+            Peer second = node.client();
+            Peer third = node.client();
+            Peer fourth = node.client()) {
             for (final Peer each : List.of(first, second, third)) {
                 each.write(head("r" + each.hashCode(), MIB, "Expect: 100-continue\r\n"));
                 assertThat(each.read()).startsWith("HTTP/1.1 100 ");
@@ -229,7 +232,8 @@
     @Test
     void endsBodyThatGrowsBeyondItsClassWithItsFetch() throws Exception {
         final ClassBodies small = new ClassBodies(300 * KIB, KIB, PATIENT_US, false, false);
-        try (TestNode node = new TestNode(LongBodyNode.bodies(small), 1); Peer client = node.client();
+        try (TestNode node = new TestNode(LongBodyNode.bodies(small), 1);
+            Peer client = node.client();
             Peer told = node.client()) {
             told.write(head("r2", 300 * KIB + 1, ""));
             assertThat(told.read()).startsWith("HTTP/1.1 413 ").endsWith("body over 300 KiB\n");
--- a/src/test/java/cresschute/node/LongResultRulesTest.java
+++ b/src/test/java/cresschute/node/LongResultRulesTest.java
@@ -231,8 +231,11 @@
     /** Before it is taken: a job that has run is never lost for want of room. */
     @Test
     void refusesWhereThereIsNoRoomForTheResult() throws Exception {
-        try (TestNode node = results(PATIENT_US, false); Peer first = asked(node, "");
-            Peer second = node.client(); Peer third = node.client(); Peer fourth = node.client()) {
+        try (TestNode node = results(PATIENT_US, false);
+            Peer first = asked(node, "");
+            Peer second = node.client();
+            Peer third = node.client();
+            Peer fourth = node.client()) {
             second.write(req("r2", "", "body"));
             third.write(req("r3", "", "body"));
             try (Peer one = node.backend(); Peer two = node.backend(); Peer three = node.backend()) {
@@ -293,7 +296,7 @@
                 backend.write(result(",\"length\":200")).writeChunk(0, 100);
                 client.readHead();
                 // The node's own clock tells when the time is over.
-                node.server.loop().schedule(() -> { }, 600, TimeUnit.MILLISECONDS).get();
+                node.server.loop().schedule(() -> {}, 600, TimeUnit.MILLISECONDS).get();
                 if (toFirst) {
                     backend.writeChunk(100, 100).write("0\r\n\r\n");
                     client.readBytes(0, 200);
@@ -335,7 +338,7 @@
                 backend.write(result("")).writeChunk(0, 100);
                 client.readHead();
                 final CompletableFuture<Void> stopped = node.server.stop();
-                node.server.loop().schedule(() -> { }, 600, TimeUnit.MILLISECONDS).get();
+                node.server.loop().schedule(() -> {}, 600, TimeUnit.MILLISECONDS).get();
                 assertThat(stopped).isNotDone();
                 backend.writeChunk(100, 100).write("0\r\nX-Job-State: done\r\n\r\n");
                 client.readChunks(200);
--- a/src/test/java/cresschute/node/MainTest.java
+++ b/src/test/java/cresschute/node/MainTest.java
@@ -40,8 +40,9 @@
     @Test
     void followsTheFilesDirectorOnSighup(@TempDir Path folder) throws Exception {
         final Path config = folder.resolve("config.json");
-        try (ServerSocket backend = Peer.listen(); ServerSocket old = Peer.listen();
-             ServerSocket next = Peer.listen()) {
+        try (ServerSocket backend = Peer.listen();
+            ServerSocket old = Peer.listen();
+            ServerSocket next = Peer.listen()) {
             final String known = TestNode.list(1, true, TestNode.entry("s-1", backend, "SERVING"));
             Files.writeString(config, TestNode.config(old, known));
             final Process node = serve(config.toString(), "127.0.0.1:" + old.getLocalPort());
--- a/src/test/java/cresschute/node/OperatorsRulesTest.java
+++ b/src/test/java/cresschute/node/OperatorsRulesTest.java
@@ -49,8 +49,8 @@
     @Test
     void answersOthersWhileHalfACallAndSilenceWait() throws Exception {
         try (TestNode node = new TestNode(shared, null);
-             Peer silent = Peer.connect(node.server.managementAddress());
-             Peer half = Peer.connect(node.server.managementAddress()).write("disable-ser")) {
+            Peer silent = Peer.connect(node.server.managementAddress());
+            Peer half = Peer.connect(node.server.managementAddress()).write("disable-ser")) {
             assertThat(node.call("ready")).isEqualTo("200 ready");
             assertThat(half.readLine()).startsWith("400 incomplete call");
             assertThat(half.isClosedByOther()).isTrue();
@@ -88,8 +88,9 @@
 
     @Test
     void drainedNodeSaysNoAndLetsItsConnectionsGoUntilResumed() throws Exception {
-        try (TestNode node = new TestNode(shared, null); Peer idle = node.client();
-             Peer busy = node.client()) {
+        try (TestNode node = new TestNode(shared, null);
+            Peer idle = node.client();
+            Peer busy = node.client()) {
             assertThat(idle.write(READY).read()).startsWith("HTTP/1.1 200");
             busy.write(req("r1", "", ""));
             final Peer backend = node.backend();
--- a/src/test/java/cresschute/node/RetuneRulesTest.java
+++ b/src/test/java/cresschute/node/RetuneRulesTest.java
@@ -34,8 +34,10 @@
 
     @Test
     void takesNewClassesAndFewerAttemptsWhileReqsUnderWayKeepTheirClass() throws Exception {
-        try (TestNode node = new TestNode(); Peer early = node.client(); Peer late = node.client();
-             Peer gone = node.client()) {
+        try (TestNode node = new TestNode();
+            Peer early = node.client();
+            Peer late = node.client();
+            Peer gone = node.client()) {
             early.write(post("file", "r1"));
             assertThat(node.event()).isEqualTo("requested 1 class 1 key 42");
             final Peer backend = node.backend();
--- a/src/test/java/cresschute/node/SocketRulesTest.java
+++ b/src/test/java/cresschute/node/SocketRulesTest.java
@@ -200,7 +200,8 @@
     @Test
     void makesRoomForNewClientsByTheLongestIdle() throws Exception {
         try (TestNode node = new TestNode((actions, req) -> actions.refuse(req, 0));
-             Peer oldest = node.client(); Peer quiet = node.client()) {
+            Peer oldest = node.client();
+            Peer quiet = node.client()) {
             assertThat(oldest.write(req("r1", "", "")).read()).startsWith("HTTP/1.1 503");
             Peer last = oldest;
             for (int i = 3; i <= 83; i++) {
@@ -228,7 +229,7 @@
         "GET /health/ready HTTP/1.1\r\n\r\n"})
     void closesOnClientsThatBringNoReq(String part) throws Exception {
         try (TestNode node = new TestNode((actions, req) -> actions.refuse(req, 0));
-             Peer usual = node.client()) {
+            Peer usual = node.client()) {
             usual.write(req("r1", "", "")).read();
             final long startNs = System.nanoTime();
             final Peer silent = node.client().write(part);
@@ -301,7 +302,7 @@
     @Test
     void refusesAtOnceWithAdvice() throws Exception {
         try (TestNode node = new TestNode((actions, req) -> actions.refuse(req, 2_000_000));
-             Peer client = node.client()) {
+            Peer client = node.client()) {
             client.write(req("r1", "", ""));
             assertThat(client.read()).startsWith("HTTP/1.1 503").contains("\r\nretry-after: 2\r\n");
         }
@@ -393,8 +394,9 @@
 
     @Test
     void watchesTheListCallByCall() throws Exception {
-        try (TestNode node = new TestNode(); ServerSocket moved = Peer.listen();
-             Peer client = node.client()) {
+        try (TestNode node = new TestNode();
+            ServerSocket moved = Peer.listen();
+            Peer client = node.client()) {
             assertThat(node.events.poll(8, TimeUnit.SECONDS)).isEqualTo("listed CACHED 0READY7000");
             node.act(actions -> actions.watchList());
             final Peer director = node.director();
@@ -449,7 +451,7 @@
 
     @Test
     void isReadyOnceABackendIsKnown() throws Exception {
-        try (TestNode node = new TestNode((actions, req) -> { }, false); Peer client = node.client()) {
+        try (TestNode node = new TestNode((actions, req) -> {}, false); Peer client = node.client()) {
             final String ask = "GET /health/ready HTTP/1.1\r\nHost: api\r\n\r\n";
             assertThat(client.write(ask).read()).startsWith("HTTP/1.1 503");
             node.act(actions -> actions.watchList());
--- a/src/test/java/cresschute/node/TestNode.java
+++ b/src/test/java/cresschute/node/TestNode.java
@@ -69,7 +69,7 @@
 
     /** The same, with long bodies where they are not null. */
     static TestNode configured(UnaryOperator<String> change, BiConsumer<Actions, Integer> onReq,
-                               Bodies bodies) throws IOException, ConfigException {
+        Bodies bodies) throws IOException, ConfigException {
         return new TestNode(onReq, true, bodies, null, null, change);
     }
 
@@ -92,12 +92,12 @@
     }
 
     private TestNode(BiConsumer<Actions, Integer> onReq, boolean known, Bodies bodies,
-                     ServerSocketChannel passed, Path shared) throws IOException, ConfigException {
+        ServerSocketChannel passed, Path shared) throws IOException, ConfigException {
         this(onReq, known, bodies, passed, shared, UnaryOperator.identity());
     }
 
     private TestNode(BiConsumer<Actions, Integer> onReq, boolean known, Bodies bodies,
-                     ServerSocketChannel passed, Path shared, UnaryOperator<String> change)
+        ServerSocketChannel passed, Path shared, UnaryOperator<String> change)
         throws IOException, ConfigException {
         final String list = list(1, true, known ? entry("s-1", backend, "SERVING") : "");
         final NodeConfig read = NodeConfig.parse(change.apply(config(director, list)), Map.of());
@@ -107,9 +107,9 @@
             new NodeConfig.Operators(shared == null ? null : new InetSocketAddress("127.0.0.1", 0),
                 passed != null, shared == null ? null : shared.toString()), read.shape()), passed,
             given -> {
-            actions = given;
-            return new Notes(onReq);
-        });
+                actions = given;
+                return new Notes(onReq);
+            });
         addr = server.start();
     }
 
@@ -230,7 +230,7 @@
 
         @Override
         public void ended(long nowUs, int requestId, int attempt, int workerId, Outcome outcome,
-                          long elapsedUs, boolean requestClosed, LoadReport report) {
+            long elapsedUs, boolean requestClosed, LoadReport report) {
             events.add("ended " + requestId + " " + attempt + " " + outcome + " closed " + requestClosed
                 + " load " + report.freeSlots() + " " + report.outstanding());
             if (!requestClosed && sendsLeft-- > 0) {
--- a/src/test/java/cresschute/node/UpgradeRulesTest.java
+++ b/src/test/java/cresschute/node/UpgradeRulesTest.java
@@ -27,7 +27,7 @@
     /** Waits until what was handed to a node's loop before now has run there. */
     private static void settle(TestNode node) throws Exception {
         for (int i = 0; i < 2; i++) {
-            node.server.loop().submit(() -> { }).get(8, TimeUnit.SECONDS);
+            node.server.loop().submit(() -> {}).get(8, TimeUnit.SECONDS);
         }
     }
 
@@ -35,7 +35,7 @@
     void handsThePassedListenerOverWithoutRefusingOrResetting() throws Exception {
         try (ServerSocketChannel platform = ServerSocketChannel.open()
             .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-             TestNode old = new TestNode(platform)) {
+            TestNode old = new TestNode(platform)) {
             final SocketAddress addr = platform.getLocalAddress();
             final Peer kept = Peer.connect(addr).write(req("r1", "", ""));
             final Peer first = old.backend();
--- a/src/test/java/cresschute/node/http/BackendConnectionTest.java
+++ b/src/test/java/cresschute/node/http/BackendConnectionTest.java
@@ -36,7 +36,7 @@
             1_000, noted, troubles));
         channel.writeInbound(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK),
             new DefaultHttpContent(Unpooled.copiedBuffer(
-            "{\"id\":\"r1\",\"state\":\"done\",\"result\":\"yes\"}\n", StandardCharsets.UTF_8)));
+                "{\"id\":\"r1\",\"state\":\"done\",\"result\":\"yes\"}\n", StandardCharsets.UTF_8)));
     }
 
     private long untilNextTimerMs() {
--- a/src/test/java/cresschute/settings/ScriptTest.java
+++ b/src/test/java/cresschute/settings/ScriptTest.java
@@ -237,7 +237,7 @@
     /** Whatever the text, there is an answer and no exception. */
     @Property(tries = 400, seed = "20261201")
     void anyTextEndsInAnAnswer(@ForAll @StringLength(max = 60) @CharRange(from = ' ', to = '~') String text,
-                               @ForAll @StringLength(max = 20) String odd) {
+        @ForAll @StringLength(max = 20) String odd) {
         final Bounds small = new Bounds(1_000, 2_000, 2_000, 4, 8);
         run(text, small);
         run(odd + "\n" + text, small);
--- a/src/test/java/cresschute/settings/SettingsFileTest.java
+++ b/src/test/java/cresschute/settings/SettingsFileTest.java
@@ -57,7 +57,7 @@
                     new ApplianceSettings.WorkerEntry("w2", IpAddress.parse("10.0.0.2:91"), "east", "small",
                         0, 1)),
                 IpAddress.parse("10.0.0.9:85"), 300_000, 7_000_000, 300, "json", "debug", "/run/c.sock",
-                    "/var/c",
+                "/var/c",
                 new ApplianceSettings.Bodies(16 << 20, 256 << 10, 1 << 20, 300 << 10, 4 << 20, List.of(
                     new ApplianceSettings.ClassBodies(64 << 10, 1 << 10, 10_000_000, false, false),
                     new ApplianceSettings.ClassBodies(1L << 30, 2 << 10, 5_000_000, true, true))), null));
@@ -117,8 +117,8 @@
         for (final Block block : Schema.BLOCKS) {
             final String script = block.name() + "(" + block.fields().stream().map(field -> field.name()
                 + " = {}").collect(Collectors.joining(", ")) + ")";
-            assertThat(problems(script)).as(block.name()).containsAll(block.fields().stream().map(field ->
-                "f:1:" + (script.indexOf(field.name() + " = {}") + field.name().length() + 4) + ": "
+            assertThat(problems(script)).as(block.name()).containsAll(block.fields().stream().map(
+                field -> "f:1:" + (script.indexOf(field.name() + " = {}") + field.name().length() + 4) + ": "
                     + block.name()
                     + ": " + field.name() + " is a dict; allowed: " + field.kind().allowed()).toList());
         }
@@ -190,8 +190,8 @@
     void brokenOffScriptTellsWhatItReached() {
         assertThat(problems("node(name = 1, listen = \"1.2.3.4:5\")\nfail(\"here\")\n"
             + CLASS)).containsExactly(
-            "f:1:13: node: name is 1; allowed: a name of 1 to 64 letters, digits, '.', '-' and '_', the "
-                + "first a letter or digit", "f:2:1: fail: here");
+                "f:1:13: node: name is 1; allowed: a name of 1 to 64 letters, digits, '.', '-' and '_', the "
+                    + "first a letter or digit", "f:2:1: fail: here");
     }
 
     @Test
@@ -203,7 +203,7 @@
     @Test
     void unreadableBytesAreAProblem(@TempDir Path folder) throws IOException {
         final Path file = folder.resolve("x.star");
-        Files.write(file, new byte[] {(byte) 0xff, (byte) 0xfe});
+        Files.write(file, new byte[]{(byte) 0xff, (byte) 0xfe});
         assertThat(SettingsFile.read(file).problems()).extracting(Problem::message)
             .containsExactly("the file is not UTF-8 text");
         Files.write(file, "#".repeat(2 << 20).getBytes(StandardCharsets.US_ASCII));
