Say what is left when an attempt begins, and look at its client right before it

Cause: Core.send worked out the time of an attempt when the attempt was chosen, and HttpFetch.request wrote that figure into a head that is made only when the connection is up, up to the connect time-out later. Core.send asked only whether the client's channel had ended as of the last reading of the loop, and FetchListener.mayBegin did not ask at all. A close that came since then lay unread in the socket, and the attempt was sent: however long the loop was busy between its reading and the action, and in one pass of reading where the loop came to the worker's connection before the client's.

Change: Backends.fetch takes no time any more; FetchListener.remainingUs is asked when the head is written. An attempt whose time is up when its connection comes up is not begun: reading comes before timers in a pass. ReqClient.hasLeft reads the client's socket, and is asked right before each attempt begins, on kept and on new connections (Core.closeIfNobodyWaits). Where a long body has no room nothing may be read; that case has its own bound and is unchanged here.

Measured: of the new tests, on the code before, failed tellsWhatIsLeftWhenTheConnectionIsUp (first and further attempt, 4.97 s and 4.98 s told of 4.6 s at most), beginsNoAttemptWhoseTimeIsUp, sendsNothingOnAKeptConnectionForAClientWhoseCloseIsUnread (all four closes), sendsNoFurtherAttemptForAClientWhoseCloseIsUnread and sendsNothingOnANewConnectionForAClientWhoseCloseIsUnread (end, and end behind pipelined requests; the other two timed out in a race of the test's own, since mended: connecting is a task of its own on the loop).

Ruled out: on a kept connection, and for a request that waits behind others of its connection, the time told was right (tests kept as guards).

Tests changed: nothingIsSentForAClientThatLeftWhileTheConnectionCameUp and endsOnceWhereAClientLeavesAndItsBackendDrains let the client leave in a race with the send, which is now seen; both wait until the connection is coming up, as their names say, and ask for the same ends as before.

--- a/src/main/java/cresschute/node/Backends.java
+++ b/src/main/java/cresschute/node/Backends.java
@@ -8,7 +8,7 @@
 public interface Backends {
 
     /** Starts a fetch, which reports to its listener and ends there once. */
-    Call fetch(InetSocketAddress addr, ReqContent content, long waitUs, FetchListener listener);
+    Call fetch(InetSocketAddress addr, ReqContent content, FetchListener listener);
 
     /** Asks for a sign of life and a load report; told once. */
     void probe(InetSocketAddress addr, ProbeListener listener);
@@ -31,11 +31,20 @@
     /** Who hears of a fetch. */
     interface FetchListener {
 
-        /** Whether its first byte may go out now that a new connection is up; it has ended where not. */
+        /**
+         * Whether its first byte may go out now that a new connection is up; it has ended where not. Not to be
+         * asked from within the reading of a client's connection.
+         */
         default boolean mayBegin() {
             return true;
         }
 
+        /**
+         * What is left of the attempt's time, us; 0 where it is over. Asked when the head is written and not
+         * before: the connection may come up long after the attempt was chosen.
+         */
+        long remainingUs();
+
         /** The job has started (share 0), or how much of it is done. */
         void progressed(double shareDone);
 
--- a/src/main/java/cresschute/node/Core.java
+++ b/src/main/java/cresschute/node/Core.java
@@ -307,12 +307,7 @@
         if (!invariant.holds(req != null && addr != null, "send of or to nobody")) {
             return;
         }
-        if (req.client.hasLeft()) {
-            // Its end was read behind its last req, and is told after the turn for which that req came.
-            clientLeft(req);
-        } else {
-            turnAwayIfUnheard(req);
-        }
+        closeIfNobodyWaits(req);
         if (req.closed || req.streaming != null || !req.content.canBeSentAnew()) {
             // The client left, or was answered, in the turn in which the module chose: nothing is sent. Nor
             // is a second copy whose body is partly gone; that is no loss of the backend's: cancelled.
@@ -323,14 +318,15 @@
             return;
         }
         final long nowUs = clock.nowUs();
-        final Fetch fetch = new Fetch(req, req.fetchesStarted++, roster.listed().get(backend), addr, nowUs);
+        final Fetch fetch = new Fetch(req, req.fetchesStarted++, roster.listed().get(backend), addr, nowUs,
+            Math.min(giveUpUs, req.giveUpUs));
         req.out.add(fetch);
         req.firstBackend = req.firstBackend < 0 ? backend : req.firstBackend;
         fetch.watch = watcher.sent(nowUs, backend, req.requestClass);
-        final long waitUs = Math.max(0, Math.min(giveUpUs, req.giveUpUs) - nowUs);
-        fetch.giveUp = after(waitUs, () -> end(fetch, fetch.call.giveUp(), LoadReport.NONE, null));
+        fetch.giveUp = after(remainingUs(fetch),
+            () -> end(fetch, fetch.call.giveUp(), LoadReport.NONE, null));
         try {
-            fetch.call = backends.fetch(addr, req.content, waitUs, listenerOf(fetch));
+            fetch.call = backends.fetch(addr, req.content, listenerOf(fetch));
         } catch (RuntimeException e) {
             // Guards against a fetch without an end: what threw before it went out never ran.
             LogEvent.of("fetch_not_started", "a fetch could not be started")
@@ -340,9 +336,28 @@
         }
     }
 
+    private long remainingUs(Fetch fetch) {
+        return Math.max(0, fetch.deadlineUs - clock.nowUs());
+    }
+
+    /**
+     * Closes a request whose client has gone, or may have gone unseen, right before an attempt of it begins. Not
+     * from within the reading of a client's connection.
+     */
+    private void closeIfNobodyWaits(Req req) {
+        if (req.closed) {
+            return;
+        }
+        if (req.client.hasLeft()) {
+            clientLeft(req);
+        } else {
+            turnAwayIfUnheard(req);
+        }
+    }
+
     /** Guards against sending for nobody: where there is no room for its body, it is not seen to leave. */
     private void turnAwayIfUnheard(Req req) {
-        if (!req.closed && req.client.unheardUs() > UNHEARD_US
+        if (req.client.unheardUs() > UNHEARD_US
             && req.out.stream().noneMatch(fetch -> fetch.call.hasBegun())) {
             troubles.trouble(Trouble.NO_ROOM_FOR_BODY, null, "not sent: its client went unheard");
             answerWhatIsNotSentAnew(req);
@@ -353,10 +368,19 @@
         return new Backends.FetchListener() {
             @Override
             public boolean mayBegin() {
-                turnAwayIfUnheard(fetch.req);
+                closeIfNobodyWaits(fetch.req);
+                if (!fetch.ended && remainingUs() == 0) {
+                    // The loop was busy when its timer was due, and comes to that only after its reading.
+                    end(fetch, fetch.call.giveUp(), LoadReport.NONE, null);
+                }
                 return !fetch.ended;
             }
 
+            @Override
+            public long remainingUs() {
+                return Core.this.remainingUs(fetch);
+            }
+
             @Override
             public void progressed(double shareDone) {
                 fetch.watch.told(clock.nowUs());
--- a/src/main/java/cresschute/node/Fetch.java
+++ b/src/main/java/cresschute/node/Fetch.java
@@ -10,6 +10,8 @@
     final int number;
     final int backend;
     final long sentUs;
+    /** When its time is up, us. */
+    final long deadlineUs;
     /** Where it goes, and the process that was listed there when it was sent. */
     final InetSocketAddress addr;
     final long processStartedUs;
@@ -18,12 +20,13 @@
     Future<?> giveUp;
     boolean ended;
 
-    Fetch(Req req, int number, Worker backend, InetSocketAddress addr, long sentUs) {
+    Fetch(Req req, int number, Worker backend, InetSocketAddress addr, long sentUs, long deadlineUs) {
         this.req = req;
         this.number = number;
         this.backend = backend.id();
         this.addr = addr;
         this.processStartedUs = backend.startedAtUs();
         this.sentUs = sentUs;
+        this.deadlineUs = deadlineUs;
     }
 }
--- a/src/main/java/cresschute/node/ReqClient.java
+++ b/src/main/java/cresschute/node/ReqClient.java
@@ -3,7 +3,10 @@
 /** The client's side of a req, kept by the front that took it: exactly one of these is called, once. */
 public interface ReqClient {
 
-    /** Whether its connection has ended, also where that is yet to be told: nobody waits any more. */
+    /**
+     * Whether its connection has ended, also where that is yet to be read or told: nobody waits any more. Asked
+     * right before each attempt begins; it may read the connection, so not from within that one's own reading.
+     */
     default boolean hasLeft() {
         return false;
     }
--- a/src/main/java/cresschute/node/http/BackendConnections.java
+++ b/src/main/java/cresschute/node/http/BackendConnections.java
@@ -74,8 +74,8 @@
     }
 
     @Override
-    public Call fetch(InetSocketAddress addr, ReqContent content, long waitUs, FetchListener listener) {
-        final HttpFetch fetch = new HttpFetch(host(addr), content, waitUs, listener, troubles);
+    public Call fetch(InetSocketAddress addr, ReqContent content, FetchListener listener) {
+        final HttpFetch fetch = new HttpFetch(host(addr), content, listener, troubles);
         start(addr, fetch);
         return fetch;
     }
--- a/src/main/java/cresschute/node/http/ClientConnection.java
+++ b/src/main/java/cresschute/node/http/ClientConnection.java
@@ -636,6 +636,11 @@
 
         @Override
         public boolean hasLeft() {
+            // Guards against sending for nobody: what came since the loop last read, its end too, lies in the
+            // socket. Where a long body has no room, nothing may be read.
+            if (longBody == null || awaiting) {
+                Reading.now(context.channel());
+            }
             return !context.channel().isActive();
         }
 
--- a/src/main/java/cresschute/node/http/Exchange.java
+++ b/src/main/java/cresschute/node/http/Exchange.java
@@ -17,7 +17,9 @@
     /** The connection in use, or null before one is up. */
     BackendConnection connection;
 
-    /** The request: whole, or its head where {@link #body()} carries the rest. */
+    /**
+     * The request: whole, or its head where {@link #body()} carries the rest. Made when it is written at once.
+     */
     abstract HttpRequest request();
 
     /** What carries a body that is passed on as it arrives, or null. */
--- a/src/main/java/cresschute/node/http/HttpFetch.java
+++ b/src/main/java/cresschute/node/http/HttpFetch.java
@@ -31,7 +31,6 @@
 
     private final String host;
     private final ReqContent content;
-    private final long waitUs;
     private final FetchListener listener;
     private final RateLimitedLog troubles;
     private JobLines lines = new JobLines();
@@ -45,10 +44,9 @@
     private boolean anothers;
     private LoadReport load = LoadReport.NONE;
 
-    HttpFetch(String host, ReqContent content, long waitUs, FetchListener listener, RateLimitedLog troubles) {
+    HttpFetch(String host, ReqContent content, FetchListener listener, RateLimitedLog troubles) {
         this.host = host;
         this.content = content;
-        this.waitUs = waitUs;
         this.listener = listener;
         this.troubles = troubles;
         this.pump = content.longBody() instanceof LongBody body ? body.pump(this) : null;
@@ -63,7 +61,7 @@
         request.headers()
             .set(HttpHeaderNames.HOST, host)
             .set(Headers.REQUEST_ID, content.requestId())
-            .set(Headers.DEADLINE, Deadline.format(waitUs));
+            .set(Headers.DEADLINE, Deadline.format(listener.remainingUs()));
         final long length = content.longBody() instanceof LongBody body ? body.length()
             : content.body().length;
         if (length >= 0) {
--- a/src/test/java/cresschute/node/CoreTest.java
+++ b/src/test/java/cresschute/node/CoreTest.java
@@ -51,8 +51,7 @@
             });
         core.start(new Backends() {
             @Override
-            public Call fetch(InetSocketAddress addr, ReqContent content, long waitUs,
-                FetchListener listener) {
+            public Call fetch(InetSocketAddress addr, ReqContent content, FetchListener listener) {
                 fetches.add(listener);
                 if (connectionsThrow) {
                     throw new IllegalStateException("no connections");
--- a/src/test/java/cresschute/node/CrossingRulesTest.java
+++ b/src/test/java/cresschute/node/CrossingRulesTest.java
@@ -19,12 +19,15 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.UnaryOperator;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -119,6 +122,7 @@
             fill(node.backend);
             final Peer client = node.client().write(req("r1", "", ""));
             assertThat(node.event()).startsWith("requested 1");
+            untilItHasTurned(node);
             client.leave();
             assertThat(node.event()).isEqualTo("left 1");
             assertThat(node.event()).startsWith("ended 1 0 CANCELLED closed true");
@@ -193,6 +197,7 @@
             director.read();
             client.write(req("r1", "", ""));
             assertThat(eventStarting(node, "requested")).startsWith("requested 1");
+            untilItHasTurned(node);
             final String news = answer("200 OK", "", list(2, false, entry("s-1", node.backend, "DRAINING")));
             if (leavesFirst) {
                 client.leave();
@@ -214,6 +219,100 @@
         }
     }
 
+    private static final long DEADLINE_US = 5_000_000;
+    private static final long HELD_US = 400_000;
+    /** What the node keeps of a request's time for the way of its answer, and for rounding to microseconds. */
+    private static final long MARGIN_US = 15_002;
+    private static final Pattern TOLD = Pattern.compile("(?i)X-Deadline: ([0-9]+)u\r\n");
+
+    /** Waits until the node's own timer has run for {@value #HELD_US} us. */
+    private static void wait(TestNode node) throws InterruptedException {
+        node.act(actions -> actions.wakeAfter(5, HELD_US));
+        assertThat(eventStarting(node, "woken")).isEqualTo("woken 5");
+    }
+
+    /** Waits until what the module asked for is carried out: connecting is a task of its own on the loop. */
+    private static void untilItHasTurned(TestNode node) throws InterruptedException {
+        node.act(actions -> actions.wakeAfter(6, 0));
+        assertThat(eventStarting(node, "woken")).isEqualTo("woken 6");
+    }
+
+    /** What an attempt told its worker: no more than is left, and no less than that and the margin. */
+    private static void assertTellsWhatIsLeft(String head, long clientSentNs) {
+        final Matcher told = TOLD.matcher(head);
+        assertThat(told.find()).as(head).isTrue();
+        assertThat(Long.parseLong(told.group(1))).isLessThanOrEqualTo(DEADLINE_US - HELD_US)
+            .isGreaterThanOrEqualTo(DEADLINE_US - MARGIN_US - (System.nanoTime() - clientSentNs) / 1_000);
+    }
+
+    /** The head was made when the attempt was chosen, and told the time that connecting took as left. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void tellsWhatIsLeftWhenTheConnectionIsUp(boolean further) throws Exception {
+        try (TestNode node = patient(further ? SENDS : HOLDS); Peer client = node.client()) {
+            final long sentNs = System.nanoTime();
+            client.write(req("r1", "", ""));
+            assertThat(node.event()).startsWith("requested 1");
+            if (further) {
+                hang(node);
+            }
+            fill(node.backend);
+            node.act(actions -> actions.send(1, 0, Long.MAX_VALUE));
+            wait(node);
+            acceptFilled(node.backend);
+            assertTellsWhatIsLeft(node.backend().read(), sentNs);
+        }
+    }
+
+    /** The same on a connection that was kept, for an attempt that the module held back. */
+    @Test
+    void tellsWhatIsLeftOnAKeptConnection() throws Exception {
+        try (TestNode node = new TestNode(HOLDS); Peer client = node.client(); Peer next = node.client()) {
+            final long sentNs = System.nanoTime();
+            final Peer backend = keptWithReqHeld(node, client, next);
+            wait(node);
+            node.act(actions -> actions.send(2, 0, Long.MAX_VALUE));
+            assertTellsWhatIsLeft(backend.read(), sentNs);
+        }
+    }
+
+    /** The same for a request that waited behind others of its connection until there was room for it. */
+    @Test
+    void tellsWhatIsLeftAfterAWaitForRoom() throws Exception {
+        try (TestNode node = new TestNode(HOLDS); Peer client = node.client()) {
+            final long sentNs = System.nanoTime();
+            for (int i = 1; i <= 17; i++) {
+                client.write(req("r" + i, "", ""));
+            }
+            assertThat(eventStarting(node, "requested 16")).isNotNull();
+            wait(node);
+            node.act(actions -> actions.refuse(1, 0));
+            assertThat(eventStarting(node, "requested 17")).isNotNull();
+            node.act(actions -> actions.send(17, 0, Long.MAX_VALUE));
+            assertTellsWhatIsLeft(node.backend().read(), sentNs);
+        }
+    }
+
+    /** A stalled loop handles the connection before the timer that ends its attempt: no byte goes out. */
+    @Test
+    void beginsNoAttemptWhoseTimeIsUp() throws Exception {
+        try (TestNode node = patient(HOLDS); Peer client = node.client()) {
+            fill(node.backend);
+            client.write(req("r1", "", ""));
+            assertThat(node.event()).startsWith("requested 1");
+            node.act(actions -> actions.send(1, 0, System.currentTimeMillis() * 1_000 + HELD_US));
+            untilItHasTurned(node);
+            // Its SYN is sent again a second after the first, well after the time of the attempt is up.
+            final List<Peer> accepted = new ArrayList<>();
+            holding(node, actions -> {
+                acceptFilled(node.backend);
+                accepted.add(node.backend());
+            });
+            assertThat(accepted.get(0).isClosedByOther()).isTrue();
+            assertThat(eventStarting(node, "ended")).startsWith("ended 1 0 CONNECT_FAILED closed false");
+        }
+    }
+
     // ---- Clients that leave ----
 
     /** The end came behind the req in one pass, and was read one pass later: the job was sent for nobody. */
@@ -235,6 +334,76 @@
         }
     }
 
+    /** The ways in which a client's close comes to lie unread. */
+    private enum Close {
+        END, RESET, HALF, BEHIND_REQUESTS;
+
+        void by(Peer client) throws IOException {
+            switch (this) {
+                case END -> client.leave();
+                case RESET -> client.reset();
+                case HALF -> client.endSending();
+                default -> {
+                    for (int i = 1; i <= 20; i++) {
+                        client.write(req("behind" + i, "", "body"));
+                    }
+                    client.leave();
+                }
+            }
+        }
+    }
+
+    /** The close lay in the socket while the loop was busy, and what the module chose was sent before it. */
+    @ParameterizedTest
+    @EnumSource
+    void sendsNothingOnAKeptConnectionForAClientWhoseCloseIsUnread(Close close) throws Exception {
+        try (TestNode node = new TestNode(HOLDS); Peer client = node.client(); Peer next = node.client()) {
+            final Peer backend = keptWithReqHeld(node, client, next);
+            holding(node, actions -> {
+                close.by(next);
+                actions.send(2, 0, Long.MAX_VALUE);
+            });
+            assertThat(eventStarting(node, "ended")).startsWith("ended 2 0 NOT_SENT closed true");
+            client.write(req("r3", "", ""));
+            assertThat(eventStarting(node, "requested")).startsWith("requested ");
+            assertThat(backend.hasNews()).isFalse();
+        }
+    }
+
+    /** The same for a further attempt, chosen while the one before is out. */
+    @Test
+    void sendsNoFurtherAttemptForAClientWhoseCloseIsUnread() throws Exception {
+        try (TestNode node = new TestNode(); Peer client = node.client()) {
+            client.write(req("r1", "", ""));
+            hang(node);
+            holding(node, actions -> {
+                client.leave();
+                actions.send(1, 0, Long.MAX_VALUE);
+            });
+            assertThat(eventStarting(node, "ended")).startsWith("ended 1 1 NOT_SENT closed true");
+        }
+    }
+
+    /** The connection came up and the close came in one pass, and the head went out before the close was read. */
+    @ParameterizedTest
+    @EnumSource
+    void sendsNothingOnANewConnectionForAClientWhoseCloseIsUnread(Close close) throws Exception {
+        try (TestNode node = patient(SENDS); Peer client = node.client()) {
+            fill(node.backend);
+            client.write(req("r1", "", ""));
+            assertThat(node.event()).startsWith("requested 1");
+            untilItHasTurned(node);
+            final List<Peer> accepted = new ArrayList<>();
+            holding(node, actions -> {
+                acceptFilled(node.backend);
+                accepted.add(node.backend());
+                close.by(client);
+            });
+            assertThat(accepted.get(0).isClosedByOther()).isTrue();
+            assertThat(eventStarting(node, "ended")).startsWith("ended 1 0 CANCELLED closed true");
+        }
+    }
+
     /** The end of a client's sending is taken for its leaving: its own connection ends and nothing else. */
     @Test
     void takesAHalfCloseForLeavingAndServesOthers() throws Exception {
--- a/src/test/java/cresschute/node/http/BackendConnectionTest.java
+++ b/src/test/java/cresschute/node/http/BackendConnectionTest.java
@@ -33,7 +33,7 @@
         channel.freezeTime();
         channel.pipeline().addLast(connection);
         connection.start(new HttpFetch("127.0.0.1:9", new ReqContent("r1", "/check", null, new byte[0]),
-            1_000, noted, troubles));
+            noted, troubles));
         channel.writeInbound(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK),
             new DefaultHttpContent(Unpooled.copiedBuffer(
                 "{\"id\":\"r1\",\"state\":\"done\",\"result\":\"yes\"}\n", StandardCharsets.UTF_8)));
--- a/src/test/java/cresschute/node/http/HttpFetchTest.java
+++ b/src/test/java/cresschute/node/http/HttpFetchTest.java
@@ -13,7 +13,7 @@
 
     private final NotedEnds noted = new NotedEnds();
     private final ReqContent content = new ReqContent("r1", "/check", null, new byte[0]);
-    private final HttpFetch fetch = new HttpFetch("127.0.0.1:9", content, 1000, noted,
+    private final HttpFetch fetch = new HttpFetch("127.0.0.1:9", content, noted,
         new RateLimitedLog(System.getLogger("test"), () -> 0));
 
     @ParameterizedTest
--- a/src/test/java/cresschute/node/http/NotedEnds.java
+++ b/src/test/java/cresschute/node/http/NotedEnds.java
@@ -12,6 +12,11 @@
 
     final List<Outcome> ends = new ArrayList<>();
 
+    @Override
+    public long remainingUs() {
+        return 1_000;
+    }
+
     @Override
     public void progressed(double shareDone) {
         throw new AssertionError("nothing of the kind came back");
