Rename unheard to readPaused: it is the reading of a client that is paused

The word hid what the figure is: for how long reading a client's connection has been paused for want of room.

--- a/src/main/java/cresschute/node/Core.java
+++ b/src/main/java/cresschute/node/Core.java
@@ -46,10 +46,10 @@
     /** Past its due time by this, us, a req that the module left unanswered is failed by the node. */
     static final long OVERDUE_US = 10_000;
     /**
-     * A req of which nothing is out is not sent on once its client has gone unheard for this, us: it may have
-     * left, and 0.3 s after that the platform's page allows no send.
+     * A req of which nothing is out is not sent on once reading its client has been paused for this, us: it may
+     * have left, and 0.3 s after that the platform's page allows no send.
      */
-    static final long UNHEARD_US = 250_000;
+    static final long MAX_READ_PAUSE_US = 250_000;
     /** When to come back with what the node itself turns away, us, where advice is allowed. */
     private static final long OWN_RETRY_US = 1_000_000;
     private static final long US_A_MS = 1_000;
@@ -351,15 +351,15 @@
         if (req.client.hasLeft()) {
             clientLeft(req);
         } else {
-            turnAwayIfUnheard(req);
+            refuseIfReadPaused(req);
         }
     }
 
     /** Guards against sending for nobody: where there is no room for its body, it is not seen to leave. */
-    private void turnAwayIfUnheard(Req req) {
-        if (req.client.unheardUs() > UNHEARD_US
+    private void refuseIfReadPaused(Req req) {
+        if (req.client.readPausedUs() > MAX_READ_PAUSE_US
             && req.out.stream().noneMatch(fetch -> fetch.call.hasBegun())) {
-            troubles.trouble(Trouble.NO_ROOM_FOR_BODY, null, "not sent: its client went unheard");
+            troubles.trouble(Trouble.NO_ROOM_FOR_BODY, null, "not sent: reading its client is paused");
             answerWhatIsNotSentAnew(req);
         }
     }
--- a/src/main/java/cresschute/node/ReqClient.java
+++ b/src/main/java/cresschute/node/ReqClient.java
@@ -15,7 +15,7 @@
      * For how long nothing of what it sends has been read, as there was no room, us; 0 while it is read. Its
      * leaving is not seen then: what stands before its end in the connection holds that up.
      */
-    default long unheardUs() {
+    default long readPausedUs() {
         return 0;
     }
 
--- a/src/main/java/cresschute/node/http/ClientConnection.java
+++ b/src/main/java/cresschute/node/http/ClientConnection.java
@@ -69,7 +69,7 @@
     private LongBody longBody;
     private boolean awaiting;
     /** Since when there has been no room for a read of it; 0 while there is. */
-    private long unheardSinceNs;
+    private long readPausedSinceNs;
     private boolean deaf;
     /** Whether nothing is sent here any more. */
     private boolean ending;
@@ -297,10 +297,10 @@
         }
         if (longBody.hasRoom()) {
             awaiting = true;
-            unheardSinceNs = 0;
+            readPausedSinceNs = 0;
             context.read();
         } else {
-            unheardSinceNs = unheardSinceNs == 0 ? System.nanoTime() : unheardSinceNs;
+            readPausedSinceNs = readPausedSinceNs == 0 ? System.nanoTime() : readPausedSinceNs;
             // Guards against a wait without end: without a fetch no room comes free.
             takeLong();
         }
@@ -328,7 +328,7 @@
     /** Reads no more of a long body than to let its client see the answer. */
     private void endLong() {
         longBody = null;
-        unheardSinceNs = 0;
+        readPausedSinceNs = 0;
         context.channel().config().setAutoRead(true);
     }
 
@@ -645,9 +645,9 @@
         }
 
         @Override
-        public long unheardUs() {
-            return body == null || body != longBody || unheardSinceNs == 0 ? 0
-                : TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - unheardSinceNs);
+        public long readPausedUs() {
+            return body == null || body != longBody || readPausedSinceNs == 0 ? 0
+                : TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - readPausedSinceNs);
         }
 
         void clientLeft() {
--- a/src/test/java/cresschute/node/CrossingRulesTest.java
+++ b/src/test/java/cresschute/node/CrossingRulesTest.java
@@ -448,7 +448,7 @@
      */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
-    void sendsNothingForAClientThatWentUnheardForWantOfRoom(boolean connecting) throws Exception {
+    void sendsNothingForAClientWhoseReadingIsPausedForWantOfRoom(boolean connecting) throws Exception {
         final Bodies bodies = LongBodyNode.bodies(new ClassBodies(8L << 20, 1024, 20_000_000, false, false));
         try (TestNode node = patient(connecting ? SENDS : HOLDS, bodies); Peer other = node.client()) {
             if (connecting) {
