Begin no attempt once reading its client has been paused for 80 ms, a hedge neither

Cause: while a long body has no room, reading its client is paused and its close cannot be seen. Core.MAX_READ_PAUSE_US was 250 ms, where an attempt may begin no later than 100 ms after the close; and it held only for requests of which nothing was out, so that a hedge began however long the pause was.

Change: 80 ms, with the bound worked out in the constant's comment: the close can come as soon as the pause begins, and the check is made right before the first byte. Core.mayBegin asks it for every attempt: where nothing is out the request is answered as before, else the further attempt alone is cancelled. Long bodies are off on the platform; elsewhere such a request is turned away sooner than before.

Measured: without the change CoreTest.beginsNoHedgeWhileItsClientIsNotRead, CoreTest.beginsNoHedgeOnANewConnectionWhileItsClientIsNotRead and the case of CrossingRulesTest.sendsNothingForAClientWhoseReadingIsPausedForWantOfRoom that does not wait for a connection fail, the latter with a wait of 150 ms in place of 400 ms (its other case waits over 1 s for its connection in any case); with it CoreTest, CrossingRulesTest, LongBodyRulesTest and LongResultRulesTest pass.

Ruled out: reading does not pause for the number of requests on a connection (16 taken, 120 in all); what waits there is read, and its close with it.

--- a/src/main/java/cresschute/node/Core.java
+++ b/src/main/java/cresschute/node/Core.java
@@ -46,10 +46,12 @@
     /** Past its due time by this, us, a req that the module left unanswered is failed by the node. */
     static final long OVERDUE_US = 10_000;
     /**
-     * A req of which nothing is out is not sent on once reading its client has been paused for this, us: it may
-     * have left, and 0.3 s after that the platform's page allows no send.
+     * No attempt begins once reading its client has been paused for longer than this, us: the client may have
+     * closed its connection as soon as the pause began, and its close is seen only where reading goes on. With
+     * the time from this check to the first byte, which is one call of the loop, an attempt begins less than
+     * 100 ms after an unseen close.
      */
-    static final long MAX_READ_PAUSE_US = 250_000;
+    static final long MAX_READ_PAUSE_US = 80_000;
     /** When to come back with what the node itself turns away, us, where advice is allowed. */
     private static final long OWN_RETRY_US = 1_000_000;
     private static final long US_A_MS = 1_000;
@@ -307,10 +309,10 @@
         if (!invariant.holds(req != null && addr != null, "send of or to nobody")) {
             return;
         }
-        closeIfNobodyWaits(req);
-        if (req.closed || req.streaming != null || !req.content.canBeSentAnew()) {
+        if (!mayBegin(req) || !req.content.canBeSentAnew()) {
             // The client left, or was answered, in the turn in which the module chose: nothing is sent. Nor
-            // is a second copy whose body is partly gone; that is no loss of the backend's: cancelled.
+            // is a hedge whose body is partly gone, or whose client is not read; that is no loss of the
+            // worker's: cancelled.
             final int number = req.fetchesStarted++;
             final boolean closed = req.closed;
             gather(req, now -> module.ended(now, reqId, number, backend,
@@ -341,35 +343,34 @@
     }
 
     /**
-     * Closes a request whose client has gone, or may have gone unseen, right before an attempt of it begins. Not
-     * from within the reading of a client's connection.
+     * Whether an attempt of a request may begin now, asked right before it does: not where its client has gone,
+     * or may have gone unseen. Where nothing of it is out the request is closed by that. Not to be called from
+     * within the reading of a client's connection.
      */
-    private void closeIfNobodyWaits(Req req) {
-        if (req.closed) {
-            return;
-        }
-        if (req.client.hasLeft()) {
+    private boolean mayBegin(Req req) {
+        if (!req.closed && req.client.hasLeft()) {
             clientLeft(req);
-        } else {
-            refuseIfReadPaused(req);
         }
-    }
-
-    /** Guards against sending for nobody: where there is no room for its body, it is not seen to leave. */
-    private void refuseIfReadPaused(Req req) {
-        if (req.client.readPausedUs() > MAX_READ_PAUSE_US
-            && req.out.stream().noneMatch(fetch -> fetch.call.hasBegun())) {
+        if (req.closed || req.streaming != null) {
+            return false;
+        }
+        final boolean paused = req.client.readPausedUs() > MAX_READ_PAUSE_US;
+        if (paused && req.out.stream().noneMatch(fetch -> fetch.call.hasBegun())) {
             troubles.trouble(Trouble.NO_ROOM_FOR_BODY, null, "not sent: reading its client is paused");
             answerWhatIsNotSentAnew(req);
         }
+        return !paused;
     }
 
     private Backends.FetchListener listenerOf(Fetch fetch) {
         return new Backends.FetchListener() {
             @Override
             public boolean mayBegin() {
-                closeIfNobodyWaits(fetch.req);
-                if (!fetch.ended && remainingUs() == 0) {
+                final boolean wanted = Core.this.mayBegin(fetch.req);
+                if (!fetch.ended && !wanted) {
+                    fetch.call.giveUp();
+                    end(fetch, Outcome.CANCELLED, LoadReport.NONE, null);
+                } else if (!fetch.ended && remainingUs() == 0) {
                     // The loop was busy when its timer was due, and comes to that only after its reading.
                     end(fetch, fetch.call.giveUp(), LoadReport.NONE, null);
                 }
--- a/src/test/java/cresschute/node/CoreTest.java
+++ b/src/test/java/cresschute/node/CoreTest.java
@@ -33,6 +33,7 @@
     private boolean moduleThrows;
     private int copies = 1;
     private boolean connectionsThrow;
+    private long readPausedUs;
     private Actions actions;
     private Core core;
 
@@ -114,6 +115,11 @@
         return req;
     }
 
+    @Override
+    public long readPausedUs() {
+        return readPausedUs;
+    }
+
     @Override
     public ResultStream streams(String type, long length) {
         heard.add("streams " + type + " " + length);
@@ -188,6 +194,32 @@
         assertThat(core.owed()).isZero();
     }
 
+    /** A hedge went out however long its client had not been read: only what had nothing out was held to it. */
+    @Test
+    void beginsNoHedgeWhileItsClientIsNotRead() {
+        take();
+        readPausedUs = Core.MAX_READ_PAUSE_US + 1;
+        actions.send(1, 0, Long.MAX_VALUE);
+        core.directorFailed();
+        turn();
+        assertThat(fetches).hasSize(1);
+        assertThat(heard).containsExactly("requested", "listed", "ended 1 CANCELLED false");
+        fetches.get(0).ended(Outcome.SERVED, LoadReport.NONE, "yes");
+        assertThat(heard).contains("served yes");
+    }
+
+    @Test
+    void beginsNoHedgeOnANewConnectionWhileItsClientIsNotRead() {
+        copies = 2;
+        take();
+        assertThat(fetches.get(1).mayBegin()).isTrue();
+        readPausedUs = Core.MAX_READ_PAUSE_US + 1;
+        assertThat(fetches.get(1).mayBegin()).isFalse();
+        turn();
+        assertThat(givenUp).containsExactly(1);
+        assertThat(heard).containsExactly("requested", "ended 1 CANCELLED false");
+    }
+
     @Test
     void failsReqThatTheModuleForgets() {
         take();
--- a/src/test/java/cresschute/node/CrossingRulesTest.java
+++ b/src/test/java/cresschute/node/CrossingRulesTest.java
@@ -458,8 +458,9 @@
             client.writeBytes(0, LongBodyNode.MOST_OF_ONE);
             assertThat(eventStarting(node, "requested")).startsWith("requested 1");
             client.leave();
-            // By the node's own clock; more than the 0.25 s after which nobody can be taken to be there.
-            node.act(actions -> actions.wakeAfter(5, 400_000));
+            // By the node's own clock; more than the time after which nobody can be taken to be there.
+            assertThat(Core.MAX_READ_PAUSE_US).isLessThan(100_000);
+            node.act(actions -> actions.wakeAfter(5, 150_000));
             assertThat(eventStarting(node, "woken")).isEqualTo("woken 5");
             if (connecting) {
                 acceptFilled(node.backend);
