Give operators' calls a share of the descriptors of their own

Cause: clients and workers shared all descriptors but 48. A process holds 22 of those at rest, and up to 32 operators' calls came out of them too, beside the connection to discovery and what one reading of a listener accepts. With clients, workers and callers at their bounds a node under a limit of 200 held 200 descriptors, all that it may.

Change: `DescriptorShares` divides the limit. Callers have up to 32 descriptors, under a small limit an eighth of what is shared; clients and workers share the rest by 55 and 45 per cent as before. The management listener accepts one connection a reading. Without a management listener the shares are what they were.

The two other tests of the class, resting clients before and after discovery's return and the release of unused connections, passed before the change and pass after.

Ruled out: resting clients alone. They are closed for new ones, the unproven first, and the watch of discovery, a connection to a worker never connected to, a management call and its log line worked with 400 of them at each step.

--- a/src/main/java/cresschute/control/socket/ManagementServer.java
+++ b/src/main/java/cresschute/control/socket/ManagementServer.java
@@ -13,6 +13,8 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.TooLongFrameException;
@@ -35,8 +37,6 @@
  */
 public final class ManagementServer {
 
-    /** Callers at a time; the next ones are told so and closed. */
-    static final int MOST_CALLERS = 32;
     /** A call whose end has not come by then is answered as incomplete, ms. */
     static final long HALF_CALL_MS = 2_000;
     /** A caller that has said nothing by then is let go, ms. */
@@ -52,26 +52,33 @@
 
     private final EventLoop loop;
     private final InetSocketAddress address;
+    private final int maxCallers;
     private final Desk desk;
     private final Set<Channel> callers = new LinkedHashSet<>();
     private Channel server;
 
-    /** A server that does not listen yet. */
-    public ManagementServer(EventLoop loop, InetSocketAddress address, Desk desk) {
+    /**
+     * A server that does not listen yet.
+     *
+     * @param maxCallers connections held at a time; the next ones are told so and closed
+     */
+    public ManagementServer(EventLoop loop, InetSocketAddress address, int maxCallers, Desk desk) {
         this.loop = loop;
         this.address = address;
+        this.maxCallers = maxCallers;
         this.desk = desk;
     }
 
     /** Binds; the future fails where nothing can listen there. */
     public ChannelFuture listen() {
         final ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, oneAtATime())
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
-                    if (callers.size() >= MOST_CALLERS) {
-                        channel.writeAndFlush(line("400 " + MOST_CALLERS + " callers are here; call again"))
+                    if (callers.size() >= maxCallers) {
+                        channel.writeAndFlush(line("400 " + maxCallers + " callers are here; call again"))
                             .addListener(ChannelFutureListener.CLOSE);
                         return;
                     }
@@ -91,6 +98,11 @@
         return bound;
     }
 
+    /** One connection a reading of the listener: a caller too many is closed before the next is accepted. */
+    private static RecvByteBufAllocator oneAtATime() {
+        return new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(1);
+    }
+
     /** Where it listens; once bound. */
     public SocketAddress localAddress() {
         return server.localAddress();
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -44,10 +44,6 @@
     private static final long STILL_OWED_MS = 500;
     /** How often the state is looked at for the log, s. */
     private static final long STATUS_S = 10;
-    /** Descriptors that are not for clients or backends: the JVM's own, the director's, the listener. */
-    private static final int OTHER_SOCKETS = 48;
-    /** Clients' part of the rest: their reqs hold up to a third of all, and so may the fetches for these. */
-    private static final double CLIENT_PART = 0.55;
     private static final Logger LOG = System.getLogger("cresschute.node");
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -96,16 +92,15 @@
         this.told = config.settings();
         final Clock clock = Clock.system();
         final RateLimitedLog troubles = new RateLimitedLog(System.getLogger("cresschute.trouble"), clock);
-        final int sockets = Math.max(2, config.sockets() - OTHER_SOCKETS);
-        final int forClients = (int) (sockets * CLIENT_PART);
         desk = config.hasDesk() ? new ControlDesk(config, loop, clock) : null;
-        operators = desk == null && config.operators().management() != null
-            ? new OperatorsDesk(config, loop) : null;
+        final boolean hasManagement = desk == null && config.operators().management() != null;
+        final DescriptorShares shares = DescriptorShares.of(config.sockets(), hasManagement);
+        operators = hasManagement ? new OperatorsDesk(config, loop, shares.callers()) : null;
         core = new Core(config, loop, clock, troubles,
             desk != null ? desk : operators != null ? operators : CoreWatcher.NONE, module);
-        front = new ClientFront(loop, core, config, forClients);
+        front = new ClientFront(loop, core, config, shares.clients());
         backends = new BackendConnections(loop, troubles, config.connectTimeoutUs(), config.connIdleUs(),
-            sockets - forClients, config.bodies() != null);
+            shares.workers(), config.bodies() != null);
         director = config.director() == null ? null
             : new DirectorClient(loop, config.director(), core, troubles);
     }
--- a/src/main/java/cresschute/node/OperatorsDesk.java
+++ b/src/main/java/cresschute/node/OperatorsDesk.java
@@ -36,6 +36,7 @@
 
     private final NodeConfig config;
     private final EventLoop loop;
+    private final int maxCallers;
     private final List<ManagementCall> pending = new ArrayList<>();
     private Core core;
     private Door door;
@@ -46,9 +47,11 @@
     /** That, with the calls that are not yet written laid over it. */
     private OperatorsState inForce = OperatorsState.NONE;
 
-    OperatorsDesk(NodeConfig config, EventLoop loop) {
+    /** Nobody can call yet; {@code maxCallers} is how many may at a time. */
+    OperatorsDesk(NodeConfig config, EventLoop loop, int maxCallers) {
         this.config = config;
         this.loop = loop;
+        this.maxCallers = maxCallers;
     }
 
     /** Takes up what operators asked before this process began. Reads files, so not on the loop. */
@@ -71,7 +74,7 @@
 
     /** Lets operators call; the future fails where the address cannot be had. */
     ChannelFuture listen() {
-        server = new ManagementServer(loop, config.operators().management(), this);
+        server = new ManagementServer(loop, config.operators().management(), maxCallers, this);
         if (inForce.drained()) {
             door.drain();
         }
--- /dev/null
+++ b/src/test/java/cresschute/ProgramProcess.java
@@ -0,0 +1,159 @@
+package cresschute;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/**
+ * The program in a process of its own. Its standard output and error are read together, line by line, by a
+ * thread of the test, so that the process never waits for its reader; every wait here has a bound.
+ */
+public final class ProgramProcess implements AutoCloseable {
+
+    /** The longest that a test waits for a line or for the end of a process, s. */
+    public static final long MAX_WAIT_S = 25;
+    /** The end of the output, as a line that no program writes. */
+    private static final String END = "\0";
+
+    private final Process process;
+    private final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
+
+    private ProgramProcess(Process process) {
+        this.process = process;
+        final Thread reader = new Thread(this::read, "program-output");
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    /** Starts a process whose output is read here. */
+    public static ProgramProcess start(ProcessBuilder builder) throws IOException {
+        return new ProgramProcess(builder.redirectErrorStream(true).start());
+    }
+
+    /**
+     * The command line of the program on the test's class path. The process starts with the default action
+     * of SIGHUP and SIGINT whatever the tests run under: {@code nohup} and a shell's background jobs hand
+     * their children a signal that is ignored, which a JVM never hears.
+     */
+    public static List<String> command(List<String> options, String... arguments) {
+        return command(options, System.getProperty("java.class.path"), arguments);
+    }
+
+    /** The same with the libraries alone that the platform's node has on its class path. */
+    public static List<String> platformCommand(List<String> options, String... arguments) {
+        final String needed = Arrays.stream(System.getProperty("java.class.path").split(":"))
+            .filter(each -> each.endsWith("/target/classes") || each.matches(".*/(netty|gson)[^/]*\\.jar"))
+            .collect(Collectors.joining(":"));
+        return command(options, needed, arguments);
+    }
+
+    private static List<String> command(List<String> options, String classPath, String... arguments) {
+        final List<String> command = new ArrayList<>(List.of("env", "--default-signal=HUP,INT",
+            Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+        command.addAll(options);
+        command.addAll(List.of("-Djava.util.logging.manager=cresschute.node.StayingLogManager", "-cp",
+            classPath, "cresschute.cli.Main"));
+        command.addAll(List.of(arguments));
+        return command;
+    }
+
+    private void read() {
+        try (BufferedReader out = process.inputReader()) {
+            out.lines().forEach(lines::add);
+        } catch (IOException | UncheckedIOException e) {
+            // The process was ended by the test.
+        }
+        lines.add(END);
+    }
+
+    /** The next line that contains this; fails where the output ends first or the wait is over. */
+    public String awaitLine(String part) throws InterruptedException {
+        final List<String> seen = new ArrayList<>();
+        final long untilNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(MAX_WAIT_S);
+        String line = lines.poll(MAX_WAIT_S, TimeUnit.SECONDS);
+        while (line != null && !line.equals(END) && !line.contains(part)) {
+            seen.add(line);
+            line = lines.poll(untilNs - System.nanoTime(), TimeUnit.NANOSECONDS);
+        }
+        assertThat(line).as("a line with '" + part + "' after " + seen).isNotNull().isNotEqualTo(END);
+        return line;
+    }
+
+    /** All lines that are still unread, to the end of the output. */
+    public List<String> remainingLines() throws InterruptedException {
+        final List<String> seen = new ArrayList<>();
+        final long untilNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(MAX_WAIT_S);
+        String line = lines.poll(MAX_WAIT_S, TimeUnit.SECONDS);
+        while (line != null && !line.equals(END)) {
+            seen.add(line);
+            line = lines.poll(untilNs - System.nanoTime(), TimeUnit.NANOSECONDS);
+        }
+        assertThat(line).as("the end of the output after " + seen).isEqualTo(END);
+        return seen;
+    }
+
+    /** Lines that have come and were not read. */
+    public List<String> linesSoFar() {
+        final List<String> seen = new ArrayList<>();
+        lines.drainTo(seen);
+        return seen;
+    }
+
+    /** The port of a line that ends with a socket's address. */
+    public static int portIn(String line) {
+        return Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+    }
+
+    /** The exit code, once the process has ended. */
+    public int exitCode() throws InterruptedException {
+        return exitCode(process);
+    }
+
+    /** The exit code of a process that a test started, once it has ended. */
+    public static int exitCode(Process process) throws InterruptedException {
+        assertThat(process.waitFor(MAX_WAIT_S, TimeUnit.SECONDS)).as("the process has ended").isTrue();
+        return process.exitValue();
+    }
+
+    /** Sends a signal by its short name. */
+    public void signal(String name) throws IOException, InterruptedException {
+        assertThat(exitCode(new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start()))
+            .as("kill -" + name).isZero();
+    }
+
+    /** Descriptors that the process holds open. */
+    public int openDescriptors() throws IOException {
+        try (Stream<Path> open = Files.list(Path.of("/proc/" + process.pid() + "/fd"))) {
+            return (int) open.count();
+        }
+    }
+
+    /** Descriptors that the process may hold open: the soft limit that is in force. */
+    public int descriptorLimit() throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + process.pid() + "/limits")).stream()
+            .filter(line -> line.startsWith("Max open files"))
+            .mapToInt(line -> Integer.parseInt(line.split(" +")[3])).findFirst().orElseThrow();
+    }
+
+    /** The process itself. */
+    public Process process() {
+        return process;
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+}
--- /dev/null
+++ b/src/test/java/cresschute/node/AnsweringWorker.java
@@ -0,0 +1,86 @@
+package cresschute.node;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A worker that serves each job at once, or holds all of them, with a thread for each connection. */
+final class AnsweringWorker implements Closeable {
+
+    private static final int BACKLOG = 256;
+    private static final Pattern ID = Pattern.compile("(?i)\r\nx-request-id: *(\\S+)");
+
+    final ServerSocket server;
+    private final boolean holding;
+    private final List<Peer> connections = new CopyOnWriteArrayList<>();
+    private final AtomicInteger jobs = new AtomicInteger();
+
+    /** Listens on a free port, at all loopback addresses. */
+    AnsweringWorker(boolean holding) throws IOException {
+        this.holding = holding;
+        server = new ServerSocket(0, BACKLOG, InetAddress.getByName("0.0.0.0"));
+        start(this::accept);
+    }
+
+    private static void start(Runnable work) {
+        final Thread thread = new Thread(work, "answering-worker");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                final Peer peer = Peer.accept(server);
+                connections.add(peer);
+                start(() -> serve(peer));
+            }
+        } catch (IOException e) {
+            // The test has closed it.
+        }
+    }
+
+    private void serve(Peer peer) {
+        try {
+            while (true) {
+                final String request = peer.read();
+                if (request.startsWith("GET ")) {
+                    peer.write(TestNode.answer("200 OK", "X-Load: x0=50,queue=0\r\n", ""));
+                    continue;
+                }
+                jobs.incrementAndGet();
+                if (!holding) {
+                    final Matcher id = ID.matcher(request);
+                    peer.write(TestNode.answer("200 OK", "", "{\"id\":\"" + (id.find() ? id.group(1) : "")
+                        + "\",\"state\":\"done\",\"result\":\"yes\"}\n"));
+                }
+            }
+        } catch (IOException | AssertionError e) {
+            // The connection has ended, or was silent for as long as a peer waits.
+        }
+    }
+
+    /** Jobs that came so far. */
+    int jobs() {
+        return jobs.get();
+    }
+
+    /** Connections that came so far. */
+    int connections() {
+        return connections.size();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (final Peer each : connections) {
+            each.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cresschute/node/DescriptorLimitTest.java
@@ -0,0 +1,215 @@
+package cresschute.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import cresschute.ProgramProcess;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * A node in a process of its own under a real limit of descriptors, which its clients do all to fill. The
+ * watch of discovery, new connections to workers, the management listener and the log keep what they need.
+ */
+@Timeout(120)
+class DescriptorLimitTest {
+
+    /** Descriptors that the process may hold, the same as its configuration states. */
+    private static final int DESCRIPTORS = 200;
+    /** What the management listener, clients and workers may take of these, by the page. */
+    private static final DescriptorShares SHARES = DescriptorShares.of(DESCRIPTORS, true);
+    /** Operators that call at a time, more than are held. */
+    private static final int CALLERS = 40;
+    private static final int WORKERS = 40;
+    private static final Duration MAX_WAIT = Duration.ofSeconds(20);
+
+    @TempDir
+    private Path folder;
+
+    private ProgramProcess node;
+    private InetSocketAddress address;
+    private InetSocketAddress management;
+    private final List<Peer> clients = new ArrayList<>();
+    private int mostOpen;
+
+    private void start(int discovery, String known) throws Exception {
+        final Path config = folder.resolve("config.json");
+        try (ServerSocket none = Peer.listen()) {
+            Files.writeString(config, TestNode.config(none, known)
+                .replace("\"limits\":{\"sockets\":200}", "\"limits\":{\"sockets\":" + DESCRIPTORS + "}"));
+        }
+        final List<String> command = new ArrayList<>(List.of("sh", "-c",
+            "ulimit -n " + DESCRIPTORS + "; exec \"$@\"", "sh"));
+        command.addAll(ProgramProcess.platformCommand(List.of("-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1"), "serve"));
+        final ProcessBuilder builder = new ProcessBuilder(command);
+        builder.environment().put("BALANCER_CONFIG", config.toString());
+        builder.environment().put("BALANCER_DISCOVERY", "127.0.0.1:" + discovery);
+        builder.environment().put("BALANCER_MANAGEMENT", "127.0.0.1:0");
+        builder.environment().put("TMPDIR", folder.toString());
+        node = ProgramProcess.start(builder);
+        management = new InetSocketAddress("127.0.0.1",
+            ProgramProcess.portIn(node.awaitLine("operators call at ")));
+        address = new InetSocketAddress("127.0.0.1",
+            ProgramProcess.portIn(node.awaitLine(" listens on ")));
+        assertThat(node.descriptorLimit()).isEqualTo(DESCRIPTORS);
+    }
+
+    private void stop() throws IOException {
+        node.close();
+        for (final Peer each : clients) {
+            each.close();
+        }
+    }
+
+    private static String known(AnsweringWorker worker) {
+        return TestNode.list(1, true, TestNode.entry("s-1", worker.server, "SERVING"));
+    }
+
+    /** Notes what the process holds, which is never more than it may. */
+    private void count() throws IOException {
+        mostOpen = Math.max(mostOpen, node.openDescriptors());
+        assertThat(mostOpen).as("open descriptors").isLessThan(DESCRIPTORS);
+    }
+
+    /** Clients that connect and send nothing, more than the node has descriptors for. */
+    private void rest() throws IOException {
+        for (int i = 0; i < 2 * DESCRIPTORS; i++) {
+            clients.add(Peer.connect(address));
+            if (i % 20 == 0) {
+                count();
+            }
+        }
+        count();
+    }
+
+    private void isServed(String id) throws IOException {
+        try (Peer client = Peer.connect(address)) {
+            client.write(TestNode.req(id, "", ""));
+            assertThat(client.read()).startsWith("HTTP/1.1 200").endsWith("\r\n\r\nyes");
+        }
+        count();
+    }
+
+    private void operatorsAreAnswered() throws Exception {
+        try (Peer operator = Peer.connect(management)) {
+            assertThat(operator.write("ready\n").readLine()).isEqualTo("200 ready");
+        }
+        node.awaitLine("operators call: ready");
+        count();
+    }
+
+    @Test
+    void restingClientsLeaveTheOthersTheirDescriptors() throws Exception {
+        final int port;
+        try (ServerSocket discovery = Peer.listen()) {
+            port = discovery.getLocalPort();
+        }
+        try (AnsweringWorker first = new AnsweringWorker(false);
+            AnsweringWorker second = new AnsweringWorker(false)) {
+            start(port, known(first));
+            try {
+                rest();
+                isServed("r1");
+                rest();
+                operatorsAreAnswered();
+                // Discovery is down: each call takes a descriptor and gives it back.
+                rest();
+                node.awaitLine("director call failed");
+                rest();
+                try (ServerSocket discovery = new ServerSocket()) {
+                    discovery.setSoTimeout((int) MAX_WAIT.toMillis());
+                    discovery.bind(new InetSocketAddress("127.0.0.1", port));
+                    final Peer watch = Peer.accept(discovery);
+                    assertThat(watch.read()).startsWith("GET /registry/instances");
+                    rest();
+                    watch.write(TestNode.answer("200 OK", "", TestNode.list(2, true,
+                        TestNode.entry("s-1", first.server, "DRAINING") + ","
+                            + TestNode.entry("s-2", second.server, "SERVING"))));
+                    assertThat(watch.read()).contains("since=2&");
+                    rest();
+                    // A worker that was never connected to: its connection is a new one.
+                    isServed("r2");
+                    assertThat(second.jobs()).isEqualTo(1);
+                    rest();
+                    operatorsAreAnswered();
+                }
+                assertThat(node.linesSoFar()).noneMatch(line -> line.contains("Too many open files"));
+                assertThat(node.process().isAlive()).isTrue();
+            } finally {
+                stop();
+            }
+        }
+    }
+
+    /** Connections that bring no request are closed 2 s after they came, with no others coming. */
+    @Test
+    void unusedConnectionsAreReleasedInTime() throws Exception {
+        try (ServerSocket discovery = Peer.listen();
+            AnsweringWorker worker = new AnsweringWorker(false)) {
+            start(discovery.getLocalPort(), known(worker));
+            try {
+                final int before = node.openDescriptors();
+                for (int i = 0; i < SHARES.clients() - 1; i++) {
+                    clients.add(Peer.connect(address));
+                }
+                Awaitility.await().atMost(MAX_WAIT).until(() -> node.openDescriptors() > before
+                    + SHARES.clients() / 2);
+                for (final Peer each : clients) {
+                    assertThat(each.isClosedByOther()).isTrue();
+                }
+                Awaitility.await().atMost(MAX_WAIT).until(() -> node.openDescriptors() <= before + 2);
+            } finally {
+                stop();
+            }
+        }
+    }
+
+    /** All parts at their bounds at one time: what is left still opens the watch anew. */
+    @Test
+    void everyPartAtItsBoundLeavesDescriptors() throws Exception {
+        try (ServerSocket discovery = Peer.listen();
+            AnsweringWorker worker = new AnsweringWorker(true)) {
+            final String known = TestNode.list(1, true, IntStream.rangeClosed(1, WORKERS)
+                .mapToObj(i -> TestNode.entry("s-" + i, worker.server, "SERVING")
+                    .replace("127.0.0.1", "127.0.1." + i))
+                .collect(Collectors.joining(",")));
+            start(discovery.getLocalPort(), known);
+            try {
+                final Peer watch = Peer.accept(discovery);
+                for (int i = 0; i < CALLERS; i++) {
+                    clients.add(Peer.connect(management));
+                }
+                for (int i = 0; i < SHARES.clients(); i++) {
+                    clients.add(Peer.connect(address).write(TestNode.req("r" + i, "", "")));
+                }
+                Awaitility.await().atMost(MAX_WAIT).until(() -> {
+                    count();
+                    return worker.jobs() >= SHARES.workers() / 2;
+                });
+                rest();
+                // The watch breaks, and comes again.
+                watch.reset();
+                final Peer again = Peer.accept(discovery);
+                assertThat(again.read()).startsWith("GET /registry/instances");
+                count();
+                assertThat(node.linesSoFar()).noneMatch(line -> line.contains("Too many open files"));
+                // So full it was: all but a part of what is in no share.
+                assertThat(mostOpen).isGreaterThan(SHARES.clients() + SHARES.workers() + SHARES.callers());
+            } finally {
+                stop();
+            }
+        }
+    }
+}
