--- a/src/main/java/cresschute/cli/Serving.java
+++ b/src/main/java/cresschute/cli/Serving.java
@@ -1,10 +1,10 @@
 package cresschute.cli;
 
 import cresschute.node.ConfigException;
-import cresschute.node.Hangup;
 import cresschute.node.NodeConfig;
 import cresschute.node.NodeServer;
 import cresschute.node.PassedListener;
+import cresschute.node.ReloadSignal;
 import java.util.concurrent.Callable;
 
 /** A node as the main work of the process: it heeds the process's signals. */
@@ -24,7 +24,7 @@
         final NodeServer node = new NodeServer(config,
             config.operators().passedListener() ? PassedListener.take() : null);
         // Guards against a hang-up that comes as soon as clients can: by default it ends the JVM.
-        Hangup.onEach(() -> node.reload(reload));
+        ReloadSignal.onEach(() -> node.reload(reload));
         // Before clients can connect: a SIGTERM that comes as soon as they can must find who answers them.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             node.stop().join();
--- a/src/main/java/cresschute/node/Hangup.java
+++ b/src/main/java/cresschute/node/ReloadSignal.java
@@ -7,9 +7,9 @@
  * SIGHUP, heard through the JVM's own signal handling. That is reached by reflection, for javac warns of its
  * direct use in a way that cannot be suppressed, and here a warning ends the build.
  */
-public final class Hangup {
+public final class ReloadSignal {
 
-    private Hangup() {}
+    private ReloadSignal() {}
 
     /** Calls this, on a thread of the JVM, whenever the signal comes; unheard, it would end the process. */
     public static void onEach(Runnable call) {
@@ -22,7 +22,8 @@
             };
             signal.getMethod("handle", signal, handler).invoke(null,
                 signal.getConstructor(String.class).newInstance("HUP"),
-                Proxy.newProxyInstance(Hangup.class.getClassLoader(), new Class<?>[]{handler}, invocation));
+                Proxy.newProxyInstance(ReloadSignal.class.getClassLoader(), new Class<?>[]{handler},
+                    invocation));
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException("this JVM does not pass on SIGHUP", e);
         }
