Say in one line that SIGHUP is ignored, and start tests' nodes with its default action

Cause: a JVM that starts with SIGHUP ignored leaves it so, and `Signal.handle` then returns SIG_IGN without an error. Under `nohup` a node never read its file again and did not say so, and `MainTest.followsTheFilesDirectorOnSighup` waited on the log for ever, as a read of a process's output heeds no time limit of JUnit's.

Change: `ReloadSignal.onEach` returns whether the signal is received, by what that call returns, so that a start costs nothing more; `serve` logs `reload_signal_ignored` where it is not. `saysWhereSighupIsIgnored` starts one under `trap '' HUP`.

Ruled out: to restore the default action in the process itself, for which Java has no call.

--- a/src/main/java/cresschute/cli/Serving.java
+++ b/src/main/java/cresschute/cli/Serving.java
@@ -1,15 +1,20 @@
 package cresschute.cli;
 
+import cresschute.logs.LogEvent;
 import cresschute.node.ConfigException;
 import cresschute.node.NodeConfig;
 import cresschute.node.NodeServer;
 import cresschute.node.PassedListener;
 import cresschute.node.ReloadSignal;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.concurrent.Callable;
 
 /** A node as the main work of the process: it heeds the process's signals. */
 final class Serving {
 
+    private static final Logger LOG = System.getLogger("cresschute.node");
+
     private Serving() {}
 
     /**
@@ -24,7 +29,12 @@
         final NodeServer node = new NodeServer(config,
             config.operators().passedListener() ? PassedListener.take() : null);
         // Guards against a hang-up that comes as soon as clients can: by default it ends the JVM.
-        ReloadSignal.onEach(() -> node.reload(reload));
+        final boolean reloads = ReloadSignal.onEach(() -> node.reload(reload));
+        if (!reloads) {
+            LogEvent.of("reload_signal_ignored",
+                "SIGHUP is ignored, as this process was started with it ignored:"
+                    + " the configuration is read again at a start only").log(LOG, Level.WARNING);
+        }
         // Before clients can connect: a SIGTERM that comes as soon as they can must find who answers them.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             node.stop().join();
--- a/src/test/java/cresschute/ProgramProcess.java
+++ b/src/test/java/cresschute/ProgramProcess.java
@@ -48,7 +48,7 @@
      * their children a signal that is ignored, which a JVM never hears.
      */
     public static List<String> command(List<String> options, String... arguments) {
-        return command(options, System.getProperty("java.class.path"), arguments);
+        return withDefaultSignals(java(options, System.getProperty("java.class.path"), arguments));
     }
 
     /** The same with the libraries alone that the platform's node has on its class path. */
@@ -56,11 +56,22 @@
         final String needed = Arrays.stream(System.getProperty("java.class.path").split(":"))
             .filter(each -> each.endsWith("/target/classes") || each.matches(".*/(netty|gson)[^/]*\\.jar"))
             .collect(Collectors.joining(":"));
-        return command(options, needed, arguments);
+        return withDefaultSignals(java(options, needed, arguments));
     }
 
-    private static List<String> command(List<String> options, String classPath, String... arguments) {
-        final List<String> command = new ArrayList<>(List.of("env", "--default-signal=HUP,INT",
+    /** The command line of the program, whose process leaves signals as it inherits them. */
+    public static List<String> commandInheritingSignals(String... arguments) {
+        return java(List.of(), System.getProperty("java.class.path"), arguments);
+    }
+
+    private static List<String> withDefaultSignals(List<String> java) {
+        final List<String> command = new ArrayList<>(List.of("env", "--default-signal=HUP,INT"));
+        command.addAll(java);
+        return command;
+    }
+
+    private static List<String> java(List<String> options, String classPath, String[] arguments) {
+        final List<String> command = new ArrayList<>(List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString()));
         command.addAll(options);
         command.addAll(List.of("-Djava.util.logging.manager=cresschute.node.StayingLogManager", "-cp",
--- a/src/test/java/cresschute/node/MainTest.java
+++ b/src/test/java/cresschute/node/MainTest.java
@@ -2,14 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.io.BufferedReader;
+import cresschute.ProgramProcess;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -18,22 +17,26 @@
 @Timeout(30)
 class MainTest {
 
-    private static Process serve(String config, String director) throws Exception {
-        final List<String> command = new ArrayList<>(List.of(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-Djava.util.logging.manager=cresschute.node.StayingLogManager",
-            "-cp", System.getProperty("java.class.path"), "cresschute.cli.Main", "serve"));
-        final ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+    private static final String IGNORED = "SIGHUP is ignored, as this process was started with it ignored";
+
+    private static ProgramProcess serve(String config, String director) throws Exception {
+        return serve(ProgramProcess.command(List.of(), "serve"), config, director);
+    }
+
+    private static ProgramProcess serve(List<String> command, String config, String director)
+        throws Exception {
+        final ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("BALANCER_CONFIG", config);
         builder.environment().put("BALANCER_DISCOVERY", director);
-        return builder.start();
+        return ProgramProcess.start(builder);
     }
 
     @Test
     void endsWithOneLineAndTwoOnBadConfiguration() throws Exception {
-        final Process node = serve("", "");
-        assertThat(node.inputReader().lines()).containsExactly("cresschute: BALANCER_CONFIG is not set");
-        assertThat(node.waitFor()).isEqualTo(2);
+        try (ProgramProcess node = serve("", "")) {
+            assertThat(node.remainingLines()).containsExactly("cresschute: BALANCER_CONFIG is not set");
+            assertThat(node.exitCode()).isEqualTo(2);
+        }
     }
 
     /** A hang-up ended the process. The environment names the old director for ever; the file may not. */
@@ -45,30 +48,49 @@
             ServerSocket next = Peer.listen()) {
             final String known = TestNode.list(1, true, TestNode.entry("s-1", backend, "SERVING"));
             Files.writeString(config, TestNode.config(old, known));
-            final Process node = serve(config.toString(), "127.0.0.1:" + old.getLocalPort());
-            try (BufferedReader log = node.inputReader()) {
+            try (ProgramProcess node = serve(config.toString(), "127.0.0.1:" + old.getLocalPort())) {
                 Peer.accept(old).read();
                 Files.writeString(config, "{\"name\":");
-                hangUp(node);
-                String line = log.readLine();
-                while (!line.contains("not reloaded, the old configuration stays: configuration: ")) {
-                    line = log.readLine();
-                }
+                node.signal("HUP");
+                node.awaitLine("not reloaded, the old configuration stays: configuration: ");
                 Files.writeString(config, TestNode.config(next, known));
-                hangUp(node);
+                node.signal("HUP");
                 final Peer director = Peer.accept(next);
                 assertThat(director.read()).startsWith("GET /registry/instances HTTP/1.1");
                 director.write(TestNode.answer("200 OK", "", TestNode.list(9, true, "")));
                 assertThat(director.read()).startsWith("GET /registry/instances?since=9&");
-                assertThat(node.isAlive()).isTrue();
-            } finally {
-                node.destroyForcibly();
+                assertThat(node.process().isAlive()).isTrue();
+                assertThat(node.linesSoFar()).noneMatch(line -> line.contains(IGNORED));
             }
         }
     }
 
-    private static void hangUp(Process node) throws Exception {
-        new ProcessBuilder("sh", "-c", "kill -HUP " + node.pid()).start().waitFor();
+    /** Under a parent that ignores the signal it was lost without a word. */
+    @Test
+    void saysWhereSighupIsIgnored(@TempDir Path folder) throws Exception {
+        final Path config = folder.resolve("config.json");
+        try (ServerSocket backend = Peer.listen(); ServerSocket director = Peer.listen()) {
+            Files.writeString(config, TestNode.config(director,
+                TestNode.list(1, true, TestNode.entry("s-1", backend, "SERVING"))));
+            final List<String> command = new ArrayList<>(List.of("sh", "-c",
+                "trap '' HUP; exec \"$@\"", "sh"));
+            command.addAll(ProgramProcess.commandInheritingSignals("serve"));
+            try (ProgramProcess node = serve(command, config.toString(), "")) {
+                node.awaitLine(IGNORED);
+                node.awaitLine(" listens on ");
+                final Peer watch = Peer.accept(director);
+                assertThat(watch.read()).startsWith("GET /registry/instances");
+                Files.writeString(config, "{\"name\":");
+                node.signal("HUP");
+                // The node goes on: nothing was read, and a stop works as always.
+                watch.write(TestNode.answer("200 OK", "", TestNode.list(9, true, "")));
+                assertThat(watch.read()).startsWith("GET /registry/instances?since=9&");
+                node.signal("TERM");
+                assertThat(node.remainingLines()).noneMatch(line -> line.contains("reloaded"))
+                    .last().asString().contains("stopped: everything taken is answered");
+                assertThat(node.exitCode()).isEqualTo(143);
+            }
+        }
     }
 
     /** The log was closed at the beginning of an exit, so that a planned restart left no lines. */
@@ -78,29 +100,20 @@
         try (ServerSocket backend = Peer.listen(); ServerSocket director = Peer.listen()) {
             Files.writeString(config, TestNode.config(director,
                 TestNode.list(1, true, TestNode.entry("s-1", backend, "SERVING"))));
-            final Process node = serve(config.toString(), "");
-            try (BufferedReader log = node.inputReader()) {
-                String line = log.readLine();
-                while (!line.contains("listens on")) {
-                    line = log.readLine();
-                }
-                final int port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+            try (ProgramProcess node = serve(config.toString(), "")) {
+                final int port = ProgramProcess.portIn(node.awaitLine("listens on"));
                 final Peer client = Peer.connect(new InetSocketAddress("127.0.0.1", port));
                 client.write(TestNode.req("r1", "", ""));
                 final Peer worker = Peer.accept(backend);
                 worker.read();
-                node.toHandle().destroy();
-                while (!line.contains("no longer accepting: 1 reqs")) {
-                    line = log.readLine();
-                }
+                node.signal("TERM");
+                node.awaitLine("no longer accepting: 1 reqs");
                 worker.write(TestNode.answer("200 OK", "",
                     "{\"id\":\"r1\",\"state\":\"done\",\"result\":\"yes\"}\n"));
                 assertThat(client.read()).endsWith("\r\n\r\nyes");
-                assertThat(log.lines()).last().asString().contains("stopped: everything taken is answered");
-                assertThat(node.waitFor(8, TimeUnit.SECONDS)).isTrue();
-                assertThat(node.exitValue()).isEqualTo(143);
-            } finally {
-                node.destroyForcibly();
+                assertThat(node.remainingLines()).last().asString()
+                    .contains("stopped: everything taken is answered");
+                assertThat(node.exitCode()).isEqualTo(143);
             }
         }
     }
