Ask workers for room at most twice for each send, answered or not

Logic.attempt looked at the rounds asked only where a worker had answered one.

Change: a request asks ROUNDS times for each send and then goes by what is known of the workers drawn. Workers that answer no probe rest after three failures, as before.

Result: LogicTest.unansweredProbesAreNotRepeatedWithoutBound asks 6 times (42 and more without the change, where the test stops).

--- a/src/main/java/cresschute/Logic.java
+++ b/src/main/java/cresschute/Logic.java
@@ -58,7 +58,7 @@
     /** Age of old news in a report, in mean running times over the dispatchers; how many are asked anew. */
     private static final double STALE_RUNS = 6;
     private static final int ASKED = 3;
-    /** How often workers are asked for room before a job goes where it must wait. */
+    /** How often workers are asked for room, answered or not, before a job goes where it must wait. */
     private static final int ROUNDS = 2;
     /** Weight of one sample in the running time of a class. */
     private static final double RUN_WEIGHT = 0.03;
@@ -481,7 +481,7 @@
         final List<Node> drawn = draw(request, nowUs, 2);
         // Guards against old news: the sooner jobs end, and the more dispatchers send, the sooner it is old.
         final double oldUs = STALE_RUNS * meanRunUs / settings.dispatchers();
-        if (settings.asksLoad() && drawn.size() > 1
+        if (settings.asksLoad() && drawn.size() > 1 && request.rounds < ROUNDS
             && nowUs - Math.min(drawn.get(0).othersAtUs, drawn.get(1).othersAtUs) > oldUs) {
             ask(request, draw(request, nowUs, ASKED));
         } else if (open && (drawn.isEmpty()
--- a/src/test/java/cresschute/LogicTest.java
+++ b/src/test/java/cresschute/LogicTest.java
@@ -1055,6 +1055,28 @@
         assertThat(host.sends).hasSize(1);
     }
 
+    /**
+     * lab capacity, 1,400 workers on a busy machine: where no worker answered in time each request asked three
+     * more at once, for as long as it waited, until no connection was left.
+     */
+    @Test
+    void unansweredProbesAreNotRepeatedWithoutBound() {
+        final Recorder host = new Recorder(Recorder.probing(List.of(job(1, Effect.SAFE, RepeatScope.ALL))))
+            .list(ListForm.CACHED, IntStream.rangeClosed(1, 40).mapToObj(id -> worker(id, 0, 0))
+                .toArray(Worker[]::new));
+        host.pass(60 * SECOND);
+        host.request(1, 0);
+        int asked = 0;
+        while (!host.probed.isEmpty() && asked <= 40) {
+            final List<Integer> round = List.copyOf(host.probed);
+            host.probed.clear();
+            asked += round.size();
+            round.forEach(id -> host.module.probed(host.nowUs, id, Outcome.TIMED_OUT, LoadReport.NONE));
+        }
+        assertThat(asked).as("probes of one request").isEqualTo(6);
+        assertThat(host.sends).hasSize(1);
+    }
+
     /** A late answer to a probe must not steer a keyed request out of its group. */
     @Test
     void anAnswerToAnEarlierProbeIsForgottenOnceTheRequestIsOut() {
