Bound every wait of the tests and of the lab

Cause: a test blocked in a read of a process's output, or in a join of a future, heeds no interrupt, so that JUnit's time limits never ended it; `MainTest` hung under `nohup` that way. Others waited the same way on processes, workers' sockets and futures, and the lab on a node that never listens, on latches and on its loop.

Tests of processes read them through `ProgramProcess` and bound each wait for an end; sockets have read limits. In the lab, `NodeProcess` ends a node that does not listen within 60 s, and joins and latches are bounded.

Ruled out: a limit of the whole test process, which would not say which test waits.

--- a/src/main/java/cresschute/lab/Fleet.java
+++ b/src/main/java/cresschute/lab/Fleet.java
@@ -41,6 +41,8 @@
     private static final double BIG_SHARE = 0.3;
     private static final long TOLD_LATE_US = 200_000;
     private static final long STOP_S = 10;
+    /** The longest wait for a call on the loop, s. */
+    private static final long MAX_LOOP_WAIT_S = 30;
 
     /**
      * What a fleet is to be.
@@ -220,7 +222,8 @@
 
     /** Jobs that wait for their answer now. */
     public int waiting() {
-        return CompletableFuture.supplyAsync(clients::waiting, loop).join();
+        return CompletableFuture.supplyAsync(clients::waiting, loop)
+            .orTimeout(MAX_LOOP_WAIT_S, TimeUnit.SECONDS).join();
     }
 
     /** What was seen so far, and what it comes to. */
@@ -292,7 +295,7 @@
     }
 
     private void onLoop(Runnable call) {
-        CompletableFuture.runAsync(call, loop).join();
+        CompletableFuture.runAsync(call, loop).orTimeout(MAX_LOOP_WAIT_S, TimeUnit.SECONDS).join();
     }
 
     @Override
--- a/src/main/java/cresschute/lab/NodeProcess.java
+++ b/src/main/java/cresschute/lab/NodeProcess.java
@@ -13,6 +13,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import javax.management.MBeanServerConnection;
@@ -26,6 +28,9 @@
     /** Bytes in use: by objects, after a collection where one was asked for, and by direct buffers. */
     public record Memory(long heap, long direct) {}
 
+    /** The longest that a node may take until it listens, s. */
+    private static final long MAX_START_S = 60;
+
     private final Process process;
     private final InetSocketAddress address;
     private final JMXConnector connector;
@@ -43,6 +48,13 @@
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "cresschute.cli.Main", "serve",
             "--settings", script.toString()));
         process = new ProcessBuilder(command).start();
+        // A blocked read heeds no interrupt: a node that never listens is ended, which ends the read.
+        final CompletableFuture<Void> listening = new CompletableFuture<>();
+        listening.orTimeout(MAX_START_S, TimeUnit.SECONDS).whenComplete((done, late) -> {
+            if (late != null) {
+                process.destroyForcibly();
+            }
+        });
         final Matcher told = Pattern.compile("listens on /127\\.0\\.0\\.1:([0-9]+)").matcher("");
         final BufferedReader log = process.errorReader();
         String line = log.readLine();
@@ -51,6 +63,7 @@
             seen.append(line).append('\n');
             line = log.readLine();
         }
+        listening.complete(null);
         if (line == null) {
             throw new IOException("the node did not start: " + seen);
         }
--- a/src/main/java/cresschute/lab/SmallReqs.java
+++ b/src/main/java/cresschute/lab/SmallReqs.java
@@ -45,6 +45,8 @@
     private static final int OK = 200;
     private static final long STEP_US = 1_000;
     private static final long MOST_US = 60_000_000;
+    /** How much longer than planned a step of a run may take, ms. */
+    private static final long MAX_EXTRA_MS = 120_000;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     private final EventLoop clients = group.next();
@@ -96,7 +98,8 @@
                     }
                 }).connect(node).syncUninterruptibly().channel();
             client.channel = channel;
-            CompletableFuture.runAsync(() -> idle.add(client), clients).join();
+            CompletableFuture.runAsync(() -> idle.add(client), clients)
+                .orTimeout(MAX_EXTRA_MS, TimeUnit.MILLISECONDS).join();
         }
     }
 
@@ -108,8 +111,9 @@
             notServed = 0;
             step(clock.nowUs(), perS, 0, perS * forMs / 1_000, done);
         });
-        done.join();
-        return CompletableFuture.supplyAsync(times::copy, clients).join();
+        done.orTimeout(forMs + MAX_EXTRA_MS, TimeUnit.MILLISECONDS).join();
+        return CompletableFuture.supplyAsync(times::copy, clients)
+            .orTimeout(MAX_EXTRA_MS, TimeUnit.MILLISECONDS).join();
     }
 
     private void step(long startUs, int perS, long begun, long all, CompletableFuture<Void> done) {
@@ -135,7 +139,8 @@
 
     /** Reqs of the last run that were refused, or failed. */
     public long notServed() {
-        return CompletableFuture.supplyAsync(() -> notServed, clients).join();
+        return CompletableFuture.supplyAsync(() -> notServed, clients)
+            .orTimeout(MAX_EXTRA_MS, TimeUnit.MILLISECONDS).join();
     }
 
     private final class Client extends SimpleChannelInboundHandler<FullHttpResponse> {
@@ -174,7 +179,8 @@
 
     @Override
     public void close() {
-        servers.forEach(server -> CompletableFuture.runAsync(server::close, workers).join());
+        servers.forEach(server -> CompletableFuture.runAsync(server::close, workers)
+            .orTimeout(MAX_EXTRA_MS, TimeUnit.MILLISECONDS).join());
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
 }
--- a/src/main/java/cresschute/lab/WideSite.java
+++ b/src/main/java/cresschute/lab/WideSite.java
@@ -24,6 +24,8 @@
 public final class WideSite implements AutoCloseable {
 
     private static final long STEP_MS = 50;
+    /** The longest wait for a call on the loop, or for the node's end, s. */
+    private static final long MAX_WAIT_S = 30;
     private static final InetSocketAddress NOWHERE = new InetSocketAddress(InetAddress.getLoopbackAddress(),
         1);
 
@@ -45,7 +47,7 @@
             workers.add(new WorkerStandIn.Make("w" + (i + 1), i % 10, "local", "std", 4, 1));
         }
         CompletableFuture.runAsync(() -> workers.forEach(each -> director.set(each, NOWHERE, "SERVING", 0)),
-            loop).join();
+            loop).orTimeout(MAX_WAIT_S, TimeUnit.SECONDS).join();
         node = new NodeServer(NodeConfig.of(SettingsFile.parse("""
             node(name = "wide", listen = "127.0.0.1:0", seed = 1)
             director(address = "127.0.0.1:%d")
@@ -73,8 +75,8 @@
 
     @Override
     public void close() {
-        node.stop().join();
-        CompletableFuture.runAsync(director::close, loop).join();
+        node.stop().orTimeout(MAX_WAIT_S, TimeUnit.SECONDS).join();
+        CompletableFuture.runAsync(director::close, loop).orTimeout(MAX_WAIT_S, TimeUnit.SECONDS).join();
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
 }
--- a/src/main/java/cresschute/lab/bodies/BodiesTrial.java
+++ b/src/main/java/cresschute/lab/bodies/BodiesTrial.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.HdrHistogram.Histogram;
 
@@ -28,6 +29,8 @@
     private static final int SMALL_PER_S = 500;
     private static final long MODEM = 7_000;
     private static final int SETTLED_MS = 1_500;
+    /** The longest that one transfer may take, s. */
+    private static final long MAX_TRANSFER_S = 900;
     private static final double MB = 1e6;
     private static final List<String> NODE_OPTIONS = List.of("-XX:+UseSerialGC", "-Xms24m", "-Xmx64m",
         "-XX:MaxDirectMemorySize=96m");
@@ -207,7 +210,7 @@
             int served = 0;
             int refused = 0;
             for (final CompletableFuture<BodyClient.Came> each : all) {
-                final BodyClient.Came came = each.join();
+                final BodyClient.Came came = each.orTimeout(MAX_TRANSFER_S, TimeUnit.SECONDS).join();
                 served += came.status() == 200 && came.whole() ? 1 : 0;
                 refused += came.status() == 503 ? 1 : 0;
             }
@@ -254,7 +257,9 @@
         Thread.sleep(2 * SETTLED_MS);
         final long open = ended.getCount();
         each(open + " " + what, before, node.memoryHeld(), Math.max(1, open));
-        ended.await();
+        if (!ended.await(MAX_TRANSFER_S, TimeUnit.SECONDS)) {
+            wrong.add(ended.getCount() + " " + what + " had not ended after " + MAX_TRANSFER_S + " s");
+        }
     }
 
     private static NodeProcess.Memory settled(NodeProcess node) throws InterruptedException {
--- a/src/test/java/cresschute/cli/ConsoleProgramTest.java
+++ b/src/test/java/cresschute/cli/ConsoleProgramTest.java
@@ -4,12 +4,12 @@
 
 import com.google.gson.JsonObject;
 import cresschute.ControlPeer;
+import cresschute.ProgramProcess;
 import cresschute.lab.Fleet;
 import cresschute.lab.FleetReport;
 import cresschute.lab.Trouble;
 import cresschute.lab.WideSite;
 import cresschute.node.Json;
-import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
@@ -279,14 +279,10 @@
 
     // ---- Kills ----
 
-    private Process serve(Path script) throws IOException {
-        final Process node = new ProcessBuilder(program("serve", "--settings", script.toString())).start();
-        final BufferedReader log = node.errorReader();
-        String line = log.readLine();
-        while (line != null && !line.contains(" listens on ")) {
-            line = log.readLine();
-        }
-        assertThat(line).isNotNull();
+    private ProgramProcess serve(Path script) throws Exception {
+        final ProgramProcess node = ProgramProcess.start(new ProcessBuilder(program("serve", "--settings",
+            script.toString())));
+        node.awaitLine(" listens on ");
         return node;
     }
 
@@ -314,18 +310,19 @@
             for (int round = 0; round < 4; round++) {
                 final String op = "round-" + round;
                 final boolean confirmed = round % 2 == 0;
-                final Process first = serve(script);
+                final ProgramProcess first = serve(script);
                 try (ControlPeer peer = new ControlPeer(socket)) {
                     peer.write("{\"v\":1,\"id\":\"1\"," + ControlPeer.operation("drain", op, "w1") + "}\n");
                     if (confirmed) {
                         assertThat(peer.read().get("outcome").getAsString()).isEqualTo("done");
                     }
                 } finally {
-                    first.destroyForcibly().waitFor();
+                    first.close();
+                    first.exitCode();
                 }
                 // It left its socket behind, and died with the lock of its folder.
                 assertThat(Files.exists(socket)).isTrue();
-                final Process second = serve(script);
+                final ProgramProcess second = serve(script);
                 try (ControlPeer peer = new ControlPeer(socket)) {
                     if (confirmed) {
                         assertThat(peer.worker("w1").has("drain")).isTrue();
@@ -335,8 +332,8 @@
                     assertThat(peer.worker("w1").has("drain")).isTrue();
                     assertThat(peer.operate("undrain", "u" + round, "w1")).isEqualTo("done: ");
                 } finally {
-                    second.destroy();
-                    second.waitFor();
+                    second.signal("TERM");
+                    second.exitCode();
                 }
             }
         }
@@ -345,12 +342,14 @@
     private static void goesTo(int port, ServerSocket worker) throws IOException {
         for (int i = 0; i < 6; i++) {
             try (Socket client = new Socket()) {
+                client.setSoTimeout(8_000);
                 client.connect(new InetSocketAddress("127.0.0.1", port));
                 client.getOutputStream().write(("POST /check HTTP/1.1\r\nHost: n\r\nX-Request-Id: r" + i
                     + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
                     .getBytes(StandardCharsets.US_ASCII));
                 worker.setSoTimeout(8_000);
                 try (Socket backend = worker.accept()) {
+                    backend.setSoTimeout(8_000);
                     final StringBuilder head = new StringBuilder();
                     while (head.indexOf("\r\n\r\n") < 0) {
                         head.append((char) backend.getInputStream().read());
--- a/src/test/java/cresschute/cli/ProgramTest.java
+++ b/src/test/java/cresschute/cli/ProgramTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.gson.JsonObject;
+import cresschute.ProgramProcess;
 import cresschute.node.Json;
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -28,13 +29,12 @@
 
     private static final long MOST_S = 40;
 
-    /** Interrupts are heard whatever the test runs under: a shell's background jobs have them ignored. */
+    /** The words before the JVM's options on that command line: {@code env}, its option, the JVM. */
+    private static final int OPTIONS_AT = 3;
+    private static final int SOCKET_WAIT_MS = 20_000;
+
     private static ProcessBuilder program(String... args) {
-        final List<String> command = new ArrayList<>(List.of("env", "--default-signal=INT",
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-ea",
-            "-cp", System.getProperty("java.class.path"), "cresschute.cli.Main"));
-        command.addAll(List.of(args));
-        return new ProcessBuilder(command);
+        return new ProcessBuilder(ProgramProcess.command(List.of("-ea"), args));
     }
 
     /** Guards the build against a process that does not end: a blocked read heeds no time limit. */
@@ -45,11 +45,14 @@
     }
 
     private static void signal(Process process, String name) throws Exception {
-        new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
+        ProgramProcess.exitCode(new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid())
+            .start());
     }
 
     private static ServerSocket listen() throws IOException {
-        return new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+        final ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+        server.setSoTimeout(SOCKET_WAIT_MS);
+        return server;
     }
 
     private static String script(int port, int worker, String logs) {
@@ -75,7 +78,7 @@
         final Process demo = start(program("demo", "--for", "3s", "--seed", "1", "--json", "--trouble",
             "slow@500ms,reset@1s").redirectError(ProcessBuilder.Redirect.DISCARD));
         final String out = new String(demo.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        assertThat(demo.waitFor()).isZero();
+        assertThat(ProgramProcess.exitCode(demo)).isZero();
         final JsonObject json = Json.object(out);
         assertThat(json.getAsJsonArray("rules_broken")).isEmpty();
         assertThat(json.get("unanswered").getAsInt()).isZero();
@@ -136,7 +139,7 @@
                 serveOne(address, worker);
                 signal(node, "TERM");
                 assertThat(lineWith(log, "\"stopped\"")).isNotNull();
-                assertThat(node.waitFor()).isEqualTo(143);
+                assertThat(ProgramProcess.exitCode(node)).isEqualTo(143);
             } finally {
                 node.destroyForcibly();
             }
@@ -146,11 +149,13 @@
     private static void serveOne(String address, ServerSocket worker) throws IOException {
         final int colon = address.lastIndexOf(':');
         try (Socket client = new Socket()) {
+            client.setSoTimeout(SOCKET_WAIT_MS);
             client.connect(new InetSocketAddress(address.substring(0, colon),
                 Integer.parseInt(address.substring(colon + 1))));
             client.getOutputStream().write(("POST /check HTTP/1.1\r\nHost: n\r\nX-Request-Id: r1\r\n"
                 + "Connection: close\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
             try (Socket backend = worker.accept()) {
+                backend.setSoTimeout(SOCKET_WAIT_MS);
                 final StringBuilder head = new StringBuilder();
                 while (head.indexOf("\r\n\r\n") < 0) {
                     head.append((char) backend.getInputStream().read());
@@ -173,7 +178,7 @@
             assertThat(node.errorReader().lines()).containsExactly(
                 "cresschute: cannot start: cannot listen on 127.0.0.1:" + taken.getLocalPort()
                     + ": Address already in use; see who listens there, or give node another listen address");
-            assertThat(node.waitFor()).isEqualTo(1);
+            assertThat(ProgramProcess.exitCode(node)).isEqualTo(1);
         }
     }
 
@@ -185,14 +190,14 @@
         assertThat(node.errorReader().lines()).containsExactly(
             file + ":4:15: logs: format is 1; allowed: \"text\" or \"json\"",
             file + ":4:26: logs: level is 2; allowed: \"debug\" or \"info\" or \"warning\" or \"error\"");
-        assertThat(node.waitFor()).isEqualTo(2);
+        assertThat(ProgramProcess.exitCode(node)).isEqualTo(2);
     }
 
     /** What the platform's start must not load. */
     @Test
     void platformStartLoadsNeitherParserNorStructuredLog() throws Exception {
         final ProcessBuilder builder = program("serve");
-        builder.command().add(3, "-Xlog:class+load:stdout");
+        builder.command().add(OPTIONS_AT, "-Xlog:class+load:stdout");
         builder.environment().remove("BALANCER_CONFIG");
         final Process node = start(builder.redirectErrorStream(true));
         final List<String> lines = node.inputReader().lines().toList();
@@ -206,7 +211,7 @@
     @Test
     void platformNodeLoadsNothingOfTheOperators() throws Exception {
         final ProcessBuilder builder = program("serve");
-        builder.command().add(3, "-Xlog:class+load:stdout");
+        builder.command().add(OPTIONS_AT, "-Xlog:class+load:stdout");
         builder.environment().put("BALANCER_CONFIG", "deploy/rehearsal.json");
         final Process node = start(builder.redirectErrorStream(true));
         try (BufferedReader out = node.inputReader()) {
--- a/src/test/java/cresschute/cli/VirtualScreen.java
+++ b/src/test/java/cresschute/cli/VirtualScreen.java
@@ -1,5 +1,6 @@
 package cresschute.cli;
 
+import cresschute.ProgramProcess;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.Reader;
@@ -107,17 +108,17 @@
             rows = newRows;
             terminal.setSize(newColumns, newRows);
         }
-        new ProcessBuilder("stty", "-F", line.toString(), "rows", String.valueOf(newRows), "cols",
-            String.valueOf(newColumns)).start().waitFor();
+        ProgramProcess.exitCode(new ProcessBuilder("stty", "-F", line.toString(), "rows",
+            String.valueOf(newRows), "cols", String.valueOf(newColumns)).start());
     }
 
     /** The line is cut, as when a connection to the box drops: the program gets a hang-up. */
     void cut() throws InterruptedException {
-        process.destroyForcibly().waitFor();
+        ProgramProcess.exitCode(process.destroyForcibly());
     }
 
     int exitCode() throws InterruptedException {
-        return process.waitFor();
+        return ProgramProcess.exitCode(process);
     }
 
     @Override
--- a/src/test/java/cresschute/node/FleetSizeTest.java
+++ b/src/test/java/cresschute/node/FleetSizeTest.java
@@ -2,12 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.io.BufferedReader;
+import cresschute.ProgramProcess;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Collectors;
@@ -53,20 +52,10 @@
             Files.writeString(config, TestNode.config(director,
                 indented(TestNode.list(1, true, entries(backend, 0, "SERVING"))))
                 .replace("\"balancers\":1", "\"balancers\":" + MANY));
-            final List<String> command = new ArrayList<>(List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString()));
-            command.addAll(memoryFlags());
-            command.addAll(List.of("-Djava.util.logging.manager=cresschute.node.StayingLogManager",
-                "-cp", System.getProperty("java.class.path"), "cresschute.cli.Main", "serve"));
-            final ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+            final ProcessBuilder builder = new ProcessBuilder(ProgramProcess.command(memoryFlags(), "serve"));
             builder.environment().put("BALANCER_CONFIG", config.toString());
-            final Process node = builder.start();
-            try (BufferedReader log = node.inputReader()) {
-                String line = log.readLine();
-                while (!line.contains("listens on")) {
-                    line = log.readLine();
-                }
-                final int port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+            try (ProgramProcess node = ProgramProcess.start(builder)) {
+                final int port = ProgramProcess.portIn(node.awaitLine("listens on"));
                 final Peer watch = Peer.accept(director);
                 assertThat(watch.read()).contains("since=1&");
                 // Half of the first workers go and as many new ones come, in a list cut at odd places.
@@ -87,10 +76,8 @@
                         }
                     }
                 }
-                assertThat(memoryKib(node.pid())).as("memory, KiB").isLessThan(LEAST_MEMORY_KIB);
-                assertThat(node.isAlive()).isTrue();
-            } finally {
-                node.destroyForcibly();
+                assertThat(memoryKib(node.process().pid())).as("memory, KiB").isLessThan(LEAST_MEMORY_KIB);
+                assertThat(node.process().isAlive()).isTrue();
             }
         }
     }
