--- a/src/main/java/cresschute/node/Backends.java
+++ b/src/main/java/cresschute/node/Backends.java
@@ -32,8 +32,8 @@
     interface FetchListener {
 
         /**
-         * Whether its first byte may go out now that a new connection is up; it has ended where not. Not to be
-         * asked from within the reading of a client's connection.
+         * Whether its first byte may go out now that a new connection is up; it has ended where not. Not to
+         * be asked from within the reading of a client's connection.
          */
         default boolean mayBegin() {
             return true;
--- a/src/main/java/cresschute/node/Core.java
+++ b/src/main/java/cresschute/node/Core.java
@@ -47,9 +47,9 @@
     static final long OVERDUE_US = 10_000;
     /**
      * No attempt begins once reading its client has been paused for longer than this, us: the client may have
-     * closed its connection as soon as the pause began, and its close is seen only where reading goes on. With
-     * the time from this check to the first byte, which is one call of the loop, an attempt begins less than
-     * 100 ms after an unseen close.
+     * closed its connection as soon as the pause began, and its close is seen only where reading goes on.
+     * With the time from this check to the first byte, which is one call of the loop, an attempt begins less
+     * than 100 ms after an unseen close.
      */
     static final long MAX_READ_PAUSE_US = 80_000;
     /** When to come back with what the node itself turns away, us, where advice is allowed. */
@@ -343,9 +343,9 @@
     }
 
     /**
-     * Whether an attempt of a request may begin now, asked right before it does: not where its client has gone,
-     * or may have gone unseen. Where nothing of it is out the request is closed by that. Not to be called from
-     * within the reading of a client's connection.
+     * Whether an attempt of a request may begin now, asked right before it does: not where its client has
+     * gone, or may have gone unseen. Where nothing of it is out the request is closed by that. Not to be
+     * called from within the reading of a client's connection.
      */
     private boolean mayBegin(Req req) {
         if (!req.closed && req.client.hasLeft()) {
--- a/src/main/java/cresschute/node/ReqClient.java
+++ b/src/main/java/cresschute/node/ReqClient.java
@@ -4,8 +4,9 @@
 public interface ReqClient {
 
     /**
-     * Whether its connection has ended, also where that is yet to be read or told: nobody waits any more. Asked
-     * right before each attempt begins; it may read the connection, so not from within that one's own reading.
+     * Whether its connection has ended, also where that is yet to be read or told: nobody waits any more.
+     * Asked right before each attempt begins; it may read the connection, so not from within that one's own
+     * reading.
      */
     default boolean hasLeft() {
         return false;
--- a/src/main/java/cresschute/node/http/Exchange.java
+++ b/src/main/java/cresschute/node/http/Exchange.java
@@ -18,7 +18,8 @@
     BackendConnection connection;
 
     /**
-     * The request: whole, or its head where {@link #body()} carries the rest. Made when it is written at once.
+     * The request: whole, or its head where {@link #body()} carries the rest. Made right before it is
+     * written.
      */
     abstract HttpRequest request();
 
--- a/src/test/java/cresschute/node/CoreTest.java
+++ b/src/test/java/cresschute/node/CoreTest.java
@@ -194,7 +194,7 @@
         assertThat(core.owed()).isZero();
     }
 
-    /** A hedge went out however long its client had not been read: only what had nothing out was held to it. */
+    /** A hedge went out however long its client had not been read. */
     @Test
     void beginsNoHedgeWhileItsClientIsNotRead() {
         take();
--- a/src/test/java/cresschute/node/CrossingRulesTest.java
+++ b/src/test/java/cresschute/node/CrossingRulesTest.java
@@ -221,17 +221,17 @@
 
     private static final long DEADLINE_US = 5_000_000;
     private static final long HELD_US = 400_000;
-    /** What the node keeps of a request's time for the way of its answer, and for rounding to microseconds. */
+    /** What the node keeps of a request's time for the way of its answer, and for rounding, us. */
     private static final long MARGIN_US = 15_002;
     private static final Pattern TOLD = Pattern.compile("(?i)X-Deadline: ([0-9]+)u\r\n");
 
     /** Waits until the node's own timer has run for {@value #HELD_US} us. */
-    private static void wait(TestNode node) throws InterruptedException {
+    private static void untilTimerRan(TestNode node) throws InterruptedException {
         node.act(actions -> actions.wakeAfter(5, HELD_US));
         assertThat(eventStarting(node, "woken")).isEqualTo("woken 5");
     }
 
-    /** Waits until what the module asked for is carried out: connecting is a task of its own on the loop. */
+    /** Waits until what the module asked for is carried out: connecting is a task of its own. */
     private static void untilItHasTurned(TestNode node) throws InterruptedException {
         node.act(actions -> actions.wakeAfter(6, 0));
         assertThat(eventStarting(node, "woken")).isEqualTo("woken 6");
@@ -258,7 +258,7 @@
             }
             fill(node.backend);
             node.act(actions -> actions.send(1, 0, Long.MAX_VALUE));
-            wait(node);
+            untilTimerRan(node);
             acceptFilled(node.backend);
             assertTellsWhatIsLeft(node.backend().read(), sentNs);
         }
@@ -270,7 +270,7 @@
         try (TestNode node = new TestNode(HOLDS); Peer client = node.client(); Peer next = node.client()) {
             final long sentNs = System.nanoTime();
             final Peer backend = keptWithReqHeld(node, client, next);
-            wait(node);
+            untilTimerRan(node);
             node.act(actions -> actions.send(2, 0, Long.MAX_VALUE));
             assertTellsWhatIsLeft(backend.read(), sentNs);
         }
@@ -285,7 +285,7 @@
                 client.write(req("r" + i, "", ""));
             }
             assertThat(eventStarting(node, "requested 16")).isNotNull();
-            wait(node);
+            untilTimerRan(node);
             node.act(actions -> actions.refuse(1, 0));
             assertThat(eventStarting(node, "requested 17")).isNotNull();
             node.act(actions -> actions.send(17, 0, Long.MAX_VALUE));
@@ -384,7 +384,7 @@
         }
     }
 
-    /** The connection came up and the close came in one pass, and the head went out before the close was read. */
+    /** The connection came up and the close came in one pass: the head went out before the close was read. */
     @ParameterizedTest
     @EnumSource
     void sendsNothingOnANewConnectionForAClientWhoseCloseIsUnread(Close close) throws Exception {
