Fleet model: count probes and belief age, start gangs, cut the link between regions

Need: at 1,400 workers and 7 dispatchers the model told what share of requests was served, but not what the dispatchers ask of the workers, how old their belief of a worker is when they send to it, or when a job started.

Change: DispatcherMeter counts sends, probes, endings by outcome, repeated starts and sends in vain, and keeps the age of the last report at each send. FleetModel.gang lets requests of one tenant come to one dispatcher in one instant. RegionLink cuts the network between zones; answers are lost while it is cut, changes of the list come after it. Tenants are drawn where settings name some. Runs without tenants draw the same chance as before.

--- /dev/null
+++ b/src/main/java/cresschute/lab/model/DispatcherMeter.java
@@ -0,0 +1,116 @@
+package cresschute.lab.model;
+
+import cresschute.DispatchApi.LoadReport;
+import cresschute.DispatchApi.Outcome;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Counts what one dispatcher of the model sends, asks and learns. */
+public final class DispatcherMeter {
+
+    private static final int FIRST_AGES = 1024;
+
+    private final Map<Integer, Long> reportedAtUs = new HashMap<>();
+    private final Map<Outcome, Long> outcomes = new EnumMap<>(Outcome.class);
+    private long[] agesUs = new long[FIRST_AGES];
+    private int ages;
+    private long sends;
+    private long unknown;
+    private long probes;
+    private long inVain;
+    private final Map<Integer, Long> repeatedStarts = new HashMap<>();
+
+    /** Forgets the counts; what is believed of workers stays. */
+    public void restart() {
+        outcomes.clear();
+        ages = 0;
+        sends = 0;
+        unknown = 0;
+        probes = 0;
+        inVain = 0;
+        repeatedStarts.clear();
+    }
+
+    /** Forgets how many attempts were sent in vain. */
+    public void restartSendsInVain() {
+        inVain = 0;
+    }
+
+    void sent(long nowUs, int workerId) {
+        sends++;
+        final Long atUs = reportedAtUs.get(workerId);
+        if (atUs == null) {
+            unknown++;
+            return;
+        }
+        agesUs = ages == agesUs.length ? Arrays.copyOf(agesUs, 2 * ages) : agesUs;
+        agesUs[ages++] = nowUs - atUs;
+    }
+
+    void sentInVain() {
+        inVain++;
+    }
+
+    void started(int requestClass, int startsBefore) {
+        if (startsBefore > 0) {
+            repeatedStarts.merge(requestClass, 1L, Long::sum);
+        }
+    }
+
+    void probed() {
+        probes++;
+    }
+
+    void ended(long nowUs, int workerId, Outcome outcome, LoadReport report) {
+        outcomes.merge(outcome, 1L, Long::sum);
+        reported(nowUs, workerId, report);
+    }
+
+    void reported(long nowUs, int workerId, LoadReport report) {
+        if (!report.equals(LoadReport.NONE)) {
+            reportedAtUs.put(workerId, nowUs);
+        }
+    }
+
+    /** Attempts sent. */
+    public long sends() {
+        return sends;
+    }
+
+    /** Attempts sent to a worker that had reported nothing to this dispatcher yet. */
+    public long sendsToUnknown() {
+        return unknown;
+    }
+
+    /** Attempts sent to a worker that was down or beyond a cut network. */
+    public long sendsInVain() {
+        return inVain;
+    }
+
+    /** Starts of jobs of a class whose request had a job started before. */
+    public long repeatedStarts(int requestClass) {
+        return repeatedStarts.getOrDefault(requestClass, 0L);
+    }
+
+    /** Probes sent. */
+    public long probes() {
+        return probes;
+    }
+
+    /** Attempts that ended so. */
+    public long ended(Outcome outcome) {
+        return outcomes.getOrDefault(outcome, 0L);
+    }
+
+    /**
+     * Time between a worker's last report to this dispatcher and each send to it, in rising order, us. The
+     * report itself may have been old by the worker's own refresh and delay.
+     */
+    public long[] beliefAgesUs() {
+        final long[] sorted = Arrays.copyOf(agesUs, ages);
+        Arrays.sort(sorted);
+        return sorted;
+    }
+}
--- a/src/main/java/cresschute/lab/model/FleetModel.java
+++ b/src/main/java/cresschute/lab/model/FleetModel.java
@@ -40,11 +40,13 @@
     /** How many of a class's requests came within a time, and what became of them. */
     public record Tally(int asked, int inTime, int late, int refused) {}
 
-    private static final class First {
-        private final int requestClass;
-        private final long atUs;
-        private long servedUs = -1;
-        private boolean inTime;
+    /** A client's request, from its first try on. */
+    static final class First {
+        final int requestClass;
+        final long atUs;
+        long startedUs = -1;
+        long servedUs = -1;
+        boolean inTime;
 
         First(int requestClass, long atUs) {
             this.requestClass = requestClass;
@@ -62,6 +64,7 @@
     private final Plan plan;
     private final SplittableRandom random;
     private final Agenda agenda = new Agenda(START_US);
+    private final RegionLink link = new RegionLink();
     private final Map<Integer, ModelWorker> workers = new LinkedHashMap<>();
     private final List<ModelDispatcher> dispatchers = new ArrayList<>();
     private final List<Double> weights = new ArrayList<>();
@@ -81,7 +84,7 @@
         for (int i = 0; i < plan.settings().dispatchers(); i++) {
             final Settings told = inZone(plan.settings(), i % plan.settings().zones());
             final long seed = random.nextLong();
-            dispatchers.add(new ModelDispatcher(agenda, workers,
+            dispatchers.add(new ModelDispatcher(agenda, workers, link, told.zone(),
                 actions -> module.make(told, seed, actions)));
             weights.add(Math.pow(plan.skew(), 2 * random.nextDouble() - 1));
         }
@@ -149,6 +152,11 @@
         burst = times;
     }
 
+    /** The network between the regions. */
+    public RegionLink link() {
+        return link;
+    }
+
     /** Workers by number that are up. */
     public List<Integer> up() {
         return workers.values().stream().filter(ModelWorker::isUp).map(worker -> worker.id).toList();
@@ -197,12 +205,13 @@
         // The list is late by as much for all, and each watch by a little more.
         final long lateUs = 500_000 + random.nextLong(NOTICE_US - 1_000_000);
         dispatchers.forEach(each -> agenda.after(lateUs + random.nextLong(500_000),
-            () -> each.listed(ListForm.CHANGES, List.of(entry))));
+            () -> link.deliver(each.zone, entry.zone(),
+                () -> each.listed(ListForm.CHANGES, List.of(entry)))));
     }
 
     private void arrive() {
         if (arriving) {
-            firstTry(drawClass());
+            firstTry(drawClass(), drawTenant(), anyDispatcher());
             agenda.after((long) (exponential() * 1e6 / (ratePerS() * burst)), this::arrive);
         }
     }
@@ -220,7 +229,22 @@
         return requestClass;
     }
 
-    private void firstTry(int requestClass) {
+    /** Requests of one tenant that come to one dispatcher in one instant. */
+    public Gang gang(int requestClass, int tenant, int count) {
+        final ModelDispatcher dispatcher = anyDispatcher();
+        final List<First> members = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            members.add(firstTry(requestClass, tenant, dispatcher));
+        }
+        return new Gang(members);
+    }
+
+    private int drawTenant() {
+        final int tenants = plan.settings().tenants().size();
+        return tenants == 0 ? 0 : random.nextInt(tenants);
+    }
+
+    private First firstTry(int requestClass, int tenant, ModelDispatcher dispatcher) {
         final Demand demand = plan.demands().get(requestClass);
         final double cv = demand.deviationUs() / demand.meanWorkUs();
         final double sigma = Math.sqrt(Math.log(1 + cv * cv));
@@ -229,7 +253,8 @@
         final int slots = random.nextDouble() < demand.partWithTwoSlots() ? 2 : 1;
         final First first = new First(requestClass, agenda.nowUs());
         firsts.add(first);
-        tryAt(anyDispatcher(), first, workUs, slots, 0);
+        tryAt(dispatcher, first, tenant, workUs, slots, 0);
+        return first;
     }
 
     private ModelDispatcher anyDispatcher() {
@@ -241,13 +266,19 @@
         return dispatchers.get(index);
     }
 
-    private void tryAt(ModelDispatcher dispatcher, First first, double workUs, int slots, int retries) {
+    private void tryAt(ModelDispatcher dispatcher, First first, int tenant, double workUs, int slots,
+        int retries) {
         final RequestClass stated = plan.settings().classes().get(first.requestClass);
         final long leftUs = first.atUs + stated.deadlineUs() - agenda.nowUs();
         if (leftUs <= 0) {
             return;
         }
-        dispatcher.take(first.requestClass, workUs, slots, leftUs, new ModelDispatcher.Client() {
+        dispatcher.take(first.requestClass, tenant, workUs, slots, leftUs, new ModelDispatcher.Client() {
+            @Override
+            public void started() {
+                first.startedUs = first.startedUs < 0 ? agenda.nowUs() : first.startedUs;
+            }
+
             @Override
             public void served() {
                 first.servedUs = agenda.nowUs();
@@ -259,7 +290,8 @@
                 if (retries < RETRIES) {
                     final long adviceUs = random.nextDouble() < HONOURED ? retryAfterUs : 0;
                     final long waitUs = Math.max(adviceUs, (long) (exponential() * BACKOFF_US));
-                    agenda.after(waitUs, () -> tryAt(anyDispatcher(), first, workUs, slots, retries + 1));
+                    agenda.after(waitUs, () -> tryAt(anyDispatcher(), first, tenant, workUs, slots, retries
+                        + 1));
                 }
             }
 
@@ -281,6 +313,18 @@
         return new Tally(of.size(), inTime, served - inTime, of.size() - served);
     }
 
+    /** Times from first try to a worker's start of those of a class that started, in rising order, us. */
+    public long[] startDelaysUs(int requestClass, double fromS, double toS) {
+        return firsts.stream().filter(first -> first.requestClass == requestClass && first.startedUs >= 0
+            && first.atUs - START_US >= fromS * 1e6 && first.atUs - START_US < toS * 1e6)
+            .mapToLong(first -> first.startedUs - first.atUs).sorted().toArray();
+    }
+
+    /** What each dispatcher has sent, asked and learned so far. */
+    public List<DispatcherMeter> meters() {
+        return dispatchers.stream().map(ModelDispatcher::meter).toList();
+    }
+
     /** Sends over first tries: 1 where nothing is sent twice and nothing refused. */
     public double sendsARequest() {
         return (double) dispatchers.stream().mapToLong(each -> each.sends).sum() / Math.max(1, firsts.size());
--- a/src/main/java/cresschute/lab/model/ModelDispatcher.java
+++ b/src/main/java/cresschute/lab/model/ModelDispatcher.java
@@ -20,6 +20,9 @@
 
     /** How a try ended for its client. */
     interface Client {
+        /** A worker has begun to run the job, for the first time or anew. */
+        void started();
+
         void served();
 
         void refused(long retryAfterUs);
@@ -28,14 +31,17 @@
     }
 
     private static final class Open {
+        private final int requestClass;
         private final double workUs;
         private final int slots;
         private final Client client;
         private final Map<Integer, Integer> out = new HashMap<>();
         private int sent;
+        private int starts;
         private boolean closed;
 
-        Open(double workUs, int slots, Client client) {
+        Open(int requestClass, double workUs, int slots, Client client) {
+            this.requestClass = requestClass;
             this.workUs = workUs;
             this.slots = slots;
             this.client = client;
@@ -51,14 +57,20 @@
 
     private final Agenda agenda;
     private final Map<Integer, ModelWorker> workers;
+    private final RegionLink link;
+    final int zone;
     private final Events module;
     private final Map<Integer, Open> open = new HashMap<>();
+    private final DispatcherMeter meter = new DispatcherMeter();
     private int lastId;
     long sends;
 
-    ModelDispatcher(Agenda agenda, Map<Integer, ModelWorker> workers, Function<Actions, Events> module) {
+    ModelDispatcher(Agenda agenda, Map<Integer, ModelWorker> workers, RegionLink link, int zone,
+        Function<Actions, Events> module) {
         this.agenda = agenda;
         this.workers = workers;
+        this.link = link;
+        this.zone = zone;
         this.module = module.apply(this);
     }
 
@@ -66,10 +78,20 @@
         module.listed(agenda.nowUs(), form, entries);
     }
 
-    void take(int requestClass, double workUs, int slots, long waitUs, Client client) {
+    /** Whether a worker's machine is up and the network leads there. */
+    private boolean reaches(ModelWorker worker) {
+        return worker.isUp() && link.connects(zone, worker.zone);
+    }
+
+    /** What it has sent, asked and learned so far. */
+    DispatcherMeter meter() {
+        return meter;
+    }
+
+    void take(int requestClass, int tenant, double workUs, int slots, long waitUs, Client client) {
         final int id = ++lastId;
-        open.put(id, new Open(workUs, slots, client));
-        module.requested(agenda.nowUs(), id, new Job(requestClass, 0, slots, 0, 0, false),
+        open.put(id, new Open(requestClass, workUs, slots, client));
+        module.requested(agenda.nowUs(), id, new Job(requestClass, tenant, slots, 0, 0, false),
             agenda.nowUs() + waitUs - MARGIN_US);
     }
 
@@ -88,9 +110,11 @@
         }
         sends++;
         final long sentUs = agenda.nowUs();
+        meter.sent(sentUs, workerId);
         req.out.put(number, workerId);
         final ModelWorker worker = workers.get(workerId);
-        if (!worker.isUp()) {
+        if (!reaches(worker)) {
+            meter.sentInVain();
             agenda.after(CONNECT_TIMEOUT_US, () -> end(requestId, number, Outcome.CONNECT_FAILED, sentUs));
             return;
         }
@@ -98,13 +122,15 @@
         agenda.after(WAY_US, () -> worker.take(req.workUs, req.slots, new ModelWorker.Sender() {
             @Override
             public void started() {
+                meter.started(req.requestClass, req.starts++);
+                req.client.started();
                 progressed(0);
             }
 
             @Override
             public void progressed(double shareDone) {
                 agenda.after(WAY_US, () -> {
-                    if (req.out.containsKey(number)) {
+                    if (link.connects(zone, worker.zone) && req.out.containsKey(number)) {
                         module.jobProgressed(agenda.nowUs(), requestId, number, workerId, shareDone);
                     }
                 });
@@ -112,7 +138,11 @@
 
             @Override
             public void ended(Outcome outcome) {
-                agenda.after(WAY_US, () -> end(requestId, number, outcome, sentUs));
+                agenda.after(WAY_US, () -> {
+                    if (link.connects(zone, worker.zone)) {
+                        end(requestId, number, outcome, sentUs);
+                    }
+                });
             }
         }));
     }
@@ -128,6 +158,7 @@
         req.closed |= answers;
         final LoadReport report = outcome == Outcome.SERVED || outcome == Outcome.FULL
             || outcome == Outcome.ERROR ? workers.get(workerId).visible() : LoadReport.NONE;
+        meter.ended(nowUs, workerId, outcome, report);
         module.ended(nowUs, requestId, number, workerId, outcome, nowUs - sentUs, req.closed, report);
         if (answers) {
             List.copyOf(req.out.keySet()).forEach(other -> end(requestId, other, Outcome.CANCELLED, sentUs));
@@ -166,9 +197,13 @@
     @Override
     public void probe(int workerId) {
         final ModelWorker worker = workers.get(workerId);
-        final boolean up = worker.isUp();
-        agenda.after(up ? 2 * WAY_US : PROBE_TIMEOUT_US, () -> module.probed(agenda.nowUs(), workerId,
-            up ? Outcome.SERVED : Outcome.CONNECT_FAILED, up ? worker.visible() : LoadReport.NONE));
+        final boolean up = reaches(worker);
+        meter.probed();
+        agenda.after(up ? 2 * WAY_US : PROBE_TIMEOUT_US, () -> {
+            final LoadReport report = up ? worker.visible() : LoadReport.NONE;
+            meter.reported(agenda.nowUs(), workerId, report);
+            module.probed(agenda.nowUs(), workerId, up ? Outcome.SERVED : Outcome.CONNECT_FAILED, report);
+        });
     }
 
     @Override
