--- /dev/null
+++ b/src/test/java/cresschute/scale/AnswerCount.java
@@ -0,0 +1,84 @@
+package cresschute.scale;
+
+import cresschute.DispatchApi.Actions;
+import cresschute.DispatchApi.Events;
+import cresschute.DispatchApi.Outcome;
+import cresschute.lab.model.FleetModel.ModuleMaker;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Counts the final answers that each request gets, between modules and their hosts of the model. */
+final class AnswerCount {
+
+    private record Key(int dispatcher, int requestId) {}
+
+    private final Map<Key, Integer> answers = new HashMap<>();
+    private int dispatchers;
+    private int open;
+    private int mostOpen;
+
+    /** A maker that wraps the modules of another and their actions. */
+    ModuleMaker around(ModuleMaker maker) {
+        return (settings, seed, actions) -> {
+            final int dispatcher = dispatchers++;
+            final Actions counted = (Actions) wrap(Actions.class, actions, (name, args) -> {
+                if (name.equals("refuse") || name.equals("fail")) {
+                    answered(new Key(dispatcher, (Integer) args[0]));
+                }
+            });
+            return (Events) wrap(Events.class, maker.make(settings, seed, counted), (name, args) -> {
+                if (name.equals("requested")) {
+                    answers.put(new Key(dispatcher, (Integer) args[1]), 0);
+                    mostOpen = Math.max(mostOpen, ++open);
+                } else if (name.equals("ended") && args[4] == Outcome.SERVED) {
+                    answered(new Key(dispatcher, (Integer) args[1]));
+                }
+            });
+        };
+    }
+
+    /** What is to be noted of a call before it is passed on. */
+    private interface Note {
+        void of(String method, Object[] arguments);
+    }
+
+    private static Object wrap(Class<?> type, Object of, Note note) {
+        return Proxy.newProxyInstance(type.getClassLoader(), new Class<?>[]{type}, (proxy, method, args) -> {
+            note.of(method.getName(), args);
+            try {
+                return method.invoke(of, args);
+            } catch (InvocationTargetException e) {
+                throw e.getCause();
+            }
+        });
+    }
+
+    private void answered(Key key) {
+        open -= answers.merge(key, 1, Integer::sum) == 1 ? 1 : 0;
+    }
+
+    /** How many requests were taken. */
+    int requests() {
+        return answers.size();
+    }
+
+    /** The most that were open at a time. */
+    int mostOpen() {
+        return mostOpen;
+    }
+
+    /** Requests by dispatcher and number that were not answered exactly once. */
+    List<String> notAnsweredOnce() {
+        final List<String> wrong = new ArrayList<>();
+        answers.forEach((key, count) -> {
+            if (count != 1) {
+                wrong.add(key + " had " + count + " answers");
+            }
+        });
+        return wrong;
+    }
+}
--- /dev/null
+++ b/src/test/java/cresschute/scale/ModuleMemoryScaleTest.java
@@ -0,0 +1,93 @@
+package cresschute.scale;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import cresschute.DispatchApi.ListForm;
+import cresschute.DispatchApi.Outcome;
+import cresschute.DispatchApi.WorkerState;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** What the module holds for each worker, tenant and open request, and that it holds none past its time. */
+class ModuleMemoryScaleTest {
+
+    private static final long SEED = 11;
+    private static final int MAX_BYTES_A_WORKER = 700;
+    private static final int MAX_OBJECTS_A_WORKER = 10;
+    private static final int MAX_BYTES_A_TENANT = 160;
+    private static final int MAX_BYTES_A_REQUEST = 450;
+    private static final int MAX_OBJECTS_A_REQUEST = 6;
+
+    private static ScriptedHost host(int workers, int tenants) {
+        final ScriptedHost host = new ScriptedHost(PlannedSize.settings(PlannedSize.DISPATCHERS, tenants),
+            SEED);
+        host.list(ListForm.CACHED, PlannedSize.workers(workers));
+        return host;
+    }
+
+    private static DeepSize size(ScriptedHost host) {
+        return DeepSize.of(host.module, host);
+    }
+
+    @Test
+    void growsByABoundedPartForEachWorker() {
+        final DeepSize tenth = size(host(PlannedSize.TENTH_OF_WORKERS, 0));
+        final DeepSize all = size(host(PlannedSize.WORKERS, 0));
+        final DeepSize twice = size(host(2 * PlannedSize.WORKERS, 0));
+        final int more = PlannedSize.WORKERS - PlannedSize.TENTH_OF_WORKERS;
+        final double bytes = (double) (all.bytes() - tenth.bytes()) / more;
+        assertThat(bytes).as("bytes a worker").isBetween(100.0, (double) MAX_BYTES_A_WORKER);
+        assertThat((double) (all.objects() - tenth.objects()) / more).as("objects a worker")
+            .isLessThanOrEqualTo(MAX_OBJECTS_A_WORKER);
+        assertThat((double) (twice.bytes() - all.bytes()) / PlannedSize.WORKERS)
+            .as("bytes a worker beyond the planned size").isCloseTo(bytes, within(0.05 * bytes));
+    }
+
+    @Test
+    void growsByABoundedPartForEachTenant() {
+        final long few = size(host(1, PlannedSize.TENANTS)).bytes();
+        final long many = size(host(1, 10 * PlannedSize.TENANTS)).bytes();
+        assertThat((double) (many - few) / (9 * PlannedSize.TENANTS)).as("bytes a tenant")
+            .isBetween(20.0, (double) MAX_BYTES_A_TENANT);
+    }
+
+    @Test
+    void growsByABoundedPartForEachOpenRequestAndForgetsItAtItsEnd() {
+        final ScriptedHost host = host(PlannedSize.WORKERS, 0);
+        final DeepSize idle = size(host);
+        for (int i = 0; i < PlannedSize.RUNNING; i++) {
+            host.request(PlannedSize.USUAL, 0);
+        }
+        final DeepSize full = size(host);
+        assertThat(host.out).as("attempts out").hasSize(PlannedSize.RUNNING);
+        assertThat((double) (full.bytes() - idle.bytes()) / PlannedSize.RUNNING).as("bytes a request")
+            .isBetween(100.0, (double) MAX_BYTES_A_REQUEST);
+        assertThat((double) (full.objects() - idle.objects()) / PlannedSize.RUNNING)
+            .as("objects a request").isLessThanOrEqualTo(MAX_OBJECTS_A_REQUEST);
+        while (!host.out.isEmpty()) {
+            host.end(Outcome.SERVED);
+        }
+        assertThat(size(host).objects()).as("objects after the last request").isEqualTo(idle.objects());
+    }
+
+    /** As many replacements as in 60 days, under new numbers and in the same places of the fleet. */
+    @Test
+    void holdsNothingOfWorkersThatWereReplaced() {
+        final ScriptedHost host = host(PlannedSize.WORKERS, 0);
+        final DeepSize before = size(host);
+        final int replaced = 60 * 79;
+        for (int id = 0; id < replaced; id++) {
+            final int at = id % PlannedSize.WORKERS;
+            host.list(ListForm.CHANGES, List.of(PlannedSize.worker(at, WorkerState.GONE, 0)));
+            host.list(ListForm.CHANGES, List.of(PlannedSize.worker(at, WorkerState.READY, host.nowUs)));
+            host.nowUs += PlannedSize.SECOND_US;
+        }
+        assertThat(size(host).objects()).as("objects after %d replacements", replaced)
+            .isEqualTo(before.objects());
+        host.list(ListForm.FULL, IntStream.range(0, PlannedSize.TENTH_OF_WORKERS)
+            .mapToObj(id -> PlannedSize.worker(id, WorkerState.READY, 0)).toList());
+        assertThat(size(host).bytes()).as("bytes with a tenth of the workers").isLessThan(before.bytes() / 5);
+    }
+}
--- /dev/null
+++ b/src/test/java/cresschute/scale/RestartScaleTest.java
@@ -0,0 +1,80 @@
+package cresschute.scale;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import cresschute.DispatchApi.ListForm;
+import cresschute.DispatchApi.Outcome;
+import cresschute.DispatchApi.Worker;
+import cresschute.DispatchApi.WorkerState;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What a restarted dispatcher's module asks for, what changes make it ask, and when its list is right. */
+class RestartScaleTest {
+
+    private static final long SEED = 13;
+    private static final int REQUESTS = 1_000;
+    /** Guards the discovery against a herd: all ask within this time, and none twice. */
+    private static final long ASKS_WITHIN_US = PlannedSize.SECOND_US + 50_000;
+
+    private static ScriptedHost restarted(int workers) {
+        final ScriptedHost host = new ScriptedHost(
+            PlannedSize.settings(PlannedSize.DISPATCHERS, PlannedSize.TENANTS), SEED);
+        host.list(ListForm.CACHED, PlannedSize.workers(workers));
+        return host;
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {PlannedSize.TENTH_OF_WORKERS, PlannedSize.WORKERS, 10 * PlannedSize.WORKERS})
+    void asksOnceForTheListAndProbesNobody(int workers) {
+        final ScriptedHost host = restarted(workers);
+        host.pass(ASKS_WITHIN_US);
+        assertThat(host.watches).as("calls for the list in the first second").isEqualTo(1);
+        host.pass(60 * PlannedSize.SECOND_US);
+        assertThat(host.watches).as("calls for the list in a minute").isEqualTo(1);
+        assertThat(host.probes).as("probes in a minute without requests").isZero();
+    }
+
+    /** The cached list is old: a tenth of its workers is gone and a tenth has come since. */
+    @Test
+    void sendsToNoWorkerThatIsGoneOnceTheListHasCome() {
+        final ScriptedHost host = restarted(PlannedSize.WORKERS);
+        host.pass(ASKS_WITHIN_US);
+        final int gone = PlannedSize.WORKERS / 10;
+        final List<Worker> now = IntStream.range(gone, PlannedSize.WORKERS + gone)
+            .mapToObj(id -> PlannedSize.worker(id, WorkerState.READY, 0)).toList();
+        host.list(ListForm.FULL, now);
+        boolean toNew = false;
+        for (int i = 0; i < REQUESTS; i++) {
+            host.request(PlannedSize.USUAL, i % PlannedSize.TENANTS);
+            assertThat(host.out.peek().workerId()).as("worker of request %d", i).isGreaterThanOrEqualTo(gone);
+            toNew |= host.out.peek().workerId() >= PlannedSize.WORKERS;
+            host.end(Outcome.SERVED);
+            host.nowUs += 1_000;
+        }
+        assertThat(toNew).as("a new worker was sent to").isTrue();
+    }
+
+    @Test
+    void changesOfListAndSettingsCauseNoMessages() {
+        final ScriptedHost host = restarted(PlannedSize.WORKERS);
+        host.pass(ASKS_WITHIN_US);
+        final int changes = 1_500;
+        final long betweenUs = 100_000;
+        final long before = host.ticks;
+        for (int i = 0; i < changes; i++) {
+            host.list(ListForm.CHANGES,
+                List.of(PlannedSize.worker(i % PlannedSize.WORKERS, WorkerState.READY, host.nowUs)));
+            host.module.retuned(host.nowUs, PlannedSize.settings(PlannedSize.DISPATCHERS,
+                PlannedSize.TENANTS + i % 2));
+            host.pass(betweenUs);
+        }
+        assertThat(host.watches).as("calls for the list after %d changes", changes).isEqualTo(1);
+        assertThat(host.probes + host.sends).as("probes and sends after %d changes", changes).isZero();
+        // One timer goes on, however many changes came: else each would add one for good.
+        assertThat(host.ticks - before).as("ticks").isEqualTo(changes * betweenUs / ScriptedHost.TICK_US);
+    }
+}
--- /dev/null
+++ b/src/test/java/cresschute/scale/ScriptedHost.java
@@ -0,0 +1,138 @@
+package cresschute.scale;
+
+import cresschute.DispatchApi.Actions;
+import cresschute.DispatchApi.Job;
+import cresschute.DispatchApi.ListForm;
+import cresschute.DispatchApi.LoadReport;
+import cresschute.DispatchApi.Outcome;
+import cresschute.DispatchApi.Settings;
+import cresschute.DispatchApi.Worker;
+import cresschute.Logic;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The host of one module, turned by hand: time passes only by {@link #pass}, and nothing ends by itself. */
+final class ScriptedHost implements Actions {
+
+    /** An attempt that has not ended. */
+    record Sent(int requestId, int attempt, int workerId) {}
+
+    private static final int SLOTS = 10;
+    /** The module's own pause between looks at its requests, for these classes. */
+    static final long TICK_US = 50_000;
+
+    final Logic module;
+    final Deque<Sent> out = new ArrayDeque<>();
+    private final Deque<Integer> probed = new ArrayDeque<>();
+    private final Map<Integer, Integer> attempts = new HashMap<>();
+    private final Map<Integer, Integer> answers = new HashMap<>();
+    private int timers;
+    private long lastRequest;
+    long nowUs = 1_000 * PlannedSize.SECOND_US;
+    long sends;
+    long probes;
+    long watches;
+    long ticks;
+
+    ScriptedHost(Settings settings, long seed) {
+        module = new Logic(settings, seed, this);
+    }
+
+    void list(ListForm form, List<Worker> entries) {
+        module.listed(nowUs, form, entries);
+    }
+
+    int request(int requestClass, int tenant) {
+        final int id = (int) ++lastRequest;
+        module.requested(nowUs, id, new Job(requestClass, tenant, 1, 0, 0, false),
+            nowUs + PlannedSize.CLASSES.get(requestClass).deadlineUs());
+        answerProbes();
+        return id;
+    }
+
+    /** Answers all probes with free slots. */
+    void answerProbes() {
+        while (!probed.isEmpty()) {
+            module.probed(nowUs, probed.poll(), Outcome.SERVED, new LoadReport(SLOTS, -1, 0));
+        }
+    }
+
+    /** Ends the oldest attempt; a served one answers its request. */
+    void end(Outcome outcome) {
+        final Sent sent = out.poll();
+        final boolean answers = outcome == Outcome.SERVED;
+        if (answers) {
+            answered(sent.requestId());
+        }
+        module.ended(nowUs, sent.requestId(), sent.attempt(), sent.workerId(), outcome,
+            PlannedSize.SECOND_US, answers, answers ? new LoadReport(SLOTS, -1, 0) : LoadReport.NONE);
+        answerProbes();
+    }
+
+    /** Lets time pass, a tick of the module's after the other. */
+    void pass(long us) {
+        final long untilUs = nowUs + us;
+        while (nowUs < untilUs) {
+            nowUs += TICK_US;
+            for (int due = timers; due > 0; due--) {
+                timers--;
+                ticks++;
+                module.woken(nowUs, 0);
+                answerProbes();
+            }
+        }
+    }
+
+    private void answered(int requestId) {
+        answers.merge(requestId, 1, Integer::sum);
+    }
+
+    int answers(int requestId) {
+        return answers.getOrDefault(requestId, 0);
+    }
+
+    @Override
+    public void send(int requestId, int workerId, long giveUpUs) {
+        sends++;
+        out.add(new Sent(requestId, attempts.merge(requestId, 1, Integer::sum) - 1, workerId));
+    }
+
+    @Override
+    public void refuse(int requestId, long retryAfterUs) {
+        answered(requestId);
+    }
+
+    @Override
+    public void fail(int requestId) {
+        answered(requestId);
+    }
+
+    @Override
+    public void wakeAfter(long token, long delayUs) {
+        timers++;
+    }
+
+    @Override
+    public void watchList() {
+        watches++;
+    }
+
+    @Override
+    public void probe(int workerId) {
+        probes++;
+        probed.add(workerId);
+    }
+
+    @Override
+    public void tellSilent(int workerId, int requestClass) {
+        throw new IllegalStateException("no peer messages here");
+    }
+
+    @Override
+    public void closeIdle(int workerId) {
+        throw new IllegalStateException("nothing is stated of drains here");
+    }
+}
