Slow start: send cold workers only jobs that they bear if these turn out large

Cause: the module reckoned with N + 3 x root of N + 3 jobs that a cold worker bears; the bound is N + 2 x root of N + 2. Counted against it in the model (FleetModel.coldTally), workers fell by the work that one or two jobs turned out to have, never by their number. A dispatcher of many sees few jobs of a class, takes it for short after one short sample, and sends just such jobs to cold workers (Logic.coldAllows, the size allowed for one job).

Change: ColdStart.jobsBorne states the bound, used by the module and the model; one job may be 0.18 of it (COLD_LARGEST_BORNE) or half of the budget, and its work is taken as the estimate and its error (Request.cautiousWork).

Each class still goes to cold workers, with lower bounds in the test. In FleetModelTest the new test fails on the module before with 20 and with 100 dispatchers (a fall each); its other bounds are unchanged and hold.

Ruled out: budget parts that lapse unused (cold workers got 4 in 10 jobs fewer, falls stayed), three tenths of the budget (falls stayed), a fifth of the bound (one fall in 80), 0.15 (few dispatchers sent no long job).

--- a/src/main/java/cresschute/DispatchApi.java
+++ b/src/main/java/cresschute/DispatchApi.java
@@ -151,12 +151,25 @@
      * capacity of the moment for {@code tipAfterUs}, it falls over.
      */
     public record ColdStart(double fromShare, long warmWithinUs, double overloadFactor, long tipAfterUs) {
+
+        /** Slack for chance in the rule on cold workers: so many roots of the stated jobs, and so many jobs. */
+        private static final double CHANCE_SLACK = 2;
+
         public ColdStart {
             require(fromShare > 0 && fromShare <= 1, "coldStart fromShare");
             require(warmWithinUs >= 0, "coldStart warmWithinUs");
             require(overloadFactor > 0, "coldStart overloadFactor");
             require(tipAfterUs >= 0, "coldStart tipAfterUs");
         }
+
+        /**
+         * Jobs of mean work within {@code tipAfterUs} beyond which a cold worker falls, slack for chance included.
+         *
+         * @param stated how many of them {@code overloadFactor} times its capacity of the moment are
+         */
+        public double jobsBorne(double stated) {
+            return stated + CHANCE_SLACK * (Math.sqrt(stated) + 1);
+        }
     }
 
     /** Weights of the goal's parts; only their proportions count. */
--- a/src/main/java/cresschute/Logic.java
+++ b/src/main/java/cresschute/Logic.java
@@ -84,9 +84,9 @@
     private static final int ERRORS_BORNE = 3;
     /** Part of the stated cold budget that is used: estimates of work and capacity may be off by this. */
     private static final double COLD_SAFETY = 0.4;
-    /** Largest job that a cold worker gets, in parts of what all may send it in a window and of chance. */
+    /** Largest job for a cold worker, by what all may send it and what it bears: jobs may be far larger. */
     private static final double COLD_LARGEST = 0.5;
-    private static final double COLD_CHANCE = 0.25;
+    private static final double COLD_LARGEST_BORNE = 0.18;
     /** Pause before a failed list call is repeated, us, jittered; far inside the limit for asking. */
     private static final long ASK_AGAIN_US = 1_000_000;
     /** An even part of a share times this is within it: traffic is not spread evenly over dispatchers. */
@@ -239,17 +239,17 @@
     }
 
     /** Guards against pushing a cold worker over: this dispatcher's even part of the stated budget. */
-    private boolean coldAllows(Node node, long nowUs, double work) {
+    private boolean coldAllows(Node node, long nowUs, Request request) {
+        final double work = request.cautiousWork();
         final double part = coldPart(node, nowUs);
         final double own = node.coldTokens(nowUs, part, settings.coldStart().tipAfterUs());
-        // The more share the budget, the less is a part beside a job: all parts count together, each worker
-        // gets one job ahead, and larger ones within the chance that many senders are allowed.
+        // The more share the budget, the less is a part beside a job: all count together, one job ahead each.
         final double others = 1 - 1.0 / settings.dispatchers();
         final double mean = meanRunUs * meanSlots;
-        final double stated = part * settings.dispatchers() / COLD_SAFETY / mean;
-        final double chance = others * COLD_CHANCE * mean * (3 * Math.sqrt(stated) + 3);
+        final double all = part * settings.dispatchers();
+        final double borne = mean * settings.coldStart().jobsBorne(all / COLD_SAFETY / mean);
         return warmth(node, nowUs) == 1 || coldTokens >= 0 && own >= work - others * (work + mean)
-            && work <= COLD_LARGEST * part * settings.dispatchers() + chance;
+            && work <= Math.max(COLD_LARGEST * all, COLD_LARGEST_BORNE * borne);
     }
 
     private void learnOthers(Node node, long nowUs, double slotsInUse) {
@@ -404,7 +404,7 @@
                 node = next.getValue();
                 request.home = request.home == null ? node : request.home;
             }
-            if (node == request.last || ready.contains(node) || !coldAllows(node, nowUs, request.work())) {
+            if (node == request.last || ready.contains(node) || !coldAllows(node, nowUs, request)) {
                 continue;
             }
             withRoom += hasRoom(node, nowUs, request) ? 1 : 0;
@@ -473,7 +473,7 @@
             return;
         }
         final Node best = request.answered;
-        final boolean open = best != null && best.pooled && coldAllows(best, nowUs, request.work());
+        final boolean open = best != null && best.pooled && coldAllows(best, nowUs, request);
         if (open && (request.rounds >= ROUNDS || hasRoom(best, nowUs, request))) {
             send(request, best, nowUs);
             return;
@@ -736,7 +736,7 @@
                 to = drawn.get(0);
             }
         }
-        if (to != null && to.pooled && hasRoom(to, nowUs, request) && coldAllows(to, nowUs, request.work())) {
+        if (to != null && to.pooled && hasRoom(to, nowUs, request) && coldAllows(to, nowUs, request)) {
             if (binds) {
                 bind(request, attempt);
             }
--- a/src/main/java/cresschute/Request.java
+++ b/src/main/java/cresschute/Request.java
@@ -61,6 +61,11 @@
         return slots * runUs();
     }
 
+    /** Work that it may well turn out to have: more than the estimate by its error where few jobs were seen. */
+    double cautiousWork() {
+        return work() * (hintUs > 0 || owner.samples == 0 ? 1 : 1 + 1 / Math.sqrt(owner.samples));
+    }
+
     /** Starts to wait for the answers of these to a probe, and for no others; the best so far is kept. */
     void ask(List<Node> nodes) {
         rounds++;
--- a/src/main/java/cresschute/lab/model/FleetModel.java
+++ b/src/main/java/cresschute/lab/model/FleetModel.java
@@ -8,6 +8,7 @@
 import cresschute.DispatchApi.Worker;
 import cresschute.DispatchApi.WorkerState;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -40,6 +41,18 @@
     /** How many of a class's requests came within a time, and what became of them. */
     public record Tally(int asked, int inTime, int late, int refused) {}
 
+    /**
+     * What cold workers were sent in a window of the rule, over what they bore then.
+     *
+     * @param falls cold workers that fell by the work sent
+     * @param fallsByCount cold workers that would have fallen by the number of jobs alone
+     * @param maxWorkRatio the worst window by work
+     * @param maxCountRatio the worst window by number of jobs
+     * @param sends jobs sent to cold workers, by class
+     */
+    public record ColdTally(int falls, int fallsByCount, double maxWorkRatio, double maxCountRatio,
+        List<Integer> sends) {}
+
     private static final class First {
         private final int requestClass;
         private final long atUs;
@@ -66,6 +79,7 @@
     private final List<ModelDispatcher> dispatchers = new ArrayList<>();
     private final List<Double> weights = new ArrayList<>();
     private final List<First> firsts = new ArrayList<>();
+    private final int[] coldSends;
     private double burst = 1;
     private boolean arriving = true;
 
@@ -73,6 +87,7 @@
     public FleetModel(Plan plan, ModuleMaker module) {
         this.plan = plan;
         this.random = new SplittableRandom(plan.seed());
+        this.coldSends = new int[plan.demands().size()];
         final List<Worker> listed = new ArrayList<>();
         for (int id = 0; id < plan.workers(); id++) {
             addWorker(id);
@@ -82,7 +97,7 @@
             final Settings told = inZone(plan.settings(), i % plan.settings().zones());
             final long seed = random.nextLong();
             dispatchers.add(new ModelDispatcher(agenda, workers,
-                actions -> module.make(told, seed, actions)));
+                actions -> module.make(told, seed, actions), coldSends));
             weights.add(Math.pow(plan.skew(), 2 * random.nextDouble() - 1));
         }
         dispatchers.forEach(each -> each.listed(ListForm.CACHED, listed));
@@ -290,4 +305,13 @@
     public long fallen() {
         return workers.values().stream().filter(ModelWorker::fell).count();
     }
+
+    /** What cold workers were sent, and how near to a fall, or beyond, they came. */
+    public ColdTally coldTally() {
+        return new ColdTally((int) fallen(),
+            (int) workers.values().stream().filter(worker -> worker.maxColdCountRatio() > 1).count(),
+            workers.values().stream().mapToDouble(ModelWorker::maxColdWorkRatio).max().orElse(0),
+            workers.values().stream().mapToDouble(ModelWorker::maxColdCountRatio).max().orElse(0),
+            Arrays.stream(coldSends).boxed().toList());
+    }
 }
--- a/src/main/java/cresschute/lab/model/ModelDispatcher.java
+++ b/src/main/java/cresschute/lab/model/ModelDispatcher.java
@@ -28,6 +28,7 @@
     }
 
     private static final class Open {
+        private final int requestClass;
         private final double workUs;
         private final int slots;
         private final Client client;
@@ -35,7 +36,8 @@
         private int sent;
         private boolean closed;
 
-        Open(double workUs, int slots, Client client) {
+        Open(int requestClass, double workUs, int slots, Client client) {
+            this.requestClass = requestClass;
             this.workUs = workUs;
             this.slots = slots;
             this.client = client;
@@ -53,12 +55,16 @@
     private final Map<Integer, ModelWorker> workers;
     private final Events module;
     private final Map<Integer, Open> open = new HashMap<>();
+    /** Jobs sent to cold workers by all dispatchers, by class. */
+    private final int[] coldSends;
     private int lastId;
     long sends;
 
-    ModelDispatcher(Agenda agenda, Map<Integer, ModelWorker> workers, Function<Actions, Events> module) {
+    ModelDispatcher(Agenda agenda, Map<Integer, ModelWorker> workers, Function<Actions, Events> module,
+        int[] coldSends) {
         this.agenda = agenda;
         this.workers = workers;
+        this.coldSends = coldSends;
         this.module = module.apply(this);
     }
 
@@ -68,7 +74,7 @@
 
     void take(int requestClass, double workUs, int slots, long waitUs, Client client) {
         final int id = ++lastId;
-        open.put(id, new Open(workUs, slots, client));
+        open.put(id, new Open(requestClass, workUs, slots, client));
         module.requested(agenda.nowUs(), id, new Job(requestClass, 0, slots, 0, 0, false),
             agenda.nowUs() + waitUs - MARGIN_US);
     }
@@ -94,6 +100,7 @@
             agenda.after(CONNECT_TIMEOUT_US, () -> end(requestId, number, Outcome.CONNECT_FAILED, sentUs));
             return;
         }
+        coldSends[req.requestClass] += worker.isCold() ? 1 : 0;
         agenda.at(giveUpUs, () -> end(requestId, number, Outcome.TIMED_OUT, sentUs));
         agenda.after(WAY_US, () -> worker.take(req.workUs, req.slots, new ModelWorker.Sender() {
             @Override
--- a/src/main/java/cresschute/lab/model/ModelWorker.java
+++ b/src/main/java/cresschute/lab/model/ModelWorker.java
@@ -60,6 +60,8 @@
     private LoadReport visible = LoadReport.NONE;
     private final double meanWorkUs;
     private boolean fell;
+    private double maxColdCountRatio;
+    private double maxColdWorkRatio;
 
     ModelWorker(Agenda agenda, ColdStart cold, int id, int zone, int kind, int cell, int slots, double speed,
         double meanWorkUs) {
@@ -128,6 +130,11 @@
             : cold.fromShare() + (1 - cold.fromShare()) * ageUs / cold.warmWithinUs();
     }
 
+    /** Whether it has started too lately to do all that it will. */
+    boolean isCold() {
+        return warmth(agenda.nowUs()) < 1;
+    }
+
     /** Whether it was pushed over while it was cold. */
     boolean fell() {
         return fell;
@@ -147,7 +154,17 @@
         startWaiting();
     }
 
-    /** It falls when a window brings more than n + 3 root n + 3 jobs of mean work, n being what is stated. */
+    /** The largest number of jobs in any window while cold, over what it bore then. */
+    double maxColdCountRatio() {
+        return maxColdCountRatio;
+    }
+
+    /** The most work in any window while cold, over what it bore then; above 1 it fell. */
+    double maxColdWorkRatio() {
+        return maxColdWorkRatio;
+    }
+
+    /** Counts the jobs and their work in the window that ends now; by their work, it falls over the bound. */
     private void noteCold(double work) {
         final long nowUs = agenda.nowUs();
         if (!up || warmth(nowUs) >= 1) {
@@ -158,9 +175,11 @@
             colds.poll();
         }
         final double sent = colds.stream().mapToLong(each -> each[1]).sum() / meanWorkUs;
-        final double stated = cold.overloadFactor() * warmth(nowUs) * slots * speed * cold.tipAfterUs()
-            / meanWorkUs;
-        if (sent > stated + 3 * Math.sqrt(stated) + 3) {
+        final double bound = cold.jobsBorne(cold.overloadFactor() * warmth(nowUs) * slots * speed
+            * cold.tipAfterUs() / meanWorkUs);
+        maxColdCountRatio = Math.max(maxColdCountRatio, colds.size() / bound);
+        maxColdWorkRatio = Math.max(maxColdWorkRatio, sent / bound);
+        if (sent > bound) {
             fell = true;
             lose();
         }
--- a/src/test/java/cresschute/lab/model/FleetModelTest.java
+++ b/src/test/java/cresschute/lab/model/FleetModelTest.java
@@ -12,16 +12,19 @@
 import cresschute.DispatchApi.Settings;
 import cresschute.DispatchApi.WeightSource;
 import cresschute.Logic;
+import cresschute.lab.model.FleetModel.ColdTally;
 import cresschute.lab.model.FleetModel.Demand;
 import cresschute.lab.model.FleetModel.Kind;
 import cresschute.lab.model.FleetModel.Plan;
 import cresschute.lab.model.FleetModel.Tally;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * A fleet of 100 dispatchers that each see little traffic, in virtual time: every class keeps its service in
@@ -53,21 +56,26 @@
     private static final List<Demand> UNTOLD_WORK = List.of(new Demand(0.46, 680_000, 1_500_000, 0),
         new Demand(0.43, 2_750_000, 5_500_000, 0), new Demand(0.11, 4_100_000, 8_000_000, 0));
 
-    private static Settings settings(List<RequestClass> classes, ColdStart cold, boolean told) {
-        return new Settings(DISPATCHERS, 0, 3, 3, classes, List.of(), 1, false,
+    private static Settings settings(int dispatchers, List<RequestClass> classes, ColdStart cold,
+        boolean told) {
+        return new Settings(dispatchers, 0, 3, 3, classes, List.of(), 1, false,
             new Limits(5, 2 * SECOND, told), cold, new Goal(0.65, 0.15, 0.2, 0), false, 0,
             WeightSource.NOMINAL, told, true, SECOND, 0, told, false, 0, false, Settings.UNLIMITED);
     }
 
     private static FleetModel told(double load, long seed) {
-        return new FleetModel(new Plan(settings(TOLD, new ColdStart(0.32, 8_800_000, 3, SECOND), true),
-            TOLD_WORK, List.of(new Kind(5, 1.5, 0.31), new Kind(4, 0.97, 0.69)), WORKERS, 6, load, 3, seed),
-            Logic::new);
+        return told(DISPATCHERS, WORKERS, load, seed);
+    }
+
+    private static FleetModel told(int dispatchers, int workers, double load, long seed) {
+        final ColdStart cold = new ColdStart(0.32, 8_800_000, 3, SECOND);
+        return new FleetModel(new Plan(settings(dispatchers, TOLD, cold, true), TOLD_WORK,
+            List.of(new Kind(5, 1.5, 0.31), new Kind(4, 0.97, 0.69)), workers, 6, load, 3, seed), Logic::new);
     }
 
     private static FleetModel untold(double load, long seed) {
         final ColdStart cold = new ColdStart(0.13, 24 * SECOND, 3, 2 * SECOND);
-        return new FleetModel(new Plan(settings(UNTOLD, cold, false), UNTOLD_WORK,
+        return new FleetModel(new Plan(settings(DISPATCHERS, UNTOLD, cold, false), UNTOLD_WORK,
             List.of(new Kind(3, 2, 0.31), new Kind(2, 1.2, 0.31), new Kind(2, 0.8, 0.38)),
             WORKERS, 6, load, 3, seed), Logic::new);
     }
@@ -105,6 +113,23 @@
         fleet.drain();
     }
 
+    /** Low load, a third of the workers back cold and a tenth as many new ones; then a burst. */
+    static FleetModel coldUnderBurst(int dispatchers, int workers, double burst, long seed) {
+        final FleetModel fleet = told(dispatchers, workers, 0.35, seed);
+        fleet.pass(2 * SECOND);
+        final List<Integer> cold = new ArrayList<>(fleet.up().subList(0, workers / 3));
+        fleet.lose(cold);
+        fleet.pass(4 * SECOND);
+        IntStream.range(workers, workers + workers / 10).forEach(cold::add);
+        fleet.start(cold);
+        fleet.pass(7 * SECOND / 2);
+        fleet.burst(burst);
+        fleet.pass(3 * SECOND);
+        fleet.burst(1);
+        fleet.pass(3 * SECOND);
+        return fleet;
+    }
+
     private static double inTime(FleetModel fleet, int requestClass, double fromS, double toS) {
         final Tally tally = fleet.tally(requestClass, fromS, toS);
         return (double) tally.inTime() / tally.asked();
@@ -152,6 +177,27 @@
         }
     }
 
+    /**
+     * Cold workers come in low load and a burst meets them halfway: what all dispatchers send to one of them
+     * together stays under what it bears, by number and by work, and jobs of every class still go to them.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 20, 100})
+    void coldWorkersBearWhatAllDispatchersSendTogether(int dispatchers) {
+        final int[] sends = new int[3];
+        for (long seed = 11; seed <= 20; seed++) {
+            final ColdTally tally = coldUnderBurst(dispatchers, WORKERS, 3, seed).coldTally();
+            assertThat(tally.falls()).as("falls, seed %d", seed).isZero();
+            assertThat(tally.maxWorkRatio()).as("worst window by work, seed %d", seed).isLessThan(0.95);
+            assertThat(tally.maxCountRatio()).as("worst window by number, seed %d", seed).isLessThan(0.95);
+            Arrays.setAll(sends, requestClass -> sends[requestClass] + tally.sends().get(requestClass));
+        }
+        final double coldWorkers = 10 * (WORKERS / 3 + WORKERS / 10);
+        assertThat(sends[0] / coldWorkers).as("short jobs a cold worker").isGreaterThan(2);
+        assertThat(sends[1] / coldWorkers).as("longer jobs a cold worker").isGreaterThan(0.6);
+        assertThat(sends[2] / coldWorkers).as("long jobs a cold worker").isGreaterThan(0.12);
+    }
+
     @Test
     void theSameSeedIsTheSameRun() {
         final List<Tally> runs = new ArrayList<>();
--- /dev/null
+++ b/src/test/java/cresschute/lab/model/ModelWorkerTest.java
@@ -0,0 +1,85 @@
+package cresschute.lab.model;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import cresschute.DispatchApi.ColdStart;
+import cresschute.DispatchApi.Outcome;
+import org.junit.jupiter.api.Test;
+
+/** What the model counts at a cold worker, against the rule's own figures. */
+class ModelWorkerTest {
+
+    private static final long SECOND = 1_000_000;
+    private static final long MEAN_WORK_US = 100_000;
+
+    private final Agenda agenda = new Agenda(SECOND);
+    // Half of 2 slots for a second, doubled: 20 jobs of 0.1 s; a worker that hardly warms while it is looked at.
+    private final ColdStart rule = new ColdStart(0.5, 1_000_000 * SECOND, 2, SECOND);
+    private final ModelWorker worker = new ModelWorker(agenda, rule, 0, 0, 0, 0, 2, 1, MEAN_WORK_US);
+
+    private void send(int jobs, long workUs) {
+        for (int i = 0; i < jobs; i++) {
+            worker.take(workUs, 1, new ModelWorker.Sender() {
+                @Override
+                public void started() {
+                    // Only what the worker counts is looked at.
+                }
+
+                @Override
+                public void progressed(double shareDone) {
+                    // Only what the worker counts is looked at.
+                }
+
+                @Override
+                public void ended(Outcome outcome) {
+                    // Only what the worker counts is looked at.
+                }
+            });
+        }
+    }
+
+    @Test
+    void bearsTwoRootsAndTwoJobsBeyondWhatIsStated() {
+        assertThat(rule.jobsBorne(0)).isEqualTo(2);
+        assertThat(rule.jobsBorne(4)).isEqualTo(10);
+        assertThat(rule.jobsBorne(100)).isEqualTo(122);
+    }
+
+    @Test
+    void fallsByTheFirstJobBeyondTheBound() {
+        worker.startAnew();
+        // 20 + 2 x 4.47 + 2 = 30.9 jobs.
+        send(30, MEAN_WORK_US);
+        assertThat(worker.fell()).isFalse();
+        assertThat(worker.maxColdCountRatio()).isCloseTo(30 / 30.944, within(0.001));
+        send(1, MEAN_WORK_US);
+        assertThat(worker.fell()).isTrue();
+        assertThat(worker.isUp()).isFalse();
+    }
+
+    @Test
+    void countsNumberAndWorkApart() {
+        worker.startAnew();
+        send(10, 2 * MEAN_WORK_US);
+        assertThat(worker.maxColdWorkRatio()).isCloseTo(20 / 30.944, within(0.001));
+        assertThat(worker.maxColdCountRatio()).isCloseTo(10 / 30.944, within(0.001));
+    }
+
+    @Test
+    void countsOnlyWhatCameWithinTheWindow() {
+        worker.startAnew();
+        send(20, MEAN_WORK_US);
+        agenda.runUntil(agenda.nowUs() + SECOND + 1);
+        send(20, MEAN_WORK_US);
+        assertThat(worker.fell()).isFalse();
+        assertThat(worker.maxColdCountRatio()).isCloseTo(20 / 30.944, within(0.001));
+    }
+
+    @Test
+    void aWarmWorkerBearsAnyNumber() {
+        send(1000, MEAN_WORK_US);
+        assertThat(worker.fell()).isFalse();
+        assertThat(worker.maxColdCountRatio()).isZero();
+    }
+}
