--- a/src/main/java/cresschute/lab/model/ModelDispatcher.java
+++ b/src/main/java/cresschute/lab/model/ModelDispatcher.java
@@ -62,15 +62,18 @@
     private final Events module;
     private final Map<Integer, Open> open = new HashMap<>();
     private final DispatcherMeter meter = new DispatcherMeter();
+    /** Jobs sent to cold workers by all dispatchers, by class. */
+    private final int[] coldSends;
     private int lastId;
     long sends;
 
     ModelDispatcher(Agenda agenda, Map<Integer, ModelWorker> workers, RegionLink link, int zone,
-        Function<Actions, Events> module) {
+        Function<Actions, Events> module, int[] coldSends) {
         this.agenda = agenda;
         this.workers = workers;
         this.link = link;
         this.zone = zone;
+        this.coldSends = coldSends;
         this.module = module.apply(this);
     }
 
@@ -118,6 +121,7 @@
             agenda.after(CONNECT_TIMEOUT_US, () -> end(requestId, number, Outcome.CONNECT_FAILED, sentUs));
             return;
         }
+        coldSends[req.requestClass] += worker.isCold() ? 1 : 0;
         agenda.at(giveUpUs, () -> end(requestId, number, Outcome.TIMED_OUT, sentUs));
         agenda.after(WAY_US, () -> worker.take(req.workUs, req.slots, new ModelWorker.Sender() {
             @Override
