--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -7,7 +7,7 @@
 import cresschute.logs.LogEvent;
 import cresschute.node.http.BackendConnections;
 import cresschute.node.http.ClientFront;
-import cresschute.node.http.DirectorClient;
+import cresschute.node.http.DiscoveryClient;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -53,7 +53,7 @@
     private final Core core;
     private final ClientFront front;
     private final BackendConnections backends;
-    private final DirectorClient director;
+    private final DiscoveryClient director;
     /** The operator's place, or null where nobody can connect. */
     private final ControlDesk desk;
     /** The platform operators' place, or null where they do not call. */
@@ -102,7 +102,7 @@
         backends = new BackendConnections(loop, troubles, config.connectTimeoutUs(), config.connIdleUs(),
             shares.workers(), config.bodies() != null);
         director = config.director() == null ? null
-            : new DirectorClient(loop, config.director(), core, troubles);
+            : new DiscoveryClient(loop, config.director(), core, troubles);
     }
 
     /** Starts all of it; returns, with the address, once clients can connect. */
--- a/src/main/java/cresschute/node/http/DirectorClient.java
+++ b/src/main/java/cresschute/node/http/DiscoveryClient.java
@@ -47,7 +47,7 @@
  * director says the same again when asked anew for its whole list: a stale answer must not bring a drained
  * backend back, and a director that counts anew must not be disbelieved for good.
  */
-public final class DirectorClient implements Director {
+public final class DiscoveryClient implements Director {
 
     /** How long the director may wait for news, ms: short, since a silent one shows only after it. */
     private static final long WAIT_MS = 2_500;
@@ -77,7 +77,7 @@
     private boolean doubted;
 
     /** Does nothing until it is asked to watch. */
-    public DirectorClient(EventLoop loop, InetSocketAddress addr, Core core, RateLimitedLog troubles) {
+    public DiscoveryClient(EventLoop loop, InetSocketAddress addr, Core core, RateLimitedLog troubles) {
         this.loop = loop;
         this.addr = addr;
         this.core = core;
