Repeat silent discovery calls twice, so that what two of them miss is heard in 6 s

The first call for a whole list states no wait, and was waited for as long as a watch; a connection that never came up took the module's pause too.

Change: DiscoveryCallSchedule, pure, says how long a call may take and when it is repeated: a watch 2 + 1.25 s, a whole list 2.5 s, two repeats of 1.25 s, the second after a jitter of up to 0.2 s. A connection that does not come up in time is repeated like a silence. What refuses, resets or answers otherwise is told at once, as before, so that dispatchers do not crowd a discovery that just came back.

CrossingRulesTest.asksAThirdTimeAtOnceWhereTheRepeatIsSilentToo fails without the change (no third call in 8 s). asksAgainForAWholeListThatDoesNotCome passes on both, as it asserts no time; its bound is the schedule's. CrossingRulesTest now expects timeout_ms=2000 where the wait is stated. SocketRulesTest, MainTest, FleetTest, CoreTest pass.

Left out: a shorter pause of the module's after a failure, as all dispatchers take it while discovery is down; three silences in a row.

--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -23,6 +23,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -102,7 +103,8 @@
         backends = new BackendConnections(loop, troubles, config.connectTimeoutUs(), config.connIdleUs(),
             shares.workers(), config.bodies() != null);
         director = config.director() == null ? null
-            : new DiscoveryClient(loop, config.director(), core, troubles);
+            : new DiscoveryClient(loop, config.director(), core, troubles,
+                new SplittableRandom(config.seed()));
     }
 
     /** Starts all of it; returns, with the address, once clients can connect. */
--- a/src/main/java/cresschute/node/http/DiscoveryClient.java
+++ b/src/main/java/cresschute/node/http/DiscoveryClient.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -30,18 +31,18 @@
 import io.netty.util.NetUtil;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 
 /**
  * Watches the director's list by one call after the other on one connection, until a call fails.
  *
  * <p>There is one call at a time, and one connection: what comes on an older one is not heard. A call that
- * falls silent, or whose answer never ends, is over {@value #WAIT_MS} + {@value #ANSWER_MS} ms after it was
- * made. It is then made anew at once, on a new connection and so that the director need not wait for news;
- * only if that fails too is the module told, which asks again 0.5 to 1.5 s later. What a silent watch misses
- * counts as told 6 s after it fell silent, which is no sooner than its last call was made: the new call has
- * 2 s of these for its connection and its answer.
+ * falls silent, whose answer never ends or whose connection never comes up is repeated on a new connection and
+ * so that discovery need not wait for news, by {@link DiscoveryCallSchedule}, which works out the bounds; only
+ * when the repeats are used up is the module told, as of any other failure. It asks again 0.5 to 1.5 s later.
  *
  * <p>A list that is older than the one held is taken only from a director at a new address, or where the
  * director says the same again when asked anew for its whole list: a stale answer must not bring a drained
@@ -49,15 +50,6 @@
  */
 public final class DiscoveryClient implements Director {
 
-    /** How long the director may wait for news, ms: short, since a silent one shows only after it. */
-    private static final long WAIT_MS = 2_500;
-    /**
-     * Time past that after which a call has failed, ms. Guards against sending to a backend that drained
-     * while the director's connection was silent.
-     */
-    private static final long ANSWER_MS = 1_500;
-    /** The wait that a call states which is to be answered at once, ms. */
-    private static final long NO_WAIT_MS = 1;
     private static final int CONNECT_MS = 1_000;
     private static final int MOST_BYTES = 4 << 20;
 
@@ -65,20 +57,22 @@
     private final Core core;
     private final RateLimitedLog troubles;
     private final Bootstrap bootstrap;
+    private final DiscoveryCallSchedule schedule;
     private Channel channel;
-    private Future<?> deadline;
+    /** When the call that is out is over, or the next repeat begins. */
+    private Future<?> timer;
     private InetSocketAddress addr;
     private boolean watching;
     private boolean asked;
     private boolean newcomer;
-    /** Whether the call that is out makes up for one that fell silent. */
-    private boolean anew;
     /** Whether an older list was sent back, so that the whole list is asked for. */
     private boolean doubted;
 
-    /** Does nothing until it is asked to watch. */
-    public DiscoveryClient(EventLoop loop, InetSocketAddress addr, Core core, RateLimitedLog troubles) {
+    /** Does nothing until it is asked to watch; {@code random} spreads the repeats of many dispatchers. */
+    public DiscoveryClient(EventLoop loop, InetSocketAddress addr, Core core, RateLimitedLog troubles,
+        RandomGenerator random) {
         this.loop = loop;
+        this.schedule = new DiscoveryCallSchedule(random);
         this.addr = addr;
         this.core = core;
         this.troubles = troubles;
@@ -120,7 +114,8 @@
 
     private void call() {
         // Guards against a director that says nothing, not even a reset.
-        deadline = loop.schedule(this::fellSilent, (anew ? 0 : WAIT_MS) + ANSWER_MS, TimeUnit.MILLISECONDS);
+        timer = loop.schedule(() -> fellSilent("no answer in time"), schedule.limitMs(asksForAll()),
+            TimeUnit.MILLISECONDS);
         if (channel != null && channel.isActive()) {
             send();
             return;
@@ -132,6 +127,8 @@
                 connecting.channel().close();
             } else if (done.isSuccess()) {
                 send();
+            } else if (done.cause() instanceof ConnectTimeoutException) {
+                fellSilent("no connection in time");
             } else {
                 fail("cannot connect: " + done.cause().getMessage());
             }
@@ -142,22 +139,26 @@
         return core.listVersion() < 0 || newcomer || doubted;
     }
 
-    /** Guards what drains while the director says nothing: one failure more would take the module's pause. */
-    private void fellSilent() {
-        if (anew || !watching) {
-            fail("no answer in time");
+    /** Guards what drains while discovery says nothing: one failure more would take the module's pause. */
+    private void fellSilent(String why) {
+        final OptionalLong pauseMs = watching ? schedule.afterSilence() : OptionalLong.empty();
+        if (pauseMs.isEmpty()) {
+            fail(why);
             return;
         }
-        troubles.trouble(Trouble.DIRECTOR_CALL_FAILED, null, "no answer in time; asked again at once");
+        troubles.trouble(Trouble.DIRECTOR_CALL_FAILED, null, why + "; asked again at once");
         dropConnection();
-        anew = true;
-        call();
+        if (pauseMs.getAsLong() == 0) {
+            call();
+        } else {
+            timer = loop.schedule(this::call, pauseMs.getAsLong(), TimeUnit.MILLISECONDS);
+        }
     }
 
     private void send() {
         // Guards against missing a change between two directors: the new one is asked for its whole list.
         final String path = "/registry/instances" + (asksForAll() ? "" : "?since=" + core.listVersion()
-            + "&timeout_ms=" + (anew ? NO_WAIT_MS : WAIT_MS));
+            + "&timeout_ms=" + schedule.waitMs());
         final FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
             Unpooled.EMPTY_BUFFER);
         request.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(addr));
@@ -188,10 +189,10 @@
         }
         newcomer = false;
         doubted = false;
-        anew = false;
+        schedule.restart();
         // Before this call is over: should anything fail on the list, its deadline still opens a new watch.
         core.directorTold(list);
-        deadline.cancel(false);
+        timer.cancel(false);
         if (!HttpUtil.isKeepAlive(response)) {
             final Channel last = channel;
             channel = null;
@@ -212,13 +213,13 @@
 
     private void hangUp() {
         watching = false;
-        anew = false;
+        schedule.restart();
         dropConnection();
     }
 
     private void dropConnection() {
-        if (deadline != null) {
-            deadline.cancel(false);
+        if (timer != null) {
+            timer.cancel(false);
         }
         final Channel last = channel;
         channel = null;
--- a/src/test/java/cresschute/node/CrossingRulesTest.java
+++ b/src/test/java/cresschute/node/CrossingRulesTest.java
@@ -863,7 +863,39 @@
             // What the silent one says now is not heard.
             again.write(answer("200 OK", "", list(2, false, entry("s-1", node.backend, "DRAINING"))));
             assertThat(node.event()).isEqualTo("listed CHANGES 0DRAINING7000");
-            assertThat(again.read()).contains("?since=2&timeout_ms=2500 ");
+            assertThat(again.read()).contains("?since=2&timeout_ms=2000 ");
+        }
+    }
+
+    /** A second silence was told as a failure: with the module's pause the next call began 7.05 s after the first. */
+    @Test
+    void asksAThirdTimeAtOnceWhereTheRepeatIsSilentToo() throws Exception {
+        try (TestNode node = new TestNode(HOLDS)) {
+            watch(node);
+            final Peer silentToo = node.director();
+            assertThat(silentToo.read()).contains("?since=1&timeout_ms=1 ");
+            final Peer third = node.director();
+            assertThat(third.read()).contains("?since=1&timeout_ms=1 ");
+            assertThat(silentToo.isClosedByOther()).isTrue();
+            third.write(answer("200 OK", "", list(2, false, entry("s-1", node.backend, "DRAINING"))));
+            assertThat(node.event()).isEqualTo("listed CHANGES 0DRAINING7000");
+            assertThat(third.read()).contains("?since=2&timeout_ms=2000 ");
+        }
+    }
+
+    /** The first call of a whole list states no wait, and was waited for as long as a watch. */
+    @Test
+    void asksAgainForAWholeListThatDoesNotCome() throws Exception {
+        try (TestNode node = new TestNode(HOLDS); ServerSocket next = Peer.listen()) {
+            watch(node);
+            reload(node, text -> text.replace(":" + node.director.getLocalPort() + "\"",
+                ":" + next.getLocalPort() + "\""));
+            final Peer silent = Peer.accept(next);
+            assertThat(silent.read()).startsWith("GET /registry/instances HTTP/1.1");
+            final Peer again = Peer.accept(next);
+            assertThat(again.read()).startsWith("GET /registry/instances HTTP/1.1");
+            again.write(answer("200 OK", "", list(4, true, entry("s-1", node.backend, "DRAINING"))));
+            assertThat(eventStarting(node, "listed")).isEqualTo("listed FULL 0DRAINING7000");
         }
     }
 
@@ -891,7 +923,7 @@
             assertThat(node.event()).isEqualTo("listed FAILED");
             again.write(answer("200 OK", "", list(0, true, entry("s-2", node.backend, "SERVING"))));
             assertThat(node.event()).startsWith("listed FULL 1READY");
-            assertThat(again.read()).contains("?since=0&timeout_ms=2500 ");
+            assertThat(again.read()).contains("?since=0&timeout_ms=2000 ");
         }
     }
 
