Start the console's tests with the default action of SIGINT and SIGHUP

Cause: run in a shell's background, tests inherit SIGINT ignored, and a JVM that starts so never hears it.

Change: `ConsoleProgramTest` starts the program by `ProgramProcess.command`, as the others do.

Measured: in `nohup mvn -B verify &` that one test of 820 failed ("the process has ended"); it fails with INT and HUP ignored and passes with HUP alone ignored. With the change all of `ConsoleProgramTest` passes with both ignored.

Ruled out: the busy machine, as it failed twice the same way with SIGINT ignored and passed twice without.

--- a/src/test/java/cresschute/cli/ConsoleProgramTest.java
+++ b/src/test/java/cresschute/cli/ConsoleProgramTest.java
@@ -37,8 +37,6 @@
 @Timeout(120)
 class ConsoleProgramTest {
 
-    private static final String JAVA = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-
     @TempDir
     private Path folder;
     private Path socket;
@@ -49,10 +47,7 @@
     }
 
     private static List<String> program(String... args) {
-        final List<String> command = new ArrayList<>(List.of(JAVA, "-ea", "-XX:TieredStopAtLevel=1",
-            "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "cresschute.cli.Main"));
-        command.addAll(List.of(args));
-        return command;
+        return ProgramProcess.command(List.of("-ea", "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC"), args);
     }
 
     private Fleet fleet(String troubles) {
