--- a/src/main/java/cresschute/DispatchApi.java
+++ b/src/main/java/cresschute/DispatchApi.java
@@ -152,7 +152,7 @@
      */
     public record ColdStart(double fromShare, long warmWithinUs, double overloadFactor, long tipAfterUs) {
 
-        /** Slack for chance in the rule on cold workers: so many roots of the stated jobs, and so many jobs. */
+        /** Slack for chance in the bound of a cold worker: roots of the stated jobs, and jobs besides. */
         private static final double CHANCE_SLACK = 2;
 
         public ColdStart {
@@ -163,7 +163,8 @@
         }
 
         /**
-         * Jobs of mean work within {@code tipAfterUs} beyond which a cold worker falls, slack for chance included.
+         * Jobs of mean work within {@code tipAfterUs} beyond which a cold worker falls, with the slack for
+         * chance.
          *
          * @param stated how many of them {@code overloadFactor} times its capacity of the moment are
          */
--- a/src/main/java/cresschute/Request.java
+++ b/src/main/java/cresschute/Request.java
@@ -61,7 +61,7 @@
         return slots * runUs();
     }
 
-    /** Work that it may well turn out to have: more than the estimate by its error where few jobs were seen. */
+    /** Work that it may well turn out to have: the estimate and its error, large where few jobs were seen. */
     double cautiousWork() {
         return work() * (hintUs > 0 || owner.samples == 0 ? 1 : 1 + 1 / Math.sqrt(owner.samples));
     }
--- a/src/test/java/cresschute/lab/model/ModelWorkerTest.java
+++ b/src/test/java/cresschute/lab/model/ModelWorkerTest.java
@@ -14,7 +14,7 @@
     private static final long MEAN_WORK_US = 100_000;
 
     private final Agenda agenda = new Agenda(SECOND);
-    // Half of 2 slots for a second, doubled: 20 jobs of 0.1 s; a worker that hardly warms while it is looked at.
+    // Half of 2 slots for a second, doubled: 20 jobs of 0.1 s; it hardly warms while it is looked at.
     private final ColdStart rule = new ColdStart(0.5, 1_000_000 * SECOND, 2, SECOND);
     private final ModelWorker worker = new ModelWorker(agenda, rule, 0, 0, 0, 0, 2, 1, MEAN_WORK_US);
 
