Fleet model: break connections across a cut link, keep the order of random draws

Need: two broken versions passed the test of regions apart, since an attempt across the cut link ended only at its deadline.

Change: FleetModel.cutRegions breaks, 5 s later, the attempts whose worker is not reached; DispatcherMeter counts probes in vain beside attempts. The dispatcher of a request is drawn after its work again.

FleetModelTest, 9 tests, and FleetScaleTest, 5 tests, pass.

--- a/src/main/java/cresschute/lab/model/DispatcherMeter.java
+++ b/src/main/java/cresschute/lab/model/DispatcherMeter.java
@@ -33,8 +33,8 @@
         repeatedStarts.clear();
     }
 
-    /** Forgets how many attempts were sent in vain. */
-    public void restartSendsInVain() {
+    /** Forgets how many calls were in vain. */
+    public void restartInVain() {
         inVain = 0;
     }
 
@@ -49,7 +49,7 @@
         agesUs[ages++] = nowUs - atUs;
     }
 
-    void sentInVain() {
+    void inVain() {
         inVain++;
     }
 
@@ -84,8 +84,8 @@
         return unknown;
     }
 
-    /** Attempts sent to a worker that was down or beyond a cut network. */
-    public long sendsInVain() {
+    /** Attempts and probes sent to a worker that was down or beyond a cut network. */
+    public long callsInVain() {
         return inVain;
     }
 
--- a/src/main/java/cresschute/lab/model/FleetModel.java
+++ b/src/main/java/cresschute/lab/model/FleetModel.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Supplier;
 
 /**
  * A fleet in virtual time: many dispatchers, each with a decision module of its own, in front of workers that
@@ -57,6 +58,8 @@
     private static final long START_US = 10_000_000_000L;
     /** A change of the list is known to a dispatcher this long after it at the latest. */
     private static final long NOTICE_US = 3_000_000;
+    /** A connection without a sign of life from the other end is given up after this. */
+    private static final long BREAK_US = 5_000_000;
     private static final int RETRIES = 2;
     private static final double HONOURED = 0.85;
     private static final long BACKOFF_US = 50_000;
@@ -152,9 +155,18 @@
         burst = times;
     }
 
-    /** The network between the regions. */
-    public RegionLink link() {
-        return link;
+    /**
+     * Cuts the network between the zones below this one and the others. Connections across it, and to workers
+     * that are down, break some seconds later.
+     */
+    public void cutRegions(int firstZone) {
+        link.cut(firstZone);
+        agenda.after(BREAK_US, () -> dispatchers.forEach(ModelDispatcher::breakUnreachable));
+    }
+
+    /** Joins the regions again; the changes of the list that were held back come at once. */
+    public void joinRegions() {
+        link.restore();
     }
 
     /** Workers by number that are up. */
@@ -211,7 +223,7 @@
 
     private void arrive() {
         if (arriving) {
-            firstTry(drawClass(), drawTenant(), anyDispatcher());
+            firstTry(drawClass(), drawTenant(), this::anyDispatcher);
             agenda.after((long) (exponential() * 1e6 / (ratePerS() * burst)), this::arrive);
         }
     }
@@ -234,7 +246,7 @@
         final ModelDispatcher dispatcher = anyDispatcher();
         final List<First> members = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            members.add(firstTry(requestClass, tenant, dispatcher));
+            members.add(firstTry(requestClass, tenant, () -> dispatcher));
         }
         return new Gang(members);
     }
@@ -244,7 +256,7 @@
         return tenants == 0 ? 0 : random.nextInt(tenants);
     }
 
-    private First firstTry(int requestClass, int tenant, ModelDispatcher dispatcher) {
+    private First firstTry(int requestClass, int tenant, Supplier<ModelDispatcher> dispatcher) {
         final Demand demand = plan.demands().get(requestClass);
         final double cv = demand.deviationUs() / demand.meanWorkUs();
         final double sigma = Math.sqrt(Math.log(1 + cv * cv));
@@ -253,7 +265,7 @@
         final int slots = random.nextDouble() < demand.partWithTwoSlots() ? 2 : 1;
         final First first = new First(requestClass, agenda.nowUs());
         firsts.add(first);
-        tryAt(dispatcher, first, tenant, workUs, slots, 0);
+        tryAt(dispatcher.get(), first, tenant, workUs, slots, 0);
         return first;
     }
 
--- a/src/main/java/cresschute/lab/model/ModelDispatcher.java
+++ b/src/main/java/cresschute/lab/model/ModelDispatcher.java
@@ -83,6 +83,16 @@
         return worker.isUp() && link.connects(zone, worker.zone);
     }
 
+    /** Ends the attempts whose worker is not reached: their connections break, and the jobs may have run. */
+    void breakUnreachable() {
+        List.copyOf(open.keySet()).forEach(requestId -> List.copyOf(open.get(requestId).out.entrySet())
+            .forEach(sent -> {
+                if (!reaches(workers.get(sent.getValue()))) {
+                    end(requestId, sent.getKey(), Outcome.BROKEN, agenda.nowUs());
+                }
+            }));
+    }
+
     /** What it has sent, asked and learned so far. */
     DispatcherMeter meter() {
         return meter;
@@ -114,7 +124,7 @@
         req.out.put(number, workerId);
         final ModelWorker worker = workers.get(workerId);
         if (!reaches(worker)) {
-            meter.sentInVain();
+            meter.inVain();
             agenda.after(CONNECT_TIMEOUT_US, () -> end(requestId, number, Outcome.CONNECT_FAILED, sentUs));
             return;
         }
@@ -199,6 +209,9 @@
         final ModelWorker worker = workers.get(workerId);
         final boolean up = reaches(worker);
         meter.probed();
+        if (!up) {
+            meter.inVain();
+        }
         agenda.after(up ? 2 * WAY_US : PROBE_TIMEOUT_US, () -> {
             final LoadReport report = up ? worker.visible() : LoadReport.NONE;
             meter.reported(agenda.nowUs(), workerId, report);
--- a/src/main/java/cresschute/lab/model/RegionLink.java
+++ b/src/main/java/cresschute/lab/model/RegionLink.java
@@ -7,18 +7,18 @@
  * The network between two regions, up or cut. While it is cut no connection, answer or notice passes from one
  * region to the other; answers are lost, changes of the worker list come once it is up again, in order.
  */
-public final class RegionLink {
+final class RegionLink {
 
     private final List<Runnable> heldBack = new ArrayList<>();
     private int firstZoneOfSecondRegion = Integer.MAX_VALUE;
 
     /** Cuts the network between the zones below this one and the others. */
-    public void cut(int firstZone) {
+    void cut(int firstZone) {
         firstZoneOfSecondRegion = firstZone;
     }
 
     /** Joins the regions again and delivers the changes of the list that were held back. */
-    public void restore() {
+    void restore() {
         firstZoneOfSecondRegion = Integer.MAX_VALUE;
         final List<Runnable> due = List.copyOf(heldBack);
         heldBack.clear();
--- a/src/test/java/cresschute/scale/FleetScaleTest.java
+++ b/src/test/java/cresschute/scale/FleetScaleTest.java
@@ -89,20 +89,21 @@
         final FleetModel fleet = fleet(workers, PlannedSize.DISPATCHERS, 5 * PlannedSize.SECOND_US, 0.4,
             answers.around(Logic::new));
         fleet.pass(10 * PlannedSize.SECOND_US);
-        fleet.link().cut(PlannedSize.FIRST_ZONE_OF_SECOND_REGION);
-        fleet.pass(5 * PlannedSize.SECOND_US);
+        fleet.cutRegions(PlannedSize.FIRST_ZONE_OF_SECOND_REGION);
+        fleet.pass(2 * PlannedSize.SECOND_US);
         final List<Integer> lost = fleet.up().stream().filter(id -> id % 5 == 0).toList();
         fleet.lose(lost);
-        fleet.pass(15 * PlannedSize.SECOND_US);
+        fleet.pass(18 * PlannedSize.SECOND_US);
         final List<Integer> back = lost.subList(0, lost.size() / 2);
         fleet.start(back);
         fleet.pass(10 * PlannedSize.SECOND_US);
-        assertThat(sum(fleet, DispatcherMeter::sendsInVain)).as("sends in vain while apart").isPositive();
-        fleet.link().restore();
+        assertThat(sum(fleet, DispatcherMeter::callsInVain)).as("calls in vain while apart").isPositive();
+        fleet.joinRegions();
         fleet.pass(2 * PlannedSize.SECOND_US);
-        fleet.meters().forEach(DispatcherMeter::restartSendsInVain);
+        fleet.meters().forEach(DispatcherMeter::restartInVain);
         fleet.pass(10 * PlannedSize.SECOND_US);
-        assertThat(sum(fleet, DispatcherMeter::sendsInVain)).as("sends to workers that are gone").isZero();
+        assertThat(sum(fleet, DispatcherMeter::callsInVain)).as("sends and probes to workers that are gone")
+            .isZero();
         assertThat(fleet.up()).as("workers up").hasSize(workers - lost.size() + back.size());
         fleet.drain();
         assertThat(sum(fleet, meter -> meter.repeatedStarts(PlannedSize.ONCE)))
