Exchange of in-flight counts among dispatchers: its pure core

Change: package cresschute.peers. Each dispatcher states its open attempts by worker, absolute numbers in authenticated datagrams, within a budget of bytes; the others keep them by peer and sum them. The view answers only while no peer is joining, suspect or distrusted and a majority is alive. A peer whose claims exceed what workers report is distrusted. Nothing uses it yet.

Ruled out, by reasoning and not by a run: an entry that is dropped when a whole cycle did not state it. Under loss that drops open numbers too.

--- /dev/null
+++ b/src/main/java/cresschute/peers/LoadExchange.java
@@ -0,0 +1,78 @@
+package cresschute.peers;
+
+import java.util.Optional;
+import java.util.OptionalInt;
+
+/**
+ * One dispatcher's part in the exchange: counts its own attempts, says when to send what, takes in what
+ * others send, and tells workers' load. It has no clock, thread or socket: a driver calls it, with a time
+ * that never runs backwards.
+ */
+public final class LoadExchange {
+
+    /** Hears what operators should know. */
+    public interface Listener extends LoadView.DistrustListener {
+
+        /** Two listed workers have the same key: the load of both is asked by probe. */
+        void keyCollision(String worker, String other);
+    }
+
+    private final WorkerKeys keys;
+    private final InFlightCounts counts = new InFlightCounts();
+    private final LoadAnnouncer announcer;
+    private final PeerTable peers;
+    private final LoadView view;
+
+    /** A dispatcher that starts now; {@code nowUs}, us of Unix time, is its incarnation. */
+    public LoadExchange(ExchangeSettings settings, long nowUs, Listener listener) {
+        keys = new WorkerKeys(listener::keyCollision);
+        announcer = new LoadAnnouncer(settings, counts, nowUs);
+        peers = new PeerTable(settings.name(), settings.peers(), nowUs);
+        view = new LoadView(keys, counts, peers, listener);
+    }
+
+    /** The list names this worker. */
+    public void listed(String worker) {
+        keys.list(worker);
+    }
+
+    /** An attempt at this worker began. */
+    public void started(String worker) {
+        counts.started(keys.list(worker));
+    }
+
+    /** An attempt at this worker ended. */
+    public void ended(String worker) {
+        counts.ended(keys.list(worker));
+    }
+
+    /** The message that is due now, if one is, for every peer; to be asked a few times each 250 ms. */
+    public Optional<LoadMessage> poll(long nowUs) {
+        return announcer.poll(nowUs);
+    }
+
+    /** The last message, as this dispatcher stops. */
+    public Optional<LoadMessage> leave(long nowUs) {
+        return announcer.leave(nowUs);
+    }
+
+    /** Takes an authentic message in, or says why it changes nothing. */
+    public void receive(long nowUs, LoadMessage message) throws RefusedMessageException {
+        peers.receive(nowUs, message);
+    }
+
+    /** Requests that all dispatchers have out at a worker, or empty where the worker has to be asked. */
+    public OptionalInt outstanding(long nowUs, String worker) {
+        return view.outstanding(nowUs, worker);
+    }
+
+    /** A worker reports that it holds so many requests; a negative number says nothing. */
+    public void reported(long nowUs, String worker, double outstanding) {
+        view.reported(nowUs, worker, outstanding);
+    }
+
+    /** The other dispatchers. */
+    public PeerTable peers() {
+        return peers;
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/peers/LoadMessageCodec.java
@@ -0,0 +1,154 @@
+package cresschute.peers;
+
+import cresschute.peers.LoadMessage.Entry;
+import cresschute.peers.LoadMessage.KeyRange;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/**
+ * The form of a message on the wire, big-endian: version (1 byte), flags (1), sender (4), incarnation (8),
+ * sequence (4), cycle (4), first and last key of the range (4 each), then for each entry its key (4) and its
+ * count (a varint), and at the end the first 16 bytes of the HMAC-SHA-256 of all that with the shared key.
+ * Not for several threads at a time.
+ */
+public final class LoadMessageCodec {
+
+    /** The longest message, bytes: a datagram of it is not fragmented on any usual path. */
+    public static final int MAX_MESSAGE_BYTES = 1_200;
+    /** The shortest key, bytes. */
+    public static final int MIN_KEY_BYTES = 16;
+    static final int VERSION = 1;
+    private static final int FLAG_LEAVING = 1;
+    private static final int HEAD_BYTES = 1 + 1 + 4 + 8 + 4 + 4 + 4 + 4;
+    private static final int CODE_BYTES = 16;
+    /** A message without entries, bytes. */
+    public static final int MIN_MESSAGE_BYTES = HEAD_BYTES + CODE_BYTES;
+    private static final long UNSIGNED_INT = 0xffff_ffffL;
+    private static final int VARINT_BITS = 7;
+    private static final int VARINT_MORE = 0x80;
+    private static final int MAX_VARINT_BYTES = 5;
+    private static final String ALGORITHM = "HmacSHA256";
+
+    private final Mac mac;
+
+    /** A codec for messages under this key. */
+    public LoadMessageCodec(byte[] key) {
+        if (key.length < MIN_KEY_BYTES) {
+            throw new IllegalArgumentException("a key has at least " + MIN_KEY_BYTES + " bytes");
+        }
+        try {
+            mac = Mac.getInstance(ALGORITHM);
+            mac.init(new SecretKeySpec(key, ALGORITHM));
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException("every Java platform has " + ALGORITHM, e);
+        }
+    }
+
+    /** Bytes of an entry on the wire. */
+    static int entryBytes(int count) {
+        int bytes = Integer.BYTES + 1;
+        for (int rest = count >>> VARINT_BITS; rest != 0; rest >>>= VARINT_BITS) {
+            bytes++;
+        }
+        return bytes;
+    }
+
+    /** Bytes of a message on the wire. */
+    public static int messageBytes(LoadMessage message) {
+        return MIN_MESSAGE_BYTES + message.entries().stream().mapToInt(each -> entryBytes(each.count()))
+            .sum();
+    }
+
+    /** The bytes of a message. */
+    public byte[] encode(LoadMessage message) {
+        final int size = messageBytes(message);
+        if (size > MAX_MESSAGE_BYTES) {
+            throw new IllegalArgumentException("a message of " + size + " bytes");
+        }
+        final ByteBuffer out = ByteBuffer.allocate(size);
+        out.put((byte) VERSION).put((byte) (message.leaving() ? FLAG_LEAVING : 0)).putInt(message.sender())
+            .putLong(message.incarnation()).putInt((int) message.sequence()).putInt((int) message.cycle())
+            .putInt(message.range().first()).putInt(message.range().last());
+        for (final Entry entry : message.entries()) {
+            out.putInt(entry.key());
+            putVarint(out, entry.count());
+        }
+        out.put(code(out.array(), size - CODE_BYTES));
+        return out.array();
+    }
+
+    /** The message of a datagram's bytes. */
+    public LoadMessage decode(byte[] bytes) throws RefusedMessageException {
+        if (bytes.length < MIN_MESSAGE_BYTES) {
+            throw new RefusedMessageException(Refusal.TOO_SHORT);
+        }
+        if (bytes.length > MAX_MESSAGE_BYTES) {
+            throw new RefusedMessageException(Refusal.TOO_LONG);
+        }
+        if (bytes[0] != VERSION) {
+            throw new RefusedMessageException(Refusal.OTHER_VERSION);
+        }
+        final int signed = bytes.length - CODE_BYTES;
+        if (!MessageDigest.isEqual(code(bytes, signed), Arrays.copyOfRange(bytes, signed, bytes.length))) {
+            throw new RefusedMessageException(Refusal.NOT_AUTHENTIC);
+        }
+        try {
+            return read(ByteBuffer.wrap(bytes, 1, signed - 1));
+        } catch (BufferUnderflowException e) {
+            throw new RefusedMessageException(Refusal.MALFORMED);
+        }
+    }
+
+    private static LoadMessage read(ByteBuffer in) throws RefusedMessageException {
+        final int flags = in.get();
+        final int sender = in.getInt();
+        final long incarnation = in.getLong();
+        final long sequence = in.getInt() & UNSIGNED_INT;
+        final long cycle = in.getInt() & UNSIGNED_INT;
+        final KeyRange range = new KeyRange(in.getInt(), in.getInt());
+        final List<Entry> entries = new ArrayList<>();
+        while (in.hasRemaining()) {
+            entries.add(new Entry(in.getInt(), varint(in)));
+        }
+        if ((flags & ~FLAG_LEAVING) != 0 || incarnation < 0 || sequence == 0 || cycle == 0) {
+            throw new RefusedMessageException(Refusal.MALFORMED);
+        }
+        return new LoadMessage(sender, incarnation, sequence, cycle, flags == FLAG_LEAVING, range, entries);
+    }
+
+    private byte[] code(byte[] bytes, int length) {
+        mac.update(bytes, 0, length);
+        return Arrays.copyOf(mac.doFinal(), CODE_BYTES);
+    }
+
+    private static void putVarint(ByteBuffer out, int value) {
+        int rest = value;
+        while (rest >>> VARINT_BITS != 0) {
+            out.put((byte) (rest | VARINT_MORE));
+            rest >>>= VARINT_BITS;
+        }
+        out.put((byte) rest);
+    }
+
+    private static int varint(ByteBuffer in) throws RefusedMessageException {
+        long value = 0;
+        for (int i = 0; i < MAX_VARINT_BYTES; i++) {
+            final int next = in.get();
+            value |= (long) (next & ~VARINT_MORE & 0xff) << i * VARINT_BITS;
+            if ((next & VARINT_MORE) == 0) {
+                if (value > Integer.MAX_VALUE) {
+                    break;
+                }
+                return (int) value;
+            }
+        }
+        throw new RefusedMessageException(Refusal.MALFORMED);
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/peers/LoadView.java
@@ -0,0 +1,59 @@
+package cresschute.peers;
+
+import java.util.OptionalInt;
+
+/**
+ * Requests that all dispatchers together have out at a worker. It answers only while what is known is all
+ * there is ({@link PeerTable#isComplete}) and nothing speaks against it ({@link ClaimCheck}); otherwise the
+ * worker has to be asked.
+ */
+public final class LoadView {
+
+    /** Hears that a peer is distrusted. */
+    @FunctionalInterface
+    public interface DistrustListener {
+
+        /** The peer with this hash of its name is distrusted for so long, us. */
+        void distrusted(int sender, long forUs);
+    }
+
+    private final WorkerKeys keys;
+    private final InFlightCounts own;
+    private final PeerTable peers;
+    private final DistrustListener listener;
+    private final ClaimCheck check = new ClaimCheck();
+
+    /** A view of what this dispatcher counts and its peers state. */
+    public LoadView(WorkerKeys keys, InFlightCounts own, PeerTable peers, DistrustListener listener) {
+        this.keys = keys;
+        this.own = own;
+        this.peers = peers;
+        this.listener = listener;
+    }
+
+    /** Requests out at a worker, or empty where the worker has to be asked. */
+    public OptionalInt outstanding(long nowUs, String worker) {
+        final OptionalInt key = keys.unique(worker);
+        if (key.isEmpty() || !peers.isComplete(nowUs) || check.isContradicted(nowUs, key.getAsInt())) {
+            return OptionalInt.empty();
+        }
+        final int claimed = peers.count(nowUs, key.getAsInt());
+        return check.verifies(nowUs, key.getAsInt(), claimed) ? OptionalInt.empty()
+            : OptionalInt.of(sum(own.count(key.getAsInt()), claimed));
+    }
+
+    /** A worker reports that it holds so many requests. */
+    public void reported(long nowUs, String worker, double outstanding) {
+        final OptionalInt key = keys.unique(worker);
+        if (key.isEmpty() || outstanding < 0 || !peers.isComplete(nowUs)) {
+            return;
+        }
+        final int viewed = sum(own.count(key.getAsInt()), peers.count(nowUs, key.getAsInt()));
+        check.compare(nowUs, key.getAsInt(), viewed, outstanding, peers.claims(nowUs, key.getAsInt()))
+            .ifPresent(sender -> listener.distrusted(sender, peers.distrust(nowUs, sender)));
+    }
+
+    private static int sum(int first, int second) {
+        return (int) Math.min(Integer.MAX_VALUE, (long) first + second);
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/peers/Peer.java
@@ -0,0 +1,139 @@
+package cresschute.peers;
+
+import cresschute.peers.LoadMessage.Entry;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** One other dispatcher as its messages show it. */
+final class Peer {
+
+    private final Map<Integer, Integer> counts = new HashMap<>();
+    private long incarnation;
+    private long sequence;
+    private long cycle;
+    private long heardUs;
+    private boolean left;
+    private boolean joined;
+    /** Whether the cycle was heard from its beginning, the sequence number there, and messages since. */
+    private boolean cycleFromStart;
+    private long cycleFirstSequence;
+    private long heardInCycle;
+    private long distrustUs;
+    private long distrustedUntilUs;
+
+    /** A peer of which this is the first message, not taken yet. */
+    Peer(long nowUs, LoadMessage message) {
+        begin(nowUs, message);
+    }
+
+    PeerState state(long nowUs) {
+        return nowUs < distrustedUntilUs ? PeerState.DISTRUSTED : stateByHearing(nowUs);
+    }
+
+    private PeerState stateByHearing(long nowUs) {
+        final long silenceUs = nowUs - heardUs;
+        if (left || silenceUs >= PeerTable.ABSENT_AFTER_US) {
+            return PeerState.ABSENT;
+        }
+        if (silenceUs >= PeerTable.SUSPECT_AFTER_US) {
+            return PeerState.SUSPECT;
+        }
+        return joined ? PeerState.ALIVE : PeerState.JOINING;
+    }
+
+    /** Open attempts that it states at a worker. */
+    int count(long nowUs, int key) {
+        return stateByHearing(nowUs) == PeerState.ABSENT ? 0 : counts.getOrDefault(key, 0);
+    }
+
+    /** Takes a message in; one that is not newer than the newest changes nothing. */
+    void take(long nowUs, LoadMessage message) throws RefusedMessageException {
+        if (message.incarnation() < incarnation) {
+            throw new RefusedMessageException(Refusal.OLD_INCARNATION);
+        }
+        if (message.incarnation() == incarnation && message.sequence() <= sequence) {
+            throw new RefusedMessageException(Refusal.OLD_SEQUENCE);
+        }
+        if (counts.size() + message.entries().size() > PeerTable.MAX_ENTRIES_PER_PEER) {
+            throw new RefusedMessageException(Refusal.TOO_MANY_ENTRIES);
+        }
+        if (message.incarnation() > incarnation) {
+            begin(nowUs, message);
+        }
+        noteSilence(nowUs, message);
+        noteCycle(message);
+        sequence = message.sequence();
+        heardUs = nowUs;
+        left = message.leaving();
+        apply(message);
+    }
+
+    private void begin(long nowUs, LoadMessage message) {
+        counts.clear();
+        incarnation = message.incarnation();
+        sequence = message.sequence() - 1;
+        cycle = message.cycle();
+        heardUs = nowUs;
+        left = false;
+        // From its first message on, all that it has is heard.
+        joined = message.sequence() == 1;
+        cycleFromStart = joined;
+        cycleFirstSequence = message.sequence();
+        heardInCycle = 0;
+    }
+
+    /** What was missed in a silence is not known before a whole cycle was heard. */
+    private void noteSilence(long nowUs, LoadMessage message) {
+        final PeerState before = stateByHearing(nowUs);
+        if (before == PeerState.ABSENT) {
+            counts.clear();
+        }
+        if (before == PeerState.ABSENT
+            || before == PeerState.SUSPECT && message.sequence() > sequence + 1) {
+            joined = false;
+            cycleFromStart = false;
+        }
+    }
+
+    private void noteCycle(LoadMessage message) {
+        if (message.cycle() != cycle) {
+            if (cycleFromStart) {
+                final long sent = message.sequence() - cycleFirstSequence;
+                joined = message.cycle() == cycle + 1
+                    && sent - heardInCycle <= sent * PeerTable.MAX_MISSING_SHARE;
+            }
+            cycle = message.cycle();
+            cycleFromStart = true;
+            cycleFirstSequence = message.sequence();
+            heardInCycle = 0;
+        }
+        heardInCycle++;
+    }
+
+    private void apply(LoadMessage message) {
+        if (!message.range().isEmpty()) {
+            final Set<Integer> stated = message.entries().stream().map(Entry::key)
+                .collect(Collectors.toSet());
+            counts.keySet().removeIf(key -> message.range().contains(key) && !stated.contains(key));
+        }
+        for (final Entry entry : message.entries()) {
+            if (entry.count() == 0) {
+                counts.remove(entry.key());
+            } else {
+                counts.put(entry.key(), entry.count());
+            }
+        }
+    }
+
+    /** Concludes nothing from its numbers for a while, twice as long as the last time if that is recent. */
+    long distrust(long nowUs) {
+        final boolean recent = distrustUs > 0
+            && nowUs - distrustedUntilUs < PeerTable.MAX_DISTRUST_US;
+        distrustUs = recent ? Math.min(PeerTable.MAX_DISTRUST_US, 2 * distrustUs)
+            : PeerTable.MIN_DISTRUST_US;
+        distrustedUntilUs = nowUs + distrustUs;
+        return distrustUs;
+    }
+}
--- a/src/test/java/cresschute/LayoutTest.java
+++ b/src/test/java/cresschute/LayoutTest.java
@@ -46,7 +46,8 @@
         mayUse(of("cresschute.settings"), "cresschute", "cresschute.settings.script");
         mayUse(of("cresschute.node", "cresschute.node.http"), "cresschute", "cresschute.benchlink",
             "cresschute.settings", "cresschute.logs", "cresschute.health", "cresschute.control..",
-            "cresschute.flow");
+            "cresschute.flow", "cresschute.peers..");
+        mayUse(of("cresschute.peers"));
         mayUse(of("cresschute.health"), "cresschute");
         mayUse(of("cresschute.flow"));
         mayUse(of("cresschute.control"), "cresschute");
@@ -84,7 +85,7 @@
     @Test
     void pureClassesDoNoInputOrOutput() {
         noClasses().that().resideInAnyPackage("cresschute.settings..", "cresschute.control",
-            "cresschute.health", "cresschute.flow")
+            "cresschute.health", "cresschute.flow", "cresschute.peers")
             .and().doNotHaveSimpleName("SettingsFile")
             .should().dependOnClassesThat().resideInAnyPackage("java.io", "java.nio.file", "io.netty..")
             .check(CLASSES);
--- /dev/null
+++ b/src/test/java/cresschute/peers/ExchangeOverNetworkTest.java
@@ -0,0 +1,214 @@
+package cresschute.peers;
+
+import static cresschute.peers.SimulatedNetwork.S;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Whole exchanges over a network that loses, doubles, overtakes, cuts and is lied over. */
+class ExchangeOverNetworkTest {
+
+    private static final long CYCLE_US = 10 * S;
+
+    private static SimulatedNetwork network(long seed, int dispatchers) {
+        final SimulatedNetwork network = new SimulatedNetwork(seed, dispatchers, 40, 20_000, CYCLE_US);
+        network.startsPerS = 30;
+        network.meanRunS = 3;
+        return network;
+    }
+
+    @Test
+    void viewsAreCompleteSoonAfterAStartAndExactOnceLoadStands() {
+        final SimulatedNetwork network = network(1, 4);
+        network.run(2);
+        for (int i = 0; i < 4; i++) {
+            assertThat(network.isComplete(i)).as("n" + i).isTrue();
+        }
+        network.run(30);
+        network.freeze();
+        network.run(2);
+        assertThat(network.wrong()).isZero();
+        assertThat(network.seenCountOfOthers(0, 0)).isEqualTo(network.trueCountOfOthers(0, 0));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void countsAreTrueWithinOneCycleAfterTheNetworkHeals(long seed) {
+        final SimulatedNetwork network = network(seed, 4);
+        network.loss = 0.3;
+        network.duplication = 0.2;
+        network.jitterUs = 400_000;
+        network.run(60);
+        network.freeze();
+        network.loss = 0;
+        network.duplication = 0;
+        network.jitterUs = 0;
+        // What is under way, the rest of the running cycle, then one whole cycle.
+        network.run(1 + 2.0 * CYCLE_US / S + 1);
+        assertThat(network.wrong()).as("seed " + seed).isZero();
+        network.run(2.0 * CYCLE_US / S);
+        for (int i = 0; i < 4; i++) {
+            assertThat(network.isComplete(i)).as("n" + i + ", seed " + seed).isTrue();
+        }
+    }
+
+    @Test
+    void heavyLossMakesViewsIncomplete() {
+        final SimulatedNetwork network = network(3, 4);
+        network.loss = 0.3;
+        network.run(60);
+        for (int i = 0; i < 4; i++) {
+            assertThat(network.isComplete(i)).as("n" + i).isFalse();
+        }
+    }
+
+    @Test
+    void duplicatesAndRareOvertakingChangeNothing() {
+        final SimulatedNetwork network = network(4, 3);
+        network.duplication = 1;
+        network.run(60);
+        assertThat(network.isComplete(0)).isTrue();
+        network.freeze();
+        network.run(2);
+        assertThat(network.wrong()).isZero();
+    }
+
+    @Test
+    void crashedPeerIsSuspectThenAbsentAndItsCountsGo() {
+        final SimulatedNetwork network = network(5, 4);
+        network.start(1, 7);
+        network.run(5);
+        network.freeze();
+        network.crash(1);
+        network.run(2);
+        assertThat(network.state(0, 1)).isEqualTo(PeerState.ALIVE);
+        network.run(2.5);
+        assertThat(network.state(0, 1)).isEqualTo(PeerState.SUSPECT);
+        assertThat(network.isComplete(0)).isFalse();
+        assertThat(network.seenCountOfOthers(0, 7)).isGreaterThan(network.trueCountOfOthers(0, 7));
+        network.run(58);
+        assertThat(network.state(0, 1)).isEqualTo(PeerState.ABSENT);
+        assertThat(network.isComplete(0)).isTrue();
+        assertThat(network.wrong()).isZero();
+    }
+
+    @Test
+    void peerThatStopsIsAbsentAtOnceAndItsNextRunIsAliveAtOnce() {
+        final SimulatedNetwork network = network(6, 4);
+        network.run(5);
+        network.leave(2);
+        network.run(0.1);
+        assertThat(network.state(0, 2)).isEqualTo(PeerState.ABSENT);
+        assertThat(network.isComplete(0)).isTrue();
+        network.boot(2);
+        network.run(2);
+        assertThat(network.state(0, 2)).isEqualTo(PeerState.ALIVE);
+        assertThat(network.isComplete(0)).isTrue();
+        // The new run has to hear a whole cycle of the others.
+        assertThat(network.isComplete(2)).isFalse();
+        network.run(2.0 * CYCLE_US / S + 2);
+        assertThat(network.isComplete(2)).isTrue();
+    }
+
+    @Test
+    void restartForgetsTheCountsOfTheRunBefore() {
+        final SimulatedNetwork network = network(7, 3);
+        network.start(1, 3);
+        network.start(1, 3);
+        network.run(5);
+        network.freeze();
+        assertThat(network.seenCountOfOthers(0, 3)).isEqualTo(network.trueCountOfOthers(0, 3)).isPositive();
+        network.crash(1);
+        network.boot(1);
+        network.run(2);
+        assertThat(network.wrongAt(0)).isZero();
+        assertThat(network.wrongAt(2)).isZero();
+        // The new run itself knows what the others have after a whole cycle of them.
+        network.run(2.0 * CYCLE_US / S + 1);
+        assertThat(network.wrong()).isZero();
+    }
+
+    @Test
+    void minorityOfAPartitionProbesAndTheMajorityGoesOnOnceTheOthersAreAbsent() {
+        final SimulatedNetwork network = network(8, 5);
+        network.run(5);
+        network.connected = (from, to) -> from < 3 == to < 3;
+        network.run(4);
+        for (int i = 0; i < 5; i++) {
+            assertThat(network.isComplete(i)).as("n" + i + " at once").isFalse();
+        }
+        network.run(62);
+        for (int i = 0; i < 5; i++) {
+            assertThat(network.isComplete(i)).as("n" + i + " later").isEqualTo(i < 3);
+        }
+        network.connected = (from, to) -> true;
+        network.run(2);
+        assertThat(network.isComplete(0)).as("just healed").isFalse();
+        network.run(2.0 * CYCLE_US / S + 2);
+        for (int i = 0; i < 5; i++) {
+            assertThat(network.isComplete(i)).as("n" + i + " healed").isTrue();
+        }
+        network.freeze();
+        network.run(2.0 * CYCLE_US / S + 2);
+        assertThat(network.wrong()).isZero();
+    }
+
+    @Test
+    void evenPartitionHasNoMajority() {
+        final SimulatedNetwork network = network(9, 4);
+        network.run(5);
+        network.connected = (from, to) -> from < 2 == to < 2;
+        network.run(70);
+        for (int i = 0; i < 4; i++) {
+            assertThat(network.isComplete(i)).as("n" + i).isFalse();
+        }
+    }
+
+    @Test
+    void recordedDatagramsChangeNothing() {
+        final SimulatedNetwork network = network(10, 3);
+        network.start(1, 5);
+        final SimulatedNetwork.Site sender = network.sites.get(1);
+        network.nowUs += S;
+        final byte[] recorded = sender.codec.encode(sender.exchange.poll(network.nowUs).orElseThrow());
+        assertThat(network.inject(0, recorded)).isTrue();
+        assertThat(network.inject(0, recorded)).isFalse();
+        network.end(1, 5);
+        network.run(2);
+        assertThat(network.inject(0, recorded)).as("of an older sequence number").isFalse();
+        network.boot(1);
+        network.run(2);
+        assertThat(network.inject(0, recorded)).as("of an older incarnation").isFalse();
+        network.freeze();
+        network.run(2.0 * CYCLE_US / S + 1);
+        assertThat(network.wrong()).isZero();
+    }
+
+    /** Bytes of every dispatcher up to any time are within its rate, at a constant total load. */
+    @Property(tries = 29, seed = "20261202")
+    void bytesNeverExceedTheBudget(@ForAll @IntRange(min = 2, max = 30) int dispatchers) {
+        final SimulatedNetwork network = new SimulatedNetwork(dispatchers, dispatchers, 300,
+            ExchangeSettings.DEFAULT_BYTES_PER_S, ExchangeSettings.DEFAULT_REFRESH_US);
+        network.startsPerS = 299;
+        network.meanRunS = 3;
+        for (int second = 1; second <= 20; second++) {
+            final long[] before = network.sites.stream().mapToLong(site -> site.bytes).toArray();
+            network.run(1);
+            for (int i = 0; i < dispatchers; i++) {
+                final long bytes = network.sites.get(i).bytes;
+                assertThat(bytes).as("up to " + second + " s, " + dispatchers + " dispatchers")
+                    .isLessThanOrEqualTo(second * ExchangeSettings.DEFAULT_BYTES_PER_S);
+                assertThat(bytes - before[i]).as("within a second")
+                    .isLessThanOrEqualTo(2 * ExchangeSettings.DEFAULT_BYTES_PER_S);
+            }
+        }
+        // A sign of life a second also at the largest number.
+        assertThat(network.sites).allMatch(site -> site.messages >= 18);
+        assertThat(network.isComplete(0)).isTrue();
+    }
+}
--- /dev/null
+++ b/src/test/java/cresschute/peers/LoadAnnouncerTest.java
@@ -0,0 +1,139 @@
+package cresschute.peers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import cresschute.peers.LoadMessage.Entry;
+import cresschute.peers.LoadMessage.KeyRange;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+
+/** When a message goes out and what is in it. */
+class LoadAnnouncerTest {
+
+    private static final long MS = 1_000;
+    private static final long S = 1_000_000;
+
+    private final InFlightCounts counts = new InFlightCounts();
+    private long nowUs = 100 * S;
+
+    private LoadAnnouncer announcer(int peers, long bytesPerS, long refreshUs) {
+        return new LoadAnnouncer(new ExchangeSettings("n0", peers, bytesPerS, refreshUs), counts, nowUs);
+    }
+
+    private static List<Integer> keys(LoadMessage message) {
+        return message.entries().stream().map(Entry::key).toList();
+    }
+
+    /** The next message and the time passed until it. */
+    private LoadMessage next(LoadAnnouncer announcer) {
+        for (int i = 0; i < 1_000; i++) {
+            nowUs += 10 * MS;
+            final Optional<LoadMessage> message = announcer.poll(nowUs);
+            if (message.isPresent()) {
+                return message.get();
+            }
+        }
+        throw new AssertionError("no message in 10 s");
+    }
+
+    @Test
+    void newsGoOutAfterAQuarterSecondAndHeartbeatsAfterOne() {
+        final LoadAnnouncer announcer = announcer(2, 100_000, 60 * S);
+        counts.started(5);
+        final long startUs = nowUs;
+        final LoadMessage news = next(announcer);
+        assertThat(nowUs - startUs).isEqualTo(250 * MS);
+        assertThat(news.entries()).containsExactly(new Entry(5, 1));
+        assertThat(news.sequence()).isEqualTo(1);
+        assertThat(news.incarnation()).isEqualTo(startUs);
+        final long newsUs = nowUs;
+        final LoadMessage heartbeat = next(announcer);
+        assertThat(nowUs - newsUs).isEqualTo(S);
+        assertThat(heartbeat.sequence()).isEqualTo(2);
+        counts.started(5);
+        counts.ended(5);
+        next(announcer);
+        assertThat(nowUs - newsUs).as("back to what was stated: no news").isEqualTo(2 * S);
+    }
+
+    @Test
+    void oneWorkersChangesAreOneEntryAndTheOldestChangeIsFirst() {
+        // 100 bytes a second for one peer: a heartbeat leaves room for five entries.
+        final LoadAnnouncer announcer = announcer(1, 100, 3_600 * S);
+        for (int key = 20; key > 10; key--) {
+            counts.started(key);
+        }
+        counts.started(20);
+        final LoadMessage first = next(announcer);
+        assertThat(first.entries()).first().isEqualTo(new Entry(20, 2));
+        final List<Integer> stated = new ArrayList<>(keys(first));
+        while (stated.size() < 10) {
+            stated.addAll(keys(next(announcer)));
+        }
+        assertThat(stated.stream().distinct().toList())
+            .containsExactly(20, 19, 18, 17, 16, 15, 14, 13, 12, 11);
+    }
+
+    @Test
+    void oneCycleStatesEveryOpenNumberInRangesThatCoverAllKeys() {
+        final LoadAnnouncer announcer = announcer(2, 50_000, 10 * S);
+        final Set<Integer> open = new TreeSet<>(Integer::compareUnsigned);
+        for (int i = 0; i < 100; i++) {
+            open.add(i * 0x2345_6789);
+        }
+        open.add(KeyRange.MIN_KEY);
+        open.add(KeyRange.MAX_KEY);
+        open.forEach(counts::started);
+        long cycle = 1;
+        for (int cycles = 0; cycles < 3; cycles++) {
+            final Set<Integer> swept = new TreeSet<>(Integer::compareUnsigned);
+            long first = 0;
+            final long startUs = nowUs;
+            while (first <= 0xffff_ffffL) {
+                final LoadMessage message = next(announcer);
+                assertThat(message.cycle()).isEqualTo(cycle);
+                if (!message.range().isEmpty()) {
+                    assertThat(Integer.toUnsignedLong(message.range().first())).isEqualTo(first);
+                    first = Integer.toUnsignedLong(message.range().last()) + 1;
+                    final Set<Integer> stated = Set.copyOf(keys(message));
+                    assertThat(stated).containsAll(open.stream().filter(message.range()::contains)
+                        .collect(Collectors.toSet()));
+                    swept.addAll(stated);
+                }
+            }
+            cycle++;
+            assertThat(swept).isEqualTo(open);
+            assertThat(nowUs - startUs).isBetween(8 * S, 11 * S);
+        }
+    }
+
+    @Test
+    void shortBudgetMakesCyclesLongerAndLosesNothing() {
+        final LoadAnnouncer announcer = announcer(29, 3_000, 10 * S);
+        for (int key = 0; key < 60; key++) {
+            counts.started(key * 1_000);
+        }
+        final Set<Integer> swept = new TreeSet<>();
+        final long startUs = nowUs;
+        for (LoadMessage message = next(announcer); message.cycle() == 1; message = next(announcer)) {
+            swept.addAll(keys(message));
+        }
+        assertThat(swept).hasSize(60);
+        assertThat(nowUs - startUs).isGreaterThan(15 * S);
+    }
+
+    @Test
+    void leavingIsSaidOnce() {
+        final LoadAnnouncer announcer = announcer(2, 1_000, 60 * S);
+        assertThat(announcer.leave(nowUs)).as("no budget yet").isEmpty();
+        nowUs += S;
+        final LoadMessage message = announcer.leave(nowUs).orElseThrow();
+        assertThat(message.leaving()).isTrue();
+        assertThat(message.entries()).isEmpty();
+    }
+}
--- /dev/null
+++ b/src/test/java/cresschute/peers/LoadViewTest.java
@@ -0,0 +1,156 @@
+package cresschute.peers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import cresschute.peers.LoadMessage.Entry;
+import cresschute.peers.LoadMessage.KeyRange;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** What the view answers, and what a peer that lies can do. */
+class LoadViewTest {
+
+    private static final long S = 1_000_000;
+    private static final int LIAR = WorkerKeys.hash("liar");
+    private static final int HONEST = WorkerKeys.hash("honest");
+
+    private final List<String> collisions = new ArrayList<>();
+    private final List<Integer> distrusted = new ArrayList<>();
+    private final WorkerKeys keys = new WorkerKeys((worker, other) -> collisions.add(worker + "=" + other));
+    private final InFlightCounts own = new InFlightCounts();
+    private long nowUs = 100 * S;
+    private final PeerTable peers = new PeerTable("self", 2, nowUs);
+    private final LoadView view = new LoadView(keys, own, peers, (sender, forUs) -> distrusted.add(sender));
+    private long sequence;
+
+    private static String worker(int number) {
+        return "w-" + number;
+    }
+
+    /** Both peers state numbers at all workers. */
+    private void states(int liars, int honest, int workers) {
+        sequence++;
+        tell(LIAR, liars, workers);
+        tell(HONEST, honest, workers);
+    }
+
+    private void tell(int sender, int count, int workers) {
+        try {
+            peers.receive(nowUs, new LoadMessage(sender, 1, sequence, 1, false, KeyRange.EMPTY,
+                IntStream.range(0, workers).mapToObj(i -> new Entry(keys.list(worker(i)), count)).toList()));
+        } catch (RefusedMessageException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    @Test
+    void ownAndPeersCountsAreSummed() {
+        states(1, 2, 1);
+        own.started(keys.list(worker(0)));
+        assertThat(view.outstanding(nowUs, worker(0))).hasValue(4);
+        assertThat(view.outstanding(nowUs, "never listed")).isEmpty();
+        nowUs += 3 * S;
+        assertThat(view.outstanding(nowUs, worker(0))).as("peers are suspect").isEmpty();
+    }
+
+    @Test
+    void workersOfOneKeyAreUnknownAndSaidOnce() {
+        states(0, 0, 0);
+        keys.list("x", 42);
+        assertThat(view.outstanding(nowUs, "x")).hasValue(0);
+        keys.list("y", 42);
+        keys.list("y", 42);
+        assertThat(view.outstanding(nowUs, "x")).isEmpty();
+        assertThat(view.outstanding(nowUs, "y")).isEmpty();
+        assertThat(collisions).containsExactly("x=y");
+    }
+
+    @Test
+    void keyIsTheBeginningOfTheHash() {
+        // The beginning of the SHA-256 of "abc", as its standard gives it.
+        assertThat(WorkerKeys.hash("abc")).isEqualTo(0xba78_16bf);
+    }
+
+    @Test
+    void reportsWithinTheMarginDistrustNobody() {
+        states(4, 3, 10);
+        for (int i = 0; i < 100; i++) {
+            nowUs += S / 10;
+            states(4, 3, 10);
+            view.reported(nowUs, worker(i % 10), 5);
+        }
+        assertThat(distrusted).isEmpty();
+        assertThat(view.outstanding(nowUs, worker(0))).as("an unusual claim is verified").isEmpty();
+        assertThat(view.outstanding(nowUs, worker(0))).as("once in a while").hasValue(7);
+    }
+
+    @Test
+    void contradictedWorkerIsAskedUntilAReportAgrees() {
+        states(50, 0, 2);
+        view.reported(nowUs, worker(0), 1);
+        assertThat(view.outstanding(nowUs, worker(0))).isEmpty();
+        view.reported(nowUs, worker(0), 49);
+        states(50, 0, 2);
+        assertThat(answeredOf(10)).isGreaterThan(0);
+    }
+
+    /** Answers among so many questions: some are verified at the worker. */
+    private long answeredOf(int questions) {
+        return IntStream.range(0, questions)
+            .filter(i -> view.outstanding(nowUs, worker(0)).isPresent()).count();
+    }
+
+    /** A peer that claims much at every worker, as it lies or is stuck, is out after 16 reports. */
+    @Test
+    void liarIsDistrustedAndViewsAreIncompleteMeanwhile() {
+        int reports = 0;
+        while (distrusted.isEmpty()) {
+            nowUs += S / 10;
+            states(30, 2, 40);
+            view.reported(nowUs, worker(reports++ % 40), 2);
+            assertThat(reports).isLessThanOrEqualTo(ClaimCheck.WINDOW);
+        }
+        assertThat(distrusted).containsExactly(LIAR);
+        assertThat(peers.isComplete(nowUs)).isFalse();
+        for (int i = 0; i < 61; i++) {
+            nowUs += S;
+            states(0, 2, 40);
+        }
+        assertThat(peers.isComplete(nowUs)).isTrue();
+    }
+
+    /** A worker that is avoided sends no reports, so it is asked itself. */
+    @Test
+    void unusualClaimIsVerifiedAtTheWorkerAtOnce() {
+        states(2, 2, 20);
+        for (int i = 0; i < 200; i++) {
+            nowUs += S / 10;
+            states(2, 2, 20);
+            view.outstanding(nowUs, worker(1 + i % 19));
+        }
+        sequence++;
+        tell(LIAR, 1_000, 1);
+        tell(HONEST, 2, 1);
+        nowUs += S;
+        assertThat(view.outstanding(nowUs, worker(0))).isEmpty();
+        view.reported(nowUs, worker(0), 3);
+        nowUs += S;
+        assertThat(view.outstanding(nowUs, worker(0))).as("contradicted").isEmpty();
+    }
+
+    @Test
+    void fewQuestionsAreVerified() {
+        int asked = 0;
+        for (int i = 0; i < 6_000; i++) {
+            nowUs += S / 100;
+            if (i % 100 == 0) {
+                states(2, 2, 20);
+            }
+            asked += view.outstanding(nowUs, worker(i % 20)).isEmpty() ? 1 : 0;
+        }
+        // 60 s: two a second at the most.
+        assertThat(asked).isBetween(1, 121);
+    }
+}
--- /dev/null
+++ b/src/test/java/cresschute/peers/SimulatedNetwork.java
@@ -0,0 +1,246 @@
+package cresschute.peers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.BiPredicate;
+
+/**
+ * Dispatchers that exchange their counts over a network in virtual time, which loses, doubles, delays and
+ * cuts as it is told. The same seed is the same run. What is true is known, so that views can be compared.
+ */
+final class SimulatedNetwork {
+
+    static final long S = 1_000_000;
+    static final long START_US = 1_700_000_000L * S;
+    private static final long TICK_US = 50_000;
+    private static final byte[] KEY = new byte[32];
+
+    /** One dispatcher, its true counts and what it has sent. */
+    static final class Site {
+        final String name;
+        final LoadMessageCodec codec = new LoadMessageCodec(KEY);
+        final int[] truth;
+        LoadExchange exchange;
+        boolean up = true;
+        long bytes;
+        long messages;
+        final List<Integer> distrusted = new ArrayList<>();
+
+        Site(String name, int workers) {
+            this.name = name;
+            this.truth = new int[workers];
+        }
+    }
+
+    private record Datagram(long atUs, long order, int from, int to, byte[] bytes) {}
+
+    final List<Site> sites = new ArrayList<>();
+    final Random random;
+    private final int workers;
+    private final long bytesPerS;
+    private final long refreshUs;
+    private final PriorityQueue<Datagram> wire = new PriorityQueue<>(
+        Comparator.comparingLong(Datagram::atUs).thenComparingLong(Datagram::order));
+    private long sent;
+    long nowUs = START_US;
+    double loss;
+    double duplication;
+    long delayUs = 1_000;
+    long jitterUs;
+    /** Whether a datagram from one to another arrives. */
+    BiPredicate<Integer, Integer> connected = (from, to) -> true;
+    /** Starts a second, all dispatchers together, and the mean time of an attempt. */
+    double startsPerS;
+    double meanRunS = 10;
+    private double startsDue;
+    private final PriorityQueue<long[]> ends = new PriorityQueue<>(Comparator.comparingLong(each -> each[0]));
+
+    SimulatedNetwork(long seed, int dispatchers, int workers, long bytesPerS, long refreshUs) {
+        random = new Random(seed);
+        this.workers = workers;
+        this.bytesPerS = bytesPerS;
+        this.refreshUs = refreshUs;
+        for (int i = 0; i < dispatchers; i++) {
+            sites.add(new Site("n" + i, workers));
+        }
+        for (int i = 0; i < dispatchers; i++) {
+            boot(i);
+        }
+    }
+
+    static String worker(int number) {
+        return "w-" + number;
+    }
+
+    /** A new run of the dispatcher's process, with nothing open. */
+    void boot(int site) {
+        final Site booted = sites.get(site);
+        Arrays.fill(booted.truth, 0);
+        ends.removeIf(each -> each[1] == site);
+        booted.up = true;
+        booted.exchange = new LoadExchange(new ExchangeSettings(booted.name, sites.size() - 1, bytesPerS,
+            refreshUs), nowUs, new LoadExchange.Listener() {
+                @Override
+                public void keyCollision(String worker, String other) {
+                    throw new IllegalStateException(worker + " and " + other);
+                }
+
+                @Override
+                public void distrusted(int sender, long forUs) {
+                    booted.distrusted.add(sender);
+                }
+            });
+        for (int i = 0; i < workers; i++) {
+            booted.exchange.listed(worker(i));
+        }
+    }
+
+    void crash(int site) {
+        sites.get(site).up = false;
+    }
+
+    void leave(int site) {
+        sites.get(site).exchange.leave(nowUs).ifPresent(message -> transmit(site, message));
+        crash(site);
+    }
+
+    void start(int site, int worker) {
+        sites.get(site).truth[worker]++;
+        sites.get(site).exchange.started(worker(worker));
+    }
+
+    void end(int site, int worker) {
+        sites.get(site).truth[worker]--;
+        sites.get(site).exchange.ended(worker(worker));
+    }
+
+    void run(double seconds) {
+        final long untilUs = nowUs + (long) (seconds * S);
+        while (nowUs < untilUs) {
+            nowUs += TICK_US;
+            load();
+            deliver();
+            for (int i = 0; i < sites.size(); i++) {
+                final Site site = sites.get(i);
+                if (site.up) {
+                    final int from = i;
+                    final Optional<LoadMessage> message = site.exchange.poll(nowUs);
+                    message.ifPresent(each -> transmit(from, each));
+                }
+            }
+        }
+    }
+
+    private void load() {
+        for (startsDue += startsPerS * TICK_US / S; startsDue >= 1; startsDue--) {
+            final int site = random.nextInt(sites.size());
+            if (sites.get(site).up) {
+                final int worker = random.nextInt(workers);
+                start(site, worker);
+                final double runS = -Math.log(1 - random.nextDouble()) * meanRunS;
+                ends.add(new long[]{nowUs + (long) (runS * S), site, worker});
+            }
+        }
+        while (!ends.isEmpty() && ends.peek()[0] <= nowUs) {
+            final long[] due = ends.poll();
+            if (sites.get((int) due[1]).up) {
+                end((int) due[1], (int) due[2]);
+            }
+        }
+    }
+
+    /** All load stops: what is open stays open. */
+    void freeze() {
+        startsPerS = 0;
+        ends.clear();
+    }
+
+    private void transmit(int from, LoadMessage message) {
+        final Site site = sites.get(from);
+        final byte[] bytes = site.codec.encode(message);
+        assertThat(bytes).hasSizeLessThanOrEqualTo(LoadMessageCodec.MAX_MESSAGE_BYTES);
+        site.messages++;
+        for (int to = 0; to < sites.size(); to++) {
+            if (to != from) {
+                site.bytes += bytes.length + LoadAnnouncer.HEADER_BYTES;
+                send(from, to, bytes);
+            }
+        }
+    }
+
+    private void send(int from, int to, byte[] bytes) {
+        for (int copies = random.nextDouble() < duplication ? 2 : 1; copies > 0; copies--) {
+            if (random.nextDouble() >= loss) {
+                final long extraUs = jitterUs == 0 ? 0 : (long) (random.nextDouble() * jitterUs);
+                wire.add(new Datagram(nowUs + delayUs + extraUs, sent++, from, to, bytes));
+            }
+        }
+    }
+
+    private void deliver() {
+        while (!wire.isEmpty() && wire.peek().atUs() <= nowUs) {
+            final Datagram datagram = wire.poll();
+            final Site site = sites.get(datagram.to());
+            if (site.up && connected.test(datagram.from(), datagram.to())) {
+                inject(datagram.to(), datagram.bytes());
+            }
+        }
+    }
+
+    /** Hands bytes to a dispatcher as its socket would; whether they were taken in. */
+    boolean inject(int to, byte[] bytes) {
+        final Site site = sites.get(to);
+        try {
+            site.exchange.receive(nowUs, site.codec.decode(bytes));
+            return true;
+        } catch (RefusedMessageException e) {
+            return false;
+        }
+    }
+
+    boolean isComplete(int site) {
+        return sites.get(site).exchange.peers().isComplete(nowUs);
+    }
+
+    PeerState state(int at, int of) {
+        return sites.get(at).exchange.peers().states(nowUs).get(WorkerKeys.hash(sites.get(of).name));
+    }
+
+    /** Open attempts at a worker, all others than this one that are up together. */
+    int trueCountOfOthers(int site, int worker) {
+        int sum = 0;
+        for (int i = 0; i < sites.size(); i++) {
+            sum += i != site && sites.get(i).up ? sites.get(i).truth[worker] : 0;
+        }
+        return sum;
+    }
+
+    int seenCountOfOthers(int site, int worker) {
+        return sites.get(site).exchange.peers().count(nowUs, WorkerKeys.hash(worker(worker)));
+    }
+
+    /** Workers at which this dispatcher's table is not what is true. */
+    int wrongAt(int site) {
+        int wrong = 0;
+        for (int worker = 0; worker < workers; worker++) {
+            wrong += seenCountOfOthers(site, worker) == trueCountOfOthers(site, worker) ? 0 : 1;
+        }
+        return wrong;
+    }
+
+    /** The same of all dispatchers that are up. */
+    int wrong() {
+        int wrong = 0;
+        for (int i = 0; i < sites.size(); i++) {
+            wrong += sites.get(i).up ? wrongAt(i) : 0;
+        }
+        return wrong;
+    }
+}
