Exchange in-flight counts over UDP where the settings name peers

Change: cresschute.peers.socket sends and takes the datagrams on the node's event loop, node.PeerLoads puts the exchange into a node, and Core asks LoadKnowledge before it probes: where the view answers, the module gets that as the probe's report and nothing goes on the wire. Block peers of the settings script, off without it; a key file, duplicates, the own address, probes, reports and the number of dispatchers are checked with a line each. At its stop a node says that it leaves.

Ruled out: a second CoreWatcher. A node has one, and a composite of watchers would have to say whose drains hold; LoadKnowledge has five methods and no part in that.

--- a/src/main/java/cresschute/node/Core.java
+++ b/src/main/java/cresschute/node/Core.java
@@ -25,6 +25,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
@@ -70,6 +71,7 @@
     /** Advice of the node's own refusals, us. */
     private long retryAfterUs;
     private final CoreWatcher watcher;
+    private final LoadKnowledge loads;
     private final Events module;
     private final Map<Integer, Req> open = new HashMap<>();
     private final Set<String> openIds = new HashSet<>();
@@ -97,6 +99,12 @@
      */
     Core(NodeConfig config, ScheduledExecutorService loop, Clock clock, RateLimitedLog troubles,
         CoreWatcher watcher, Function<Actions, Events> module) {
+        this(config, loop, clock, troubles, watcher, LoadKnowledge.NONE, module);
+    }
+
+    /** The same, with workers' loads known to {@code loads} where it answers. */
+    Core(NodeConfig config, ScheduledExecutorService loop, Clock clock, RateLimitedLog troubles,
+        CoreWatcher watcher, LoadKnowledge loads, Function<Actions, Events> module) {
         this.loop = loop;
         this.clock = clock;
         this.troubles = troubles;
@@ -108,6 +116,7 @@
         this.fullMayHaveRun = config.settings().fullMayHaveRun();
         this.retryAfterUs = Math.min(OWN_RETRY_US, config.settings().limits().maxRetryAfterUs());
         this.watcher = watcher;
+        this.loads = loads;
         this.module = module.apply(new GatheredActions());
     }
 
@@ -325,6 +334,7 @@
         req.out.add(fetch);
         req.firstBackend = req.firstBackend < 0 ? backend : req.firstBackend;
         fetch.watch = watcher.sent(nowUs, backend, req.requestClass);
+        loads.started(roster.name(backend));
         fetch.giveUp = after(remainingUs(fetch),
             () -> end(fetch, fetch.call.giveUp(), LoadReport.NONE, null));
         try {
@@ -423,6 +433,8 @@
         }
         final long endedUs = clock.nowUs();
         fetch.watch.ended(endedUs, outcome, report);
+        loads.ended(roster.name(fetch.backend));
+        loads.reported(roster.name(fetch.backend), report);
         if (outcome == Outcome.SERVED && !req.closed && req.streaming == null) {
             answer(req, CoreWatcher.Answer.SERVED, fetch.watch.ranUs(endedUs),
                 () -> req.client.served(result));
@@ -522,8 +534,15 @@
         if (!invariant.holds(addr != null, "probe of nobody")) {
             return;
         }
+        final OptionalInt known = loads.outstanding(roster.name(backend));
+        if (known.isPresent()) {
+            final LoadReport report = new LoadReport(-1, known.getAsInt(), -1);
+            gather(null, now -> module.probed(now, backend, Outcome.SERVED, report));
+            return;
+        }
         backends.probe(addr, (outcome, report) -> {
             watcher.probed(clock.nowUs(), backend, report);
+            loads.reported(roster.name(backend), report);
             gather(null, now -> module.probed(now, backend, outcome, report));
         });
     }
@@ -547,6 +566,7 @@
 
     private void tellList(ListForm form, DirectorList list) {
         final List<Worker> told = roster.take(list);
+        told.forEach(each -> loads.listed(roster.name(each.id())));
         final List<Worker> workers = over(told);
         ready |= workers.stream().anyMatch(worker -> worker.state() == WorkerState.READY);
         listHeardUs = clock.nowUs();
--- a/src/main/java/cresschute/node/NodeConfig.java
+++ b/src/main/java/cresschute/node/NodeConfig.java
@@ -8,6 +8,7 @@
 import cresschute.benchlink.SettingsParser;
 import cresschute.settings.ApplianceSettings;
 import cresschute.settings.ApplianceSettings.Bodies;
+import cresschute.settings.ApplianceSettings.Peers;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -36,12 +37,13 @@
  * @param bodies the room for long bodies, or null where there are none
  * @param operators where the platform's operators call, and what an upgrade hands over
  * @param shape the keys of the platform's file, which a file read again must have too
+ * @param peers the other dispatchers to exchange counts with, or null where this node talks to none
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress director, long seed,
     Settings settings, List<String> classes, List<String> zones, List<String> kinds,
     long connectTimeoutUs, long connIdleUs, int sockets, DirectorList known,
     String controlSocket, String stateFolder, Bodies bodies, Operators operators,
-    ConfigShape shape) {
+    ConfigShape shape, Peers peers) {
 
     /**
      * What the platform's operators are given: a management listener, the clients' listener held by the
@@ -59,6 +61,15 @@
         public static final Operators NONE = new Operators(null, false, null);
     }
 
+    /** A node that exchanges nothing with other dispatchers. */
+    public NodeConfig(String name, InetSocketAddress listen, InetSocketAddress director, long seed,
+        Settings settings, List<String> classes, List<String> zones, List<String> kinds,
+        long connectTimeoutUs, long connIdleUs, int sockets, DirectorList known,
+        String controlSocket, String stateFolder, Bodies bodies, Operators operators, ConfigShape shape) {
+        this(name, listen, director, seed, settings, classes, zones, kinds, connectTimeoutUs, connIdleUs,
+            sockets, known, controlSocket, stateFolder, bodies, operators, shape, null);
+    }
+
     /** A node without the platform's operators. */
     public NodeConfig(String name, InetSocketAddress listen, InetSocketAddress director, long seed,
         Settings settings, List<String> classes, List<String> zones, List<String> kinds,
@@ -100,7 +111,8 @@
             settings.module(),
             settings.classes(), settings.zones(), settings.kinds(), settings.connectTimeoutUs(),
             settings.idleTimeoutUs(), settings.sockets(), new DirectorList(-1, true, workers),
-            settings.controlSocket(), settings.stateFolder(), settings.bodies());
+            settings.controlSocket(), settings.stateFolder(), settings.bodies(), Operators.NONE,
+            ConfigShape.NONE, settings.peers());
     }
 
     /** Reads the environment and the file that it names. */
@@ -186,6 +198,7 @@
         note(changed, "control", Objects.equals(controlSocket, next.controlSocket));
         note(changed, "bodies", Objects.equals(bodies, next.bodies));
         note(changed, "state", Objects.equals(stateFolder, next.stateFolder));
+        note(changed, "peers", Objects.equals(peers, next.peers));
         note(changed, "management", operators.equals(next.operators));
         return changed;
     }
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -58,6 +58,8 @@
     private final ControlDesk desk;
     /** The platform operators' place, or null where they do not call. */
     private final OperatorsDesk operators;
+    /** Workers' load as peers announce it, or null where the settings name no peers. */
+    private final PeerLoads peers;
     /** The platform's listener, or null. */
     private final ServerSocketChannel passed;
     private boolean stopping;
@@ -96,8 +98,10 @@
         final boolean hasManagement = desk == null && config.operators().management() != null;
         final DescriptorShares shares = DescriptorShares.of(config.sockets(), hasManagement);
         operators = hasManagement ? new OperatorsDesk(config, loop, shares.callers()) : null;
+        peers = config.peers() == null ? null : connectPeers(clock);
         core = new Core(config, loop, clock, troubles,
-            desk != null ? desk : operators != null ? operators : CoreWatcher.NONE, module);
+            desk != null ? desk : operators != null ? operators : CoreWatcher.NONE,
+            peers != null ? peers : LoadKnowledge.NONE, module);
         front = new ClientFront(loop, core, config, shares.clients());
         backends = new BackendConnections(loop, troubles, config.connectTimeoutUs(), config.connIdleUs(),
             shares.workers(), config.bodies() != null);
@@ -105,9 +109,32 @@
             : new DirectorClient(loop, config.director(), core, troubles);
     }
 
+    private PeerLoads connectPeers(Clock clock) {
+        try {
+            return new PeerLoads(config, loop, clock);
+        } catch (IOException e) {
+            halt();
+            throw new IllegalStateException("the key in " + config.peers().keyFile() + " cannot be used: "
+                + e.getMessage(), e);
+        }
+    }
+
+    private void listenToPeers() {
+        final ChannelFuture bound = peers.listen(config.peers().listen()).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            halt();
+            closeDesk();
+            throw new IllegalStateException("cannot listen for peers on " + text(config.peers().listen())
+                + ": " + bound.cause().getMessage(), bound.cause());
+        }
+    }
+
     /** Starts all of it; returns, with the address, once clients can connect. */
     public SocketAddress start() {
         openDesk();
+        if (peers != null) {
+            listenToPeers();
+        }
         loop.execute(() -> core.start(backends, director == null ? () -> {} : director, config.known()));
         final ChannelFuture bound = front.listen(group, config.listen(), passed).awaitUninterruptibly();
         if (!bound.isSuccess()) {
@@ -307,7 +334,7 @@
                 + front.open() + " client connections open").with("count", core.owed())
                 .with("client_connections", front.open()).log(LOG, Level.INFO);
         }
-        if (front.open() == 0 && !stopped.isDone()) {
+        if (front.open() == 0 && !stopped.isDone() && (peers == null || peers.leave())) {
             logStatus();
             LogEvent.of("stopped", "stopped: everything taken is answered").log(LOG, Level.INFO);
             if (desk != null) {
@@ -354,6 +381,11 @@
         return core;
     }
 
+    /** The exchange with peers, or null where the settings name none. */
+    PeerLoads peers() {
+        return peers;
+    }
+
     /** Where operators call, once started; null where they do not. */
     SocketAddress managementAddress() {
         return operators == null ? null : operators.address();
--- a/src/main/java/cresschute/peers/LoadExchange.java
+++ b/src/main/java/cresschute/peers/LoadExchange.java
@@ -5,12 +5,12 @@
 
 /**
  * One dispatcher's part in the exchange: counts its own attempts, says when to send what, takes in what
- * others send, and tells workers' load. It has no clock, thread or socket: a driver calls it, with a time
+ * others send, and gives workers' load. It has no clock, thread or socket: a driver calls it, with a time
  * that never runs backwards.
  */
 public final class LoadExchange {
 
-    /** Hears what operators should know. */
+    /** Notified of what operators should know. */
     public interface Listener extends LoadView.DistrustListener {
 
         /** Two listed workers have the same key: the load of both is asked by probe. */
--- a/src/main/java/cresschute/peers/LoadMessage.java
+++ b/src/main/java/cresschute/peers/LoadMessage.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /**
- * What one dispatcher tells all others: absolute numbers, so that a repeated message changes nothing.
+ * What one dispatcher sends to all others: absolute numbers, so that a repeated message changes nothing.
  *
  * <p>Beside the entries a message states a range of keys, of which the entries hold every one that has open
  * attempts: a receiver drops what it has in that range and the message leaves out. The ranges of one cycle
--- a/src/main/java/cresschute/peers/LoadView.java
+++ b/src/main/java/cresschute/peers/LoadView.java
@@ -9,7 +9,7 @@
  */
 public final class LoadView {
 
-    /** Hears that a peer is distrusted. */
+    /** Notified that a peer is distrusted. */
     @FunctionalInterface
     public interface DistrustListener {
 
--- a/src/main/java/cresschute/peers/Peer.java
+++ b/src/main/java/cresschute/peers/Peer.java
@@ -13,13 +13,13 @@
     private long incarnation;
     private long sequence;
     private long cycle;
-    private long heardUs;
+    private long lastMessageUs;
     private boolean left;
     private boolean joined;
-    /** Whether the cycle was heard from its beginning, the sequence number there, and messages since. */
+    /** Whether the cycle was received from its beginning, the sequence number there, and messages since. */
     private boolean cycleFromStart;
     private long cycleFirstSequence;
-    private long heardInCycle;
+    private long receivedInCycle;
     private long distrustUs;
     private long distrustedUntilUs;
 
@@ -29,15 +29,15 @@
     }
 
     PeerState state(long nowUs) {
-        return nowUs < distrustedUntilUs ? PeerState.DISTRUSTED : stateByHearing(nowUs);
+        return nowUs < distrustedUntilUs ? PeerState.DISTRUSTED : stateByMessages(nowUs);
     }
 
-    private PeerState stateByHearing(long nowUs) {
-        final long silenceUs = nowUs - heardUs;
-        if (left || silenceUs >= PeerTable.ABSENT_AFTER_US) {
+    private PeerState stateByMessages(long nowUs) {
+        final long idleUs = nowUs - lastMessageUs;
+        if (left || idleUs >= PeerTable.ABSENT_AFTER_US) {
             return PeerState.ABSENT;
         }
-        if (silenceUs >= PeerTable.SUSPECT_AFTER_US) {
+        if (idleUs >= PeerTable.SUSPECT_AFTER_US) {
             return PeerState.SUSPECT;
         }
         return joined ? PeerState.ALIVE : PeerState.JOINING;
@@ -45,7 +45,7 @@
 
     /** Open attempts that it states at a worker. */
     int count(long nowUs, int key) {
-        return stateByHearing(nowUs) == PeerState.ABSENT ? 0 : counts.getOrDefault(key, 0);
+        return stateByMessages(nowUs) == PeerState.ABSENT ? 0 : counts.getOrDefault(key, 0);
     }
 
     /** Takes a message in; one that is not newer than the newest changes nothing. */
@@ -62,10 +62,10 @@
         if (message.incarnation() > incarnation) {
             begin(nowUs, message);
         }
-        noteSilence(nowUs, message);
+        noteGap(nowUs, message);
         noteCycle(message);
         sequence = message.sequence();
-        heardUs = nowUs;
+        lastMessageUs = nowUs;
         left = message.leaving();
         apply(message);
     }
@@ -75,18 +75,18 @@
         incarnation = message.incarnation();
         sequence = message.sequence() - 1;
         cycle = message.cycle();
-        heardUs = nowUs;
+        lastMessageUs = nowUs;
         left = false;
-        // From its first message on, all that it has is heard.
+        // From its first message on, all that it has is received.
         joined = message.sequence() == 1;
         cycleFromStart = joined;
         cycleFirstSequence = message.sequence();
-        heardInCycle = 0;
+        receivedInCycle = 0;
     }
 
-    /** What was missed in a silence is not known before a whole cycle was heard. */
-    private void noteSilence(long nowUs, LoadMessage message) {
-        final PeerState before = stateByHearing(nowUs);
+    /** What was missed while it was suspect is not known before a whole cycle was received. */
+    private void noteGap(long nowUs, LoadMessage message) {
+        final PeerState before = stateByMessages(nowUs);
         if (before == PeerState.ABSENT) {
             counts.clear();
         }
@@ -102,14 +102,14 @@
             if (cycleFromStart) {
                 final long sent = message.sequence() - cycleFirstSequence;
                 joined = message.cycle() == cycle + 1
-                    && sent - heardInCycle <= sent * PeerTable.MAX_MISSING_SHARE;
+                    && sent - receivedInCycle <= sent * PeerTable.MAX_MISSING_SHARE;
             }
             cycle = message.cycle();
             cycleFromStart = true;
             cycleFirstSequence = message.sequence();
-            heardInCycle = 0;
+            receivedInCycle = 0;
         }
-        heardInCycle++;
+        receivedInCycle++;
     }
 
     private void apply(LoadMessage message) {
--- a/src/main/java/cresschute/peers/PeerState.java
+++ b/src/main/java/cresschute/peers/PeerState.java
@@ -4,13 +4,13 @@
 
 /** What is known of another dispatcher; {@link PeerTable} says how it changes. */
 public enum PeerState {
-    /** Heard, but not for a whole cycle yet: numbers may be missing. */
+    /** Sends, but was not received for a whole cycle yet: numbers may be missing. */
     JOINING,
     /** All of its open numbers are known, some while old. */
     ALIVE,
-    /** Unheard for a short while: its last numbers stay. */
+    /** No message for a short while: its last numbers stay. */
     SUSPECT,
-    /** Stopped, or unheard for long: its numbers are dropped. */
+    /** Stopped, or no message for long: its numbers are dropped. */
     ABSENT,
     /** Its numbers exceeded what workers report: nothing is concluded from them for a while. */
     DISTRUSTED;
--- a/src/main/java/cresschute/peers/PeerTable.java
+++ b/src/main/java/cresschute/peers/PeerTable.java
@@ -9,13 +9,14 @@
  * time, and states follow from it.
  *
  * <ul>
- * <li>JOINING: from the first message heard of an incarnation until a whole cycle was heard with at most 5 %
- * of its messages missing. An incarnation heard from its first message on is ALIVE at once. A peer of which
- * no message was heard since this dispatcher's start counts as JOINING for 60 s, and then as ABSENT.
- * <li>ALIVE: heard within 3 s. A cycle with more than 5 % missing makes it JOINING.
- * <li>SUSPECT: unheard for 3 s. Its counts stay. Heard again, it is what it was where no message was missed
+ * <li>JOINING: from the first message received of an incarnation until a whole cycle was received with at
+ * most 5 % of its messages missing. An incarnation received from its first message on is ALIVE at once. A
+ * peer that sent nothing since this dispatcher's start counts as JOINING for 60 s, and then as ABSENT.
+ * <li>ALIVE: a message came within 3 s. A cycle with more than 5 % missing makes it JOINING.
+ * <li>SUSPECT: no message for 3 s. Its counts stay. With the next one it is what it was where none was missed
  * in between, else JOINING.
- * <li>ABSENT: unheard for 60 s, or it said that it stops. Its counts are dropped; heard again, it is JOINING.
+ * <li>ABSENT: no message for 60 s, or it said that it stops. Its counts are dropped; with the next message it
+ * is JOINING.
  * <li>DISTRUSTED: its counts exceeded what workers report ({@link ClaimCheck}), for 60 s and each time twice
  * as long, up to 1 h; an hour without makes it 60 s again. Its messages are taken in meanwhile, and after
  * that it is what they make it.
@@ -25,9 +26,9 @@
  */
 public final class PeerTable {
 
-    /** Silence after which a peer is SUSPECT, us. */
+    /** Time without a message after which a peer is SUSPECT, us. */
     public static final long SUSPECT_AFTER_US = 3_000_000;
-    /** Silence after which a peer is ABSENT, us. */
+    /** Time without a message after which a peer is ABSENT, us. */
     public static final long ABSENT_AFTER_US = 60_000_000;
     /** The part of a cycle's messages that may be missing. */
     static final double MAX_MISSING_SHARE = 0.05;
@@ -40,9 +41,9 @@
     private final int self;
     private final int peers;
     private final long startUs;
-    private final Map<Integer, Peer> heard = new HashMap<>();
+    private final Map<Integer, Peer> bySender = new HashMap<>();
 
-    /** A table for so many other dispatchers, of which none was heard yet. */
+    /** A table for so many other dispatchers, of which none has sent anything yet. */
     public PeerTable(String ownName, int peers, long nowUs) {
         this.self = WorkerKeys.hash(ownName);
         this.peers = peers;
@@ -54,33 +55,33 @@
         if (message.sender() == self) {
             throw new RefusedMessageException(Refusal.OWN_NAME);
         }
-        Peer peer = heard.get(message.sender());
+        Peer peer = bySender.get(message.sender());
         if (peer == null) {
             makeRoom(nowUs);
             peer = new Peer(nowUs, message);
-            heard.put(message.sender(), peer);
+            bySender.put(message.sender(), peer);
         }
         peer.take(nowUs, message);
     }
 
     /** A dispatcher under a new name takes the place of one that is absent. */
     private void makeRoom(long nowUs) throws RefusedMessageException {
-        if (heard.size() >= peers && !heard.values().removeIf(
+        if (bySender.size() >= peers && !bySender.values().removeIf(
             peer -> peer.state(nowUs) == PeerState.ABSENT)) {
             throw new RefusedMessageException(Refusal.TOO_MANY_SENDERS);
         }
     }
 
-    /** The state of every peer that was heard, by the hash of its name. */
+    /** The state of every peer that sent a message, by the hash of its name. */
     public Map<Integer, PeerState> states(long nowUs) {
         final Map<Integer, PeerState> states = new TreeMap<>(Integer::compareUnsigned);
-        heard.forEach((sender, peer) -> states.put(sender, peer.state(nowUs)));
+        bySender.forEach((sender, peer) -> states.put(sender, peer.state(nowUs)));
         return states;
     }
 
-    /** Peers of which no message was heard yet. */
-    public int unheard() {
-        return Math.max(0, peers - heard.size());
+    /** Peers that have sent no message yet. */
+    public int missing() {
+        return Math.max(0, peers - bySender.size());
     }
 
     /**
@@ -88,11 +89,11 @@
      * dispatchers, this one included, is ALIVE.
      */
     public boolean isComplete(long nowUs) {
-        if (unheard() > 0 && nowUs - startUs < ABSENT_AFTER_US) {
+        if (missing() > 0 && nowUs - startUs < ABSENT_AFTER_US) {
             return false;
         }
         int alive = 1;
-        for (final Peer peer : heard.values()) {
+        for (final Peer peer : bySender.values()) {
             final PeerState state = peer.state(nowUs);
             if (state == PeerState.ALIVE) {
                 alive++;
@@ -106,7 +107,7 @@
     /** Open attempts that all peers together state at a worker. */
     public int count(long nowUs, int key) {
         long sum = 0;
-        for (final Peer peer : heard.values()) {
+        for (final Peer peer : bySender.values()) {
             sum += peer.count(nowUs, key);
         }
         return (int) Math.min(Integer.MAX_VALUE, sum);
@@ -115,7 +116,7 @@
     /** What each peer states at a worker, those without open attempts left out. */
     Map<Integer, Integer> claims(long nowUs, int key) {
         final Map<Integer, Integer> claims = new HashMap<>();
-        heard.forEach((sender, peer) -> {
+        bySender.forEach((sender, peer) -> {
             final int count = peer.count(nowUs, key);
             if (count > 0) {
                 claims.put(sender, count);
@@ -126,6 +127,6 @@
 
     /** Distrusts a peer; returns for how long, us. */
     long distrust(long nowUs, int sender) {
-        return heard.get(sender).distrust(nowUs);
+        return bySender.get(sender).distrust(nowUs);
     }
 }
--- a/src/main/java/cresschute/peers/Refusal.java
+++ b/src/main/java/cresschute/peers/Refusal.java
@@ -19,9 +19,9 @@
     OWN_NAME,
     /** From more senders than there are peers. */
     TOO_MANY_SENDERS,
-    /** Of a run of the sender before the newest one that was heard. */
+    /** Of a run of the sender before the newest one received. */
     OLD_INCARNATION,
-    /** Not newer than the newest message heard: a duplicate, overtaken or replayed. */
+    /** Not newer than the newest message received: a duplicate, overtaken or replayed. */
     OLD_SEQUENCE,
     /** Its sender would state more workers than a list can hold. */
     TOO_MANY_ENTRIES;
--- a/src/main/java/cresschute/settings/ApplianceSettings.java
+++ b/src/main/java/cresschute/settings/ApplianceSettings.java
@@ -20,6 +20,7 @@
  * @param controlSocket the control socket's file, or null
  * @param stateFolder the folder for state, or null
  * @param bodies the room for long bodies, or null where no class allows any
+ * @param peers the other dispatchers, or null where nothing is exchanged
  * @param shown the settings in force as a script of their own, with all that holds without being stated
  */
 public record ApplianceSettings(String name, InetSocketAddress listen, Long seed, Settings module,
@@ -27,7 +28,18 @@
     List<WorkerEntry> workers, InetSocketAddress director, long connectTimeoutUs,
     long idleTimeoutUs, int sockets, String logFormat, String logLevel,
     String controlSocket, String stateFolder, Bodies bodies,
-    String shown) {
+    Peers peers, String shown) {
+
+    /**
+     * The exchange with the other dispatchers.
+     *
+     * @param listen where this one takes their datagrams
+     * @param addresses where each of them listens
+     * @param keyFile the file of the key that all of them share
+     * @param bytesPerS bytes a second that this one sends at the most
+     */
+    public record Peers(InetSocketAddress listen, List<InetSocketAddress> addresses, String keyFile,
+        long bytesPerS) {}
 
     /**
      * The room for long bodies, all in bytes.
--- a/src/main/java/cresschute/settings/Kind.java
+++ b/src/main/java/cresschute/settings/Kind.java
@@ -97,6 +97,25 @@
             value -> Values.quoted(IpAddress.format(value)));
     }
 
+    /** A list of IP addresses with ports. */
+    static Kind<List<InetSocketAddress>> addresses() {
+        final Kind<InetSocketAddress> address = address();
+        return new Kind<>("a list of IP addresses with ports, such as [\"10.0.0.2:7946\"]", value -> {
+            if (!(value instanceof ListValue list)) {
+                return null;
+            }
+            final List<InetSocketAddress> addresses = new ArrayList<>();
+            for (final Object element : list.elements()) {
+                final InetSocketAddress read = address.read().apply(element);
+                if (read == null) {
+                    return null;
+                }
+                addresses.add(read);
+            }
+            return List.copyOf(addresses);
+        }, value -> "[" + String.join(", ", value.stream().map(address.show()).toList()) + "]");
+    }
+
     /** A path from the root. */
     static Kind<String> path() {
         return new Kind<>("a path that begins with '/'",
--- a/src/main/java/cresschute/settings/SettingsChecks.java
+++ b/src/main/java/cresschute/settings/SettingsChecks.java
@@ -11,27 +11,38 @@
 import cresschute.DispatchApi.WeightSource;
 import cresschute.settings.ApplianceSettings.Bodies;
 import cresschute.settings.ApplianceSettings.ClassBodies;
+import cresschute.settings.ApplianceSettings.Peers;
 import cresschute.settings.ApplianceSettings.WorkerEntry;
 import cresschute.settings.script.Position;
 import cresschute.settings.script.Values;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.UnaryOperator;
 
 /** What must hold between the parts of a script, and the settings that it makes where all of that holds. */
 final class SettingsChecks {
 
+    /** What a peer costs at the least, bytes a second: a message without entries, and room for a few. */
+    private static final long MIN_BYTES_PER_S_PER_PEER = 100;
+
     private final Map<String, List<Statement>> stated;
     private final List<Problem> problems;
+    private final UnaryOperator<String> keyProblem;
 
-    SettingsChecks(Map<String, List<Statement>> stated, List<Problem> problems) {
+    /** Checks on what is stated; {@code keyProblem} tells what is wrong with a key file, or null. */
+    SettingsChecks(Map<String, List<Statement>> stated, List<Problem> problems,
+        UnaryOperator<String> keyProblem) {
         this.stated = stated;
         this.problems = problems;
+        this.keyProblem = keyProblem;
     }
 
     /** Adds to the problems; {@code complete} where the script ran to its end. */
@@ -54,6 +65,7 @@
         all(Schema.JOB_CLASS).stream().filter(Statement::isWhole).forEach(this::jobClass);
         all(Schema.GOAL).stream().filter(Statement::isWhole).forEach(this::goal);
         all(Schema.BODIES).stream().filter(Statement::isWhole).forEach(this::bodies);
+        all(Schema.PEERS).stream().filter(Statement::isWhole).forEach(this::peers);
     }
 
     private void unique(List<Statement> statements, Field<?> field) {
@@ -136,6 +148,54 @@
         }
     }
 
+    private void peers(Statement peers) {
+        peerAddresses(peers, peers.get(Schema.PEERS_ADDRESSES));
+        final int count = peers.get(Schema.PEERS_ADDRESSES).size();
+        final long bytesPerS = peers.get(Schema.PEERS_BYTES_PER_SECOND);
+        if (bytesPerS < MIN_BYTES_PER_S_PER_PEER * count) {
+            problem(peers.at(Schema.PEERS_BYTES_PER_SECOND), "peers: bytes_per_second " + bytesPerS
+                + " is below " + MIN_BYTES_PER_S_PER_PEER + " for each of " + count + " peers, which is "
+                + MIN_BYTES_PER_S_PER_PEER * count);
+        }
+        final String file = peers.get(Schema.PEERS_KEY_FILE);
+        final String wrong = keyProblem.apply(file);
+        if (wrong != null) {
+            problem(peers.at(Schema.PEERS_KEY_FILE), "peers: key_file " + Values.quoted(file) + " " + wrong
+                + "; it must hold at least " + SettingsFile.MIN_KEY_BYTES + " bytes");
+        }
+        if (!one(Schema.LIMITS).get(Schema.PROBES) || !one(Schema.REPORTS).get(Schema.LOAD)) {
+            problem(peers.at(), "peers: needs limits(probes = True) and reports(load = True); a worker is "
+                + "asked itself wherever the peers' counts are not whole");
+        }
+        final long dispatchers = one(Schema.NODE).get(Schema.DISPATCHERS);
+        if (dispatchers != count + 1) {
+            problem(peers.at(Schema.PEERS_ADDRESSES), "peers: addresses names " + count
+                + " peers, but node has dispatchers = " + dispatchers + "; with this one there are "
+                + (count + 1));
+        }
+    }
+
+    private void peerAddresses(Statement peers, List<InetSocketAddress> addresses) {
+        final Position at = peers.at(Schema.PEERS_ADDRESSES);
+        if (addresses.isEmpty()) {
+            problem(at, "peers: addresses is empty; leave the block out where there are no peers");
+        }
+        final InetSocketAddress own = peers.get(Schema.PEERS_LISTEN);
+        if (addresses.contains(own)) {
+            problem(at, "peers: addresses has " + Values.quoted(IpAddress.format(own))
+                + ", which is this dispatcher's own listen; only the others belong there");
+        }
+        final Set<InetSocketAddress> seen = new HashSet<>();
+        for (final InetSocketAddress each : addresses) {
+            if (!seen.add(each)) {
+                problem(at, "peers: addresses has " + Values.quoted(IpAddress.format(each)) + " twice");
+            }
+        }
+        if (own.getPort() == 0 || addresses.stream().anyMatch(each -> each.getPort() == 0)) {
+            problem(peers.at(), "peers: port 0 is no port that others could send to");
+        }
+    }
+
     private void problem(Position at, String message) {
         problems.add(new Problem(at, message));
     }
@@ -170,7 +230,16 @@
             limits.get(Schema.IDLE_TIMEOUT), limits.get(Schema.SOCKETS).intValue(),
             one(Schema.LOGS).get(Schema.LOG_FORMAT), one(Schema.LOGS).get(Schema.LOG_LEVEL),
             one(Schema.CONTROL).get(Schema.SOCKET), one(Schema.STATE).get(Schema.FOLDER),
-            bodies(), shown());
+            bodies(), peers(), shown());
+    }
+
+    private Peers peers() {
+        if (all(Schema.PEERS).isEmpty()) {
+            return null;
+        }
+        final Statement stated = one(Schema.PEERS);
+        return new Peers(stated.get(Schema.PEERS_LISTEN), stated.get(Schema.PEERS_ADDRESSES),
+            stated.get(Schema.PEERS_KEY_FILE), stated.get(Schema.PEERS_BYTES_PER_SECOND));
     }
 
     private static boolean isLong(Statement jobClass) {
--- a/src/main/java/cresschute/settings/SettingsFile.java
+++ b/src/main/java/cresschute/settings/SettingsFile.java
@@ -11,13 +11,16 @@
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.UnaryOperator;
 
 /**
  * Reads settings scripts: runs the script, then checks all that it stated. It tells everything that is wrong
@@ -33,6 +36,10 @@
      */
     public record Result(ApplianceSettings settings, List<Problem> problems) {}
 
+    /** The shortest key that dispatchers may share, bytes. */
+    static final int MIN_KEY_BYTES = 16;
+    private static final int MAX_KEY_FILE_BYTES = 4_096;
+
     private SettingsFile() {}
 
     /** Reads a file of UTF-8 text; one that cannot be read is an exception, one that is wrong is a result. */
@@ -44,14 +51,43 @@
         }
         try {
             return parse(StandardCharsets.UTF_8.newDecoder()
-                .decode(ByteBuffer.wrap(Files.readAllBytes(file))).toString());
+                .decode(ByteBuffer.wrap(Files.readAllBytes(file))).toString(), SettingsFile::keyProblem);
         } catch (CharacterCodingException e) {
             return new Result(null, List.of(new Problem(Position.START, "the file is not UTF-8 text")));
         }
     }
 
-    /** Reads the text of a script. */
+    /** Reads the text of a script; the files that it names are not looked at. */
     public static Result parse(String text) {
+        return parse(text, file -> null);
+    }
+
+    /** The shared key in a file: its bytes without the line ends after them. */
+    public static byte[] readKey(String file) throws IOException {
+        if (Files.size(Path.of(file)) > MAX_KEY_FILE_BYTES) {
+            throw new IOException("longer than " + MAX_KEY_FILE_BYTES + " bytes");
+        }
+        final byte[] bytes = Files.readAllBytes(Path.of(file));
+        int length = bytes.length;
+        while (length > 0 && (bytes[length - 1] == '\n' || bytes[length - 1] == '\r')) {
+            length--;
+        }
+        return Arrays.copyOf(bytes, length);
+    }
+
+    /** What is wrong with a key file, or null. */
+    private static String keyProblem(String file) {
+        try {
+            final int length = readKey(file).length;
+            return length == 0 ? "is empty" : length < MIN_KEY_BYTES ? "has " + length + " bytes" : null;
+        } catch (NoSuchFileException e) {
+            return "does not exist";
+        } catch (IOException e) {
+            return "cannot be read: " + e.getMessage();
+        }
+    }
+
+    private static Result parse(String text, UnaryOperator<String> keyProblem) {
         final List<Problem> problems = new ArrayList<>();
         final Map<String, List<Statement>> stated = new LinkedHashMap<>();
         final Map<String, Builtin> host = new HashMap<>();
@@ -68,7 +104,7 @@
         }
         final List<ScriptError> errors = Script.run(text, host, Bounds.USUAL);
         errors.forEach(error -> problems.add(new Problem(error.position(), error.getMessage())));
-        final SettingsChecks checks = new SettingsChecks(stated, problems);
+        final SettingsChecks checks = new SettingsChecks(stated, problems, keyProblem);
         // What a script that broke off does not state may only not have been reached.
         checks.check(errors.isEmpty());
         if (problems.isEmpty()) {
--- a/src/test/java/cresschute/LayoutTest.java
+++ b/src/test/java/cresschute/LayoutTest.java
@@ -48,6 +48,7 @@
             "cresschute.settings", "cresschute.logs", "cresschute.health", "cresschute.control..",
             "cresschute.flow", "cresschute.peers..");
         mayUse(of("cresschute.peers"));
+        mayUse(of("cresschute.peers.socket"), "cresschute.peers", "cresschute.logs");
         mayUse(of("cresschute.health"), "cresschute");
         mayUse(of("cresschute.flow"));
         mayUse(of("cresschute.control"), "cresschute");
--- a/src/test/java/cresschute/cli/ProgramTest.java
+++ b/src/test/java/cresschute/cli/ProgramTest.java
@@ -225,6 +225,7 @@
             assertThat(lines).anyMatch(each -> each.contains("cresschute.node.NodeServer "));
             assertThat(lines).noneMatch(each -> each.contains("cresschute.node.ControlDesk ")
                 || each.contains("cresschute.control.") || each.contains("cresschute.health.")
+                || each.contains("cresschute.peers.") || each.contains("cresschute.node.PeerLoads ")
                 || each.contains("org.HdrHistogram"));
         } finally {
             node.destroyForcibly();
--- a/src/test/java/cresschute/peers/ExchangeOverNetworkTest.java
+++ b/src/test/java/cresschute/peers/ExchangeOverNetworkTest.java
@@ -109,7 +109,7 @@
         network.run(2);
         assertThat(network.state(0, 2)).isEqualTo(PeerState.ALIVE);
         assertThat(network.isComplete(0)).isTrue();
-        // The new run has to hear a whole cycle of the others.
+        // The new run has to receive a whole cycle of the others.
         assertThat(network.isComplete(2)).isFalse();
         network.run(2.0 * CYCLE_US / S + 2);
         assertThat(network.isComplete(2)).isTrue();
--- a/src/test/java/cresschute/peers/LoadViewTest.java
+++ b/src/test/java/cresschute/peers/LoadViewTest.java
@@ -32,11 +32,11 @@
     /** Both peers state numbers at all workers. */
     private void states(int liars, int honest, int workers) {
         sequence++;
-        tell(LIAR, liars, workers);
-        tell(HONEST, honest, workers);
+        announce(LIAR, liars, workers);
+        announce(HONEST, honest, workers);
     }
 
-    private void tell(int sender, int count, int workers) {
+    private void announce(int sender, int count, int workers) {
         try {
             peers.receive(nowUs, new LoadMessage(sender, 1, sequence, 1, false, KeyRange.EMPTY,
                 IntStream.range(0, workers).mapToObj(i -> new Entry(keys.list(worker(i)), count)).toList()));
@@ -131,8 +131,8 @@
             view.outstanding(nowUs, worker(1 + i % 19));
         }
         sequence++;
-        tell(LIAR, 1_000, 1);
-        tell(HONEST, 2, 1);
+        announce(LIAR, 1_000, 1);
+        announce(HONEST, 2, 1);
         nowUs += S;
         assertThat(view.outstanding(nowUs, worker(0))).isEmpty();
         view.reported(nowUs, worker(0), 3);
--- a/src/test/java/cresschute/peers/PeerTableTest.java
+++ b/src/test/java/cresschute/peers/PeerTableTest.java
@@ -40,17 +40,17 @@
     }
 
     @Test
-    void peerHeardFromItsFirstMessageIsAlive() {
+    void peerReceivedFromItsFirstMessageIsAlive() {
         assertThat(receive(message(A, 1, 1, 1, new Entry(5, 2)))).isNull();
         assertThat(state(A)).isEqualTo(PeerState.ALIVE);
-        assertThat(table.isComplete(nowUs)).as("the other one is unheard").isFalse();
+        assertThat(table.isComplete(nowUs)).as("the other one is missing").isFalse();
         receive(message(B, 1, 1, 1, new Entry(5, 3)));
         assertThat(table.isComplete(nowUs)).isTrue();
         assertThat(table.count(nowUs, 5)).isEqualTo(5);
     }
 
     @Test
-    void unheardPeerIsAbsentAfterAMinute() {
+    void missingPeerIsAbsentAfterAMinute() {
         for (int i = 1; i <= 61; i++) {
             nowUs = START_US + i * S;
             receive(message(A, 1, i, 1));
@@ -59,7 +59,7 @@
     }
 
     @Test
-    void peerHeardInTheMiddleJoinsAfterAWholeCycle() {
+    void peerReceivedFromTheMiddleJoinsAfterAWholeCycle() {
         long sequence = 500;
         for (long cycle = 7; cycle < 9; cycle++) {
             for (int i = 0; i < 60; i++) {
@@ -94,7 +94,7 @@
     }
 
     @Test
-    void silenceWithoutLossLeavesItAliveAndWithLossItJoinsAnew() {
+    void pauseWithoutLossLeavesItAliveAndWithLossItJoinsAnew() {
         receive(message(A, 1, 1, 1, new Entry(5, 2)));
         nowUs += 4 * S;
         assertThat(state(A)).isEqualTo(PeerState.SUSPECT);
@@ -107,7 +107,7 @@
     }
 
     @Test
-    void absentPeersCountsAreDroppedAlsoWhenItIsHeardAgain() {
+    void absentPeersCountsAreDroppedAlsoWhenItSendsAgain() {
         receive(message(A, 1, 1, 1, new Entry(5, 2)));
         nowUs += 60 * S;
         assertThat(state(A)).isEqualTo(PeerState.ABSENT);
--- a/src/test/java/cresschute/peers/SimulatedNetwork.java
+++ b/src/test/java/cresschute/peers/SimulatedNetwork.java
@@ -13,7 +13,7 @@
 
 /**
  * Dispatchers that exchange their counts over a network in virtual time, which loses, doubles, delays and
- * cuts as it is told. The same seed is the same run. What is true is known, so that views can be compared.
+ * cuts as set. The same seed is the same run. What is true is known, so that views can be compared.
  */
 final class SimulatedNetwork {
 
--- /dev/null
+++ b/src/test/java/cresschute/peers/socket/PeerSocketTest.java
@@ -0,0 +1,140 @@
+package cresschute.peers.socket;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import cresschute.peers.ExchangeSettings;
+import cresschute.peers.LoadExchange;
+import cresschute.peers.LoadMessage;
+import cresschute.peers.LoadMessage.Entry;
+import cresschute.peers.LoadMessage.KeyRange;
+import cresschute.peers.LoadMessageCodec;
+import cresschute.peers.PeerState;
+import cresschute.peers.Refusal;
+import cresschute.peers.WorkerKeys;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Three exchanges on loopback sockets. */
+@Timeout(60)
+class PeerSocketTest {
+
+    private static final Duration PATIENCE = Duration.ofSeconds(20);
+    private static final byte[] KEY = new byte[16];
+    private static final String WORKER = "w-1";
+
+    private record Site(LoadExchange exchange, PeerSocket socket, PeerLog log) {}
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final long startNs = System.nanoTime();
+    private final List<Site> sites = new ArrayList<>();
+
+    private long nowUs() {
+        return 1_700_000_000_000_000L + (System.nanoTime() - startNs) / 1_000;
+    }
+
+    private <T> T onLoop(Callable<T> call) {
+        try {
+            return loop.submit(call).get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @BeforeEach
+    void start() {
+        for (int i = 0; i < 3; i++) {
+            final PeerLog log = new PeerLog("n" + i);
+            final LoadExchange exchange = new LoadExchange(new ExchangeSettings("n" + i, 2, 100_000,
+                ExchangeSettings.DEFAULT_REFRESH_US), nowUs(), log);
+            exchange.listed(WORKER);
+            final PeerSocket socket = new PeerSocket(loop, this::nowUs, exchange, new LoadMessageCodec(KEY),
+                log);
+            socket.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).syncUninterruptibly();
+            sites.add(new Site(exchange, socket, log));
+        }
+        onLoop(() -> {
+            for (final Site site : sites) {
+                site.socket().sendTo(sites.stream().filter(other -> other != site)
+                    .map(other -> other.socket().address()).toList());
+            }
+            return null;
+        });
+        await().atMost(PATIENCE).until(() -> sites.stream().allMatch(this::isComplete));
+    }
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
+    private boolean isComplete(Site site) {
+        return onLoop(() -> site.exchange().peers().isComplete(nowUs()));
+    }
+
+    private OptionalInt outstanding(Site site) {
+        return onLoop(() -> site.exchange().outstanding(nowUs(), WORKER));
+    }
+
+    private void send(byte[] bytes, Site to) throws Exception {
+        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            socket.send(new DatagramPacket(bytes, bytes.length, to.socket().address()));
+        }
+    }
+
+    @Test
+    void countsOfAllReachAllAndALeavingOneIsAbsent() {
+        onLoop(() -> {
+            sites.get(0).exchange().started(WORKER);
+            sites.get(1).exchange().started(WORKER);
+            sites.get(2).exchange().started(WORKER);
+            return null;
+        });
+        await().atMost(PATIENCE).until(() -> sites.stream().allMatch(site -> outstanding(site)
+            .equals(OptionalInt.of(3))));
+        await().atMost(PATIENCE).until(() -> onLoop(() -> sites.get(2).socket().leave()));
+        await().atMost(PATIENCE).until(() -> outstanding(sites.get(0)).equals(OptionalInt.of(2)));
+        assertThat(onLoop(() -> sites.get(0).exchange().peers().states(nowUs())))
+            .containsEntry(WorkerKeys.hash("n2"), PeerState.ABSENT);
+    }
+
+    @Test
+    void forgedCutAndOversizedDatagramsChangeNothing() throws Exception {
+        final Site site = sites.get(0);
+        final LoadMessage lie = new LoadMessage(WorkerKeys.hash("n1"), Long.MAX_VALUE, 9, 9, false,
+            new KeyRange(KeyRange.MIN_KEY, KeyRange.MAX_KEY),
+            List.of(new Entry(WorkerKeys.hash(WORKER), 1_000)));
+        final byte[] forged = new LoadMessageCodec("not the right key".getBytes(
+            java.nio.charset.StandardCharsets.UTF_8)).encode(lie);
+        send(forged, site);
+        send(Arrays.copyOf(forged, 20), site);
+        send(new byte[0], site);
+        send(new byte[2_000], site);
+        final byte[] other = new LoadMessageCodec(KEY).encode(lie);
+        other[0] = 2;
+        send(other, site);
+        await().atMost(PATIENCE).until(() -> onLoop(() -> site.log().refused(Refusal.NOT_AUTHENTIC) == 1
+            && site.log().refused(Refusal.TOO_SHORT) == 2 && site.log().refused(Refusal.TOO_LONG) == 1
+            && site.log().refused(Refusal.OTHER_VERSION) == 1));
+        assertThat(outstanding(site)).hasValue(0);
+        assertThat(isComplete(site)).isTrue();
+    }
+}
--- a/src/test/java/cresschute/settings/SettingsFileTest.java
+++ b/src/test/java/cresschute/settings/SettingsFileTest.java
@@ -60,7 +60,8 @@
                 "/var/c",
                 new ApplianceSettings.Bodies(16 << 20, 256 << 10, 1 << 20, 300 << 10, 4 << 20, List.of(
                     new ApplianceSettings.ClassBodies(64 << 10, 1 << 10, 10_000_000, false, false),
-                    new ApplianceSettings.ClassBodies(1L << 30, 2 << 10, 5_000_000, true, true))), null));
+                    new ApplianceSettings.ClassBodies(1L << 30, 2 << 10, 5_000_000, true, true))), null,
+                null));
         final var module = settings.module();
         assertThat(module.dispatchers()).isEqualTo(2);
         assertThat(module.zone()).isZero();
@@ -210,4 +211,72 @@
         assertThat(SettingsFile.read(file).problems()).extracting(Problem::message)
             .containsExactly("the script is too long; at most 262144 characters are allowed");
     }
+
+    private static final String PEERS_NODE = "node(name = \"n\", listen = \"127.0.0.1:0\", dispatchers = 3)\n"
+        + "limits(probes = True)\n" + WORKER + CLASS;
+
+    private static String peers(String addresses, String rest) {
+        return "peers(listen = \"10.0.0.1:7946\", addresses = [" + addresses + "], key_file = \"/k\"" + rest
+            + ")";
+    }
+
+    @Test
+    void peersReachTheSettingsAndAreShown() {
+        final ApplianceSettings settings = settings(PEERS_NODE
+            + peers("\"10.0.0.2:7946\", \"[::1]:7947\"", ", bytes_per_second = 900"));
+        assertThat(settings.peers()).isEqualTo(new ApplianceSettings.Peers(IpAddress.parse("10.0.0.1:7946"),
+            List.of(IpAddress.parse("10.0.0.2:7946"), IpAddress.parse("[::1]:7947")), "/k", 900));
+        assertThat(settings(settings.shown())).isEqualTo(settings);
+        assertThat(settings(PEERS_NODE + peers("\"10.0.0.2:7946\", \"10.0.0.3:7946\"", "")).peers()
+            .bytesPerS()).isEqualTo(3_000);
+        assertThat(settings(NODE + WORKER + CLASS).peers()).isNull();
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', textBlock = """
+        "10.0.0.2:7946", "10.0.0.2:7946" | peers: addresses has "10.0.0.2:7946" twice
+        "10.0.0.2:7946", "10.0.0.1:7946" | peers: addresses has "10.0.0.1:7946", which is this dispatcher's own listen; only the others belong there
+        "10.0.0.2:7946"                  | peers: addresses names 1 peers, but node has dispatchers = 3; with this one there are 2
+        "10.0.0.2:0", "10.0.0.3:7946"    | peers: port 0 is no port that others could send to
+        "w", "10.0.0.3:7946"             | peers: addresses is a list; allowed: a list of IP addresses with ports, such as ["10.0.0.2:7946"]
+        """)
+    void wrongPeerAddressesAreEachOneLine(String addresses, String message) {
+        assertThat(problems(PEERS_NODE + peers(addresses, ""))).singleElement().asString()
+            .endsWith(": " + message);
+    }
+
+    @Test
+    void peersNeedProbesReportsAndBytes() {
+        final String two = "\"10.0.0.2:7946\", \"10.0.0.3:7946\"";
+        final String needs = ": peers: needs limits(probes = True) and reports(load = True); a worker is "
+            + "asked itself wherever the peers' counts are not whole";
+        assertThat(problems(PEERS_NODE.replace("limits(probes = True)", "") + peers(two, "")))
+            .singleElement().asString().endsWith(needs);
+        assertThat(problems(PEERS_NODE + "reports(load = False)\n" + peers(two, ""))).singleElement()
+            .asString().endsWith(needs);
+        assertThat(problems(PEERS_NODE + peers(two, ", bytes_per_second = 150"))).singleElement().asString()
+            .endsWith("peers: bytes_per_second 150 is below 100 for each of 2 peers, which is 200");
+        assertThat(problems(PEERS_NODE + peers("", ""))).anyMatch(each -> each
+            .endsWith("peers: addresses is empty; leave the block out where there are no peers"));
+    }
+
+    @Test
+    void keyFileIsLookedAtWhereAScriptIsReadFromAFile(@TempDir Path folder) throws IOException {
+        final Path script = folder.resolve("site.star");
+        final Path key = folder.resolve("key");
+        Files.writeString(script, (PEERS_NODE + peers("\"10.0.0.2:7946\", \"10.0.0.3:7946\"", ""))
+            .replace("/k", key.toString()));
+        final String line = "peers: key_file \"" + key + "\" %s; it must hold at least 16 bytes";
+        assertThat(SettingsFile.read(script).problems()).singleElement()
+            .returns(line.formatted("does not exist"), Problem::message);
+        Files.writeString(key, "\n");
+        assertThat(SettingsFile.read(script).problems()).singleElement()
+            .returns(line.formatted("is empty"), Problem::message);
+        Files.writeString(key, "fifteen letters\r\n");
+        assertThat(SettingsFile.read(script).problems()).singleElement()
+            .returns(line.formatted("has 15 bytes"), Problem::message);
+        Files.writeString(key, "sixteen letters.\n");
+        assertThat(SettingsFile.read(script).problems()).isEmpty();
+        assertThat(SettingsFile.readKey(key.toString())).hasSize(16);
+    }
 }
