Let the module learn exchanged loads unasked, and play the exchange in the fleet model

Need: a dispatcher asks for a load only where its belief is old, so that about half of its sends went by older beliefs although the view knew better.

Change: the workers that peers' messages are about are given to the module as they come, by the way of a probe that the view answers (Core.loadsRefreshed). One question a second at most is put to the worker itself, two before. lab.model.ExchangingModules plays the exchange around any modules of the fleet model.

--- a/src/main/java/cresschute/DispatchApi.java
+++ b/src/main/java/cresschute/DispatchApi.java
@@ -270,7 +270,7 @@
         void ended(long nowUs, int requestId, int attempt, int workerId, Outcome outcome, long elapsedUs,
             boolean requestClosed, LoadReport report);
 
-        /** A probe ended, one call for each: {@code SERVED} where the worker answered. */
+        /** A probe ended, one call for each, or a load is known unasked; {@code SERVED} where known. */
         void probed(long nowUs, int workerId, Outcome outcome, LoadReport report);
 
         /** Another dispatcher says that jobs of a class do not start at a worker. */
--- /dev/null
+++ b/src/main/java/cresschute/lab/model/ExchangingModules.java
@@ -0,0 +1,252 @@
+package cresschute.lab.model;
+
+import cresschute.DispatchApi.Actions;
+import cresschute.DispatchApi.Events;
+import cresschute.DispatchApi.Job;
+import cresschute.DispatchApi.ListForm;
+import cresschute.DispatchApi.LoadReport;
+import cresschute.DispatchApi.Outcome;
+import cresschute.DispatchApi.Settings;
+import cresschute.DispatchApi.Worker;
+import cresschute.lab.model.FleetModel.ModuleMaker;
+import cresschute.peers.ExchangeSettings;
+import cresschute.peers.LoadAnnouncer;
+import cresschute.peers.LoadExchange;
+import cresschute.peers.LoadMessage;
+import cresschute.peers.LoadMessageCodec;
+import cresschute.peers.RefusedMessageException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.OptionalInt;
+
+/**
+ * Makes modules whose dispatchers exchange their in-flight counts, as a node with peers does: a probe that
+ * the view answers does not reach the fleet, and the module learns unasked what changed. Messages between
+ * dispatchers arrive at once and none is lost.
+ */
+public final class ExchangingModules implements ModuleMaker {
+
+    private static final long POLL_US = 50_000;
+    /** Tokens of this class's own timers, which no module uses. */
+    private static final long POLL_TOKEN = Long.MIN_VALUE;
+    private static final long ANSWER_TOKEN = Long.MIN_VALUE + 1;
+
+    private final ModuleMaker maker;
+    private final long bytesPerS;
+    private final List<Dispatcher> dispatchers = new ArrayList<>();
+    private long answered;
+    private long probes;
+    private long bytes;
+
+    /** Exchanges among the modules of another maker, each of which sends so many bytes a second at most. */
+    public ExchangingModules(ModuleMaker maker, long bytesPerS) {
+        this.maker = maker;
+        this.bytesPerS = bytesPerS;
+    }
+
+    @Override
+    public Events make(Settings settings, long seed, Actions actions) {
+        final Dispatcher dispatcher = new Dispatcher("n" + dispatchers.size(), settings.dispatchers() - 1,
+            actions);
+        dispatchers.add(dispatcher);
+        dispatcher.module = maker.make(settings, seed, dispatcher);
+        return dispatcher;
+    }
+
+    /** Forgets the counts so far. */
+    public void restart() {
+        answered = 0;
+        probes = 0;
+        bytes = 0;
+    }
+
+    /** Loads that the view gave, for probes and unasked. */
+    public long answered() {
+        return answered;
+    }
+
+    /** Probes that reached the fleet. */
+    public long probes() {
+        return probes;
+    }
+
+    /** Bytes sent by all dispatchers, with the heads of IP and UDP. */
+    public long bytes() {
+        return bytes;
+    }
+
+    private static String name(int workerId) {
+        return Integer.toString(workerId);
+    }
+
+    private final class Dispatcher implements Events, Actions {
+
+        private final String name;
+        private final int peers;
+        private final Actions actions;
+        private final Deque<int[]> answers = new ArrayDeque<>();
+        private Events module;
+        private LoadExchange exchange;
+        private long nowUs;
+
+        Dispatcher(String name, int peers, Actions actions) {
+            this.name = name;
+            this.peers = peers;
+            this.actions = actions;
+        }
+
+        private void start() {
+            exchange = new LoadExchange(new ExchangeSettings(name, peers, bytesPerS,
+                ExchangeSettings.DEFAULT_REFRESH_US), nowUs, new LoadExchange.Listener() {
+                    @Override
+                    public void keyCollision(String worker, String other) {
+                        // Their load is probed; that is all there is to it here.
+                    }
+
+                    @Override
+                    public void distrusted(int sender, long forUs) {
+                        // The same.
+                    }
+                });
+            actions.wakeAfter(POLL_TOKEN, POLL_US);
+        }
+
+        private void poll() {
+            exchange.poll(nowUs).ifPresent(message -> {
+                bytes += (long) peers * (LoadMessageCodec.messageBytes(message) + LoadAnnouncer.HEADER_BYTES);
+                dispatchers.stream().filter(other -> other != this)
+                    .forEach(other -> other.receive(nowUs, message));
+            });
+            exchange.takeRefreshed(nowUs).forEach(name -> probe(Integer.parseInt(name)));
+            actions.wakeAfter(POLL_TOKEN, POLL_US);
+        }
+
+        private void receive(long atUs, LoadMessage message) {
+            try {
+                exchange.receive(atUs, message);
+            } catch (RefusedMessageException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
+        @Override
+        public void listed(long atUs, ListForm form, List<Worker> entries) {
+            nowUs = atUs;
+            if (exchange == null) {
+                start();
+            }
+            entries.forEach(each -> exchange.listed(name(each.id())));
+            module.listed(atUs, form, entries);
+        }
+
+        @Override
+        public void requested(long atUs, int requestId, Job job, long giveUpUs) {
+            nowUs = atUs;
+            module.requested(atUs, requestId, job, giveUpUs);
+        }
+
+        @Override
+        public void clientLeft(long atUs, int requestId) {
+            nowUs = atUs;
+            module.clientLeft(atUs, requestId);
+        }
+
+        @Override
+        public void jobProgressed(long atUs, int requestId, int attempt, int workerId, double shareDone) {
+            nowUs = atUs;
+            module.jobProgressed(atUs, requestId, attempt, workerId, shareDone);
+        }
+
+        @Override
+        public void ended(long atUs, int requestId, int attempt, int workerId, Outcome outcome,
+            long elapsedUs, boolean requestClosed, LoadReport report) {
+            nowUs = atUs;
+            exchange.ended(name(workerId));
+            exchange.reported(atUs, name(workerId), report.outstanding());
+            module.ended(atUs, requestId, attempt, workerId, outcome, elapsedUs, requestClosed, report);
+        }
+
+        @Override
+        public void probed(long atUs, int workerId, Outcome outcome, LoadReport report) {
+            nowUs = atUs;
+            exchange.reported(atUs, name(workerId), report.outstanding());
+            module.probed(atUs, workerId, outcome, report);
+        }
+
+        @Override
+        public void toldSilent(long atUs, int workerId, int requestClass) {
+            nowUs = atUs;
+            module.toldSilent(atUs, workerId, requestClass);
+        }
+
+        @Override
+        public void woken(long atUs, long token) {
+            nowUs = atUs;
+            if (token == POLL_TOKEN) {
+                poll();
+            } else if (token == ANSWER_TOKEN) {
+                final int[] answer = answers.poll();
+                module.probed(atUs, answer[0], Outcome.SERVED, new LoadReport(-1, answer[1], -1));
+            } else {
+                module.woken(atUs, token);
+            }
+        }
+
+        @Override
+        public void retuned(long atUs, Settings settings) {
+            nowUs = atUs;
+            module.retuned(atUs, settings);
+        }
+
+        @Override
+        public void send(int requestId, int workerId, long giveUpUs) {
+            exchange.started(name(workerId));
+            actions.send(requestId, workerId, giveUpUs);
+        }
+
+        @Override
+        public void probe(int workerId) {
+            final OptionalInt known = exchange.outstanding(nowUs, name(workerId));
+            if (known.isPresent()) {
+                answered++;
+                answers.add(new int[]{workerId, known.getAsInt()});
+                actions.wakeAfter(ANSWER_TOKEN, 0);
+            } else {
+                probes++;
+                actions.probe(workerId);
+            }
+        }
+
+        @Override
+        public void refuse(int requestId, long retryAfterUs) {
+            actions.refuse(requestId, retryAfterUs);
+        }
+
+        @Override
+        public void fail(int requestId) {
+            actions.fail(requestId);
+        }
+
+        @Override
+        public void wakeAfter(long token, long delayUs) {
+            actions.wakeAfter(token, delayUs);
+        }
+
+        @Override
+        public void watchList() {
+            actions.watchList();
+        }
+
+        @Override
+        public void tellSilent(int workerId, int requestClass) {
+            actions.tellSilent(workerId, requestClass);
+        }
+
+        @Override
+        public void closeIdle(int workerId) {
+            actions.closeIdle(workerId);
+        }
+    }
+}
--- a/src/main/java/cresschute/node/Core.java
+++ b/src/main/java/cresschute/node/Core.java
@@ -529,6 +529,12 @@
         return outcome.name().toLowerCase(Locale.ROOT);
     }
 
+    /** The load of these workers is known anew: the module learns it without having asked. */
+    void loadsRefreshed(Collection<String> workers) {
+        workers.stream().map(roster::number).filter(number -> number >= 0
+            && roster.listed().get(number).state() == WorkerState.READY).forEach(this::probe);
+    }
+
     private void probe(int backend) {
         final InetSocketAddress addr = roster.address(backend);
         if (!invariant.holds(addr != null, "probe of nobody")) {
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -133,6 +133,7 @@
     public SocketAddress start() {
         openDesk();
         if (peers != null) {
+            peers.onRefresh(core::loadsRefreshed);
             listenToPeers();
         }
         loop.execute(() -> core.start(backends, director == null ? () -> {} : director, config.known()));
--- a/src/main/java/cresschute/node/PeerLoads.java
+++ b/src/main/java/cresschute/node/PeerLoads.java
@@ -15,6 +15,7 @@
 import java.net.SocketAddress;
 import java.util.List;
 import java.util.OptionalInt;
+import java.util.function.Consumer;
 
 /**
  * Workers' load as the dispatchers of one site announce it to each other: the exchange, its socket and its
@@ -27,6 +28,7 @@
     private final LoadExchange exchange;
     private final PeerSocket socket;
     private final List<InetSocketAddress> addresses;
+    private Consumer<List<String>> onRefresh = workers -> {};
 
     /** Reads the key file, so not on the loop; a key that cannot be used is an {@code IOException}. */
     PeerLoads(NodeConfig config, EventLoop loop, Clock clock) throws IOException {
@@ -39,7 +41,8 @@
         final PeerLog log = new PeerLog(config.name());
         exchange = new LoadExchange(new ExchangeSettings(config.name(), peers.addresses().size(),
             peers.bytesPerS(), ExchangeSettings.DEFAULT_REFRESH_US), clock.nowUs(), log);
-        socket = new PeerSocket(loop, clock::nowUs, exchange, new LoadMessageCodec(key), log);
+        socket = new PeerSocket(loop, clock::nowUs, exchange, new LoadMessageCodec(key), log,
+            workers -> onRefresh.accept(workers));
         addresses = peers.addresses();
     }
 
@@ -59,6 +62,11 @@
         return socket.leave();
     }
 
+    /** Gives the workers whose load is known anew to this from now on. Before it listens. */
+    void onRefresh(Consumer<List<String>> listener) {
+        onRefresh = listener;
+    }
+
     /** Whether its view is complete now. On the loop. */
     boolean isComplete() {
         return exchange.peers().isComplete(clock.nowUs());
--- a/src/main/java/cresschute/peers/ClaimCheck.java
+++ b/src/main/java/cresschute/peers/ClaimCheck.java
@@ -17,7 +17,7 @@
  * distrusted, and the window begins anew.
  * <li>A worker that is avoided sends no reports by itself. So one in 32 questions about workers with claims
  * is put to the worker itself, and so is every question about a claim above twice the usual one plus the
- * margin, once in 10 s for each worker; two a second at the most in all.
+ * margin, once in 10 s for each worker; one a second at the most in all.
  * </ul>
  *
  * Until it is found out, a peer can thus add the margin, 4 requests or half of what is reported, to every
@@ -33,7 +33,7 @@
     static final long CONTRADICTED_US = 60_000_000;
     static final int VERIFY_ONE_IN = 32;
     static final long VERIFY_AGAIN_US = 10_000_000;
-    static final long MIN_VERIFY_INTERVAL_US = 500_000;
+    static final long MIN_VERIFY_INTERVAL_US = 1_000_000;
     /** Weight of one claim in the usual one. */
     private static final double WEIGHT = 0.02;
 
--- a/src/main/java/cresschute/peers/LoadExchange.java
+++ b/src/main/java/cresschute/peers/LoadExchange.java
@@ -1,5 +1,9 @@
 package cresschute.peers;
 
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 
@@ -22,6 +26,7 @@
     private final LoadAnnouncer announcer;
     private final PeerTable peers;
     private final LoadView view;
+    private final Map<Integer, String> refreshed = new LinkedHashMap<>();
 
     /** A dispatcher that starts now; {@code nowUs}, us of Unix time, is its incarnation. */
     public LoadExchange(ExchangeSettings settings, long nowUs, Listener listener) {
@@ -58,7 +63,24 @@
 
     /** Takes an authentic message in, or says why it changes nothing. */
     public void receive(long nowUs, LoadMessage message) throws RefusedMessageException {
-        peers.receive(nowUs, message);
+        for (final int key : peers.receive(nowUs, message)) {
+            keys.name(key).ifPresent(name -> refreshed.put(key, name));
+        }
+    }
+
+    /**
+     * Workers about which messages came since the last call and for which the view may answer. Whoever
+     * chooses workers should learn their load anew by {@link #outstanding}.
+     */
+    public List<String> takeRefreshed(long nowUs) {
+        final List<String> names = new ArrayList<>();
+        refreshed.forEach((key, name) -> {
+            if (view.answersFor(nowUs, key)) {
+                names.add(name);
+            }
+        });
+        refreshed.clear();
+        return names;
     }
 
     /** Requests that all dispatchers have out at a worker, or empty where the worker has to be asked. */
--- a/src/main/java/cresschute/peers/LoadView.java
+++ b/src/main/java/cresschute/peers/LoadView.java
@@ -42,6 +42,11 @@
             : OptionalInt.of(sum(own.count(key.getAsInt()), claimed));
     }
 
+    /** Whether the view may answer for the worker with this key. */
+    boolean answersFor(long nowUs, int key) {
+        return peers.isComplete(nowUs) && !check.isContradicted(nowUs, key);
+    }
+
     /** A worker reports that it holds so many requests. */
     public void reported(long nowUs, String worker, double outstanding) {
         final OptionalInt key = keys.unique(worker);
--- a/src/main/java/cresschute/peers/Peer.java
+++ b/src/main/java/cresschute/peers/Peer.java
@@ -2,6 +2,8 @@
 
 import cresschute.peers.LoadMessage.Entry;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -48,8 +50,8 @@
         return stateByMessages(nowUs) == PeerState.ABSENT ? 0 : counts.getOrDefault(key, 0);
     }
 
-    /** Takes a message in; one that is not newer than the newest changes nothing. */
-    void take(long nowUs, LoadMessage message) throws RefusedMessageException {
+    /** Takes a message in; returns the workers that it is about. One that is not new changes nothing. */
+    Set<Integer> take(long nowUs, LoadMessage message) throws RefusedMessageException {
         if (message.incarnation() < incarnation) {
             throw new RefusedMessageException(Refusal.OLD_INCARNATION);
         }
@@ -67,7 +69,7 @@
         sequence = message.sequence();
         lastMessageUs = nowUs;
         left = message.leaving();
-        apply(message);
+        return apply(message);
     }
 
     private void begin(long nowUs, LoadMessage message) {
@@ -112,11 +114,14 @@
         receivedInCycle++;
     }
 
-    private void apply(LoadMessage message) {
+    private Set<Integer> apply(LoadMessage message) {
+        final Set<Integer> concerned = message.entries().stream().map(Entry::key)
+            .collect(Collectors.toCollection(LinkedHashSet::new));
         if (!message.range().isEmpty()) {
-            final Set<Integer> stated = message.entries().stream().map(Entry::key)
-                .collect(Collectors.toSet());
-            counts.keySet().removeIf(key -> message.range().contains(key) && !stated.contains(key));
+            final List<Integer> closed = counts.keySet().stream()
+                .filter(key -> message.range().contains(key) && !concerned.contains(key)).toList();
+            closed.forEach(counts::remove);
+            concerned.addAll(closed);
         }
         for (final Entry entry : message.entries()) {
             if (entry.count() == 0) {
@@ -125,6 +130,7 @@
                 counts.put(entry.key(), entry.count());
             }
         }
+        return concerned;
     }
 
     /** Concludes nothing from its numbers for a while, twice as long as the last time if that is recent. */
--- a/src/main/java/cresschute/peers/PeerTable.java
+++ b/src/main/java/cresschute/peers/PeerTable.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -50,8 +51,8 @@
         this.startUs = nowUs;
     }
 
-    /** Takes an authentic message in, or says why it changes nothing. */
-    public void receive(long nowUs, LoadMessage message) throws RefusedMessageException {
+    /** Takes an authentic message in and returns the workers it is about, or says why it changes nothing. */
+    public Set<Integer> receive(long nowUs, LoadMessage message) throws RefusedMessageException {
         if (message.sender() == self) {
             throw new RefusedMessageException(Refusal.OWN_NAME);
         }
@@ -61,7 +62,7 @@
             peer = new Peer(nowUs, message);
             bySender.put(message.sender(), peer);
         }
-        peer.take(nowUs, message);
+        return peer.take(nowUs, message);
     }
 
     /** A dispatcher under a new name takes the place of one that is absent. */
--- a/src/main/java/cresschute/peers/WorkerKeys.java
+++ b/src/main/java/cresschute/peers/WorkerKeys.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.BiConsumer;
@@ -57,6 +58,11 @@
         return key;
     }
 
+    /** The listed name with a key, or empty where there is none or more than one. */
+    Optional<String> name(int key) {
+        return ambiguous.contains(key) ? Optional.empty() : Optional.ofNullable(names.get(key));
+    }
+
     /** The key of a listed name, or empty where the name is not listed or shares its key. */
     public OptionalInt unique(String name) {
         final Integer key = keys.get(name);
--- a/src/main/java/cresschute/peers/socket/PeerSocket.java
+++ b/src/main/java/cresschute/peers/socket/PeerSocket.java
@@ -20,6 +20,7 @@
 import java.net.SocketAddress;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /** The exchange's datagrams on the node's own event loop: sends what is due, takes in what comes. */
@@ -35,19 +36,24 @@
     private final LoadExchange exchange;
     private final LoadMessageCodec codec;
     private final PeerLog log;
+    private final Consumer<List<String>> refreshed;
     private List<InetSocketAddress> peers = List.of();
     private Channel channel;
     private long leavingSinceUs = -1;
     private boolean left;
 
-    /** A socket that is not bound yet; {@code clockUs} is the exchange's clock. */
+    /**
+     * A socket that is not bound yet; {@code clockUs} is the exchange's clock, and {@code refreshed} is given
+     * the workers whose load is known anew.
+     */
     public PeerSocket(EventLoop loop, LongSupplier clockUs, LoadExchange exchange, LoadMessageCodec codec,
-        PeerLog log) {
+        PeerLog log, Consumer<List<String>> refreshed) {
         this.loop = loop;
         this.clockUs = clockUs;
         this.exchange = exchange;
         this.codec = codec;
         this.log = log;
+        this.refreshed = refreshed;
     }
 
     /** Binds and takes in what comes; the future fails where the address cannot be had. */
@@ -78,6 +84,7 @@
             final long nowUs = clockUs.getAsLong();
             exchange.poll(nowUs).ifPresent(this::send);
             log.look(nowUs, exchange.peers());
+            refreshed.accept(exchange.takeRefreshed(nowUs));
         }
     }
 
--- a/src/test/java/cresschute/peers/ExchangeOverNetworkTest.java
+++ b/src/test/java/cresschute/peers/ExchangeOverNetworkTest.java
@@ -36,6 +36,26 @@
         assertThat(network.seenCountOfOthers(0, 0)).isEqualTo(network.trueCountOfOthers(0, 0));
     }
 
+    @Test
+    void workersOfMessagesAreRefreshedWhileTheViewIsWhole() {
+        final SimulatedNetwork network = new SimulatedNetwork(11, 3, 40, 20_000, CYCLE_US);
+        final LoadExchange exchange = network.sites.get(0).exchange;
+        network.run(2);
+        assertThat(exchange.takeRefreshed(network.nowUs)).isEmpty();
+        network.start(1, 4);
+        network.run(1);
+        assertThat(exchange.takeRefreshed(network.nowUs)).containsExactly(SimulatedNetwork.worker(4));
+        assertThat(exchange.takeRefreshed(network.nowUs)).as("once").isEmpty();
+        network.end(1, 4);
+        network.run(1);
+        assertThat(exchange.takeRefreshed(network.nowUs)).containsExactly(SimulatedNetwork.worker(4));
+        network.start(1, 5);
+        network.run(1);
+        network.crash(2);
+        network.run(4);
+        assertThat(exchange.takeRefreshed(network.nowUs)).as("a peer is suspect").isEmpty();
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void countsAreTrueWithinOneCycleAfterTheNetworkHeals(long seed) {
