--- /dev/null
+++ b/src/main/java/cresschute/capacity/Axis.java
@@ -0,0 +1,56 @@
+package cresschute.capacity;
+
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/** A dimension of size along which a sweep measures, with the column that holds its value. */
+public enum Axis {
+
+    /** Workers in the list. */
+    WORKERS("workers", "workers", "workers"),
+    /** Requests open at once, over all dispatchers. */
+    RUNNING("running", "running", "open requests"),
+    /** Attempts a second, over all dispatchers. */
+    STARTS("starts", "starts_per_second", "starts a second"),
+    /** Tenants with a quota. */
+    TENANTS("tenants", "tenants", "tenants"),
+    /** Dispatchers that share the traffic. */
+    DISPATCHERS("dispatchers", "dispatchers", "dispatchers"),
+    /** Changes of the worker list a second. */
+    LIST_CHANGES("list-changes", "list_changes_per_second", "list changes a second"),
+    /** Settings reloads a second. */
+    SETTINGS_CHANGES("settings-changes", "settings_changes_per_second", "settings changes a second");
+
+    /** The name of the axis of a run at full size, which varies no single dimension. */
+    public static final String FULL = "full";
+
+    private final String label;
+    private final String column;
+    private final String unit;
+
+    Axis(String label, String column, String unit) {
+        this.label = label;
+        this.column = column;
+        this.unit = unit;
+    }
+
+    /** The name in the column {@code axis} of a measurement file. */
+    public String label() {
+        return label;
+    }
+
+    /** The column of a measurement file that holds the size along this axis. */
+    public String column() {
+        return column;
+    }
+
+    /** What one unit of the size is, in words. */
+    public String unit() {
+        return unit;
+    }
+
+    /** The axis with this name, if there is one. */
+    public static Optional<Axis> of(String label) {
+        return Stream.of(values()).filter(axis -> axis.label.equals(label)).findFirst();
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/capacity/CapacityModel.java
@@ -0,0 +1,94 @@
+package cresschute.capacity;
+
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+/**
+ * Straight lines through the measurements of each measure, one along each axis, and values reckoned from
+ * them: the value where the sweep varied nothing, and for each axis its slope times the distance from there.
+ */
+public final class CapacityModel {
+
+    /**
+     * A measure of a role.
+     *
+     * @param role whose it is
+     * @param measure its name in the measurement files
+     */
+    public record Key(Role role, String measure) {}
+
+    private record Series(Map<Axis, LinearFit> fits, Map<Axis, Double> base) {}
+
+    private final List<Measurement> all;
+    private final Map<Key, Series> series = new LinkedHashMap<>();
+
+    /** Fits all measurements that are neither held out nor partial. */
+    public CapacityModel(List<Measurement> measurements) {
+        this.all = List.copyOf(measurements);
+        all.stream().filter(each -> !each.heldOut() && !each.partial())
+            .collect(Collectors.groupingBy(each -> new Key(each.role(), each.measure()), LinkedHashMap::new,
+                Collectors.toList()))
+            .forEach((key, rows) -> series.put(key, series(rows)));
+    }
+
+    private static Series series(List<Measurement> rows) {
+        final Map<Axis, LinearFit> fits = new EnumMap<>(Axis.class);
+        final Map<Axis, Double> base = new EnumMap<>(Axis.class);
+        for (final Axis axis : Axis.values()) {
+            LinearFit.of(rows.stream().filter(row -> row.axis().equals(Optional.of(axis)))
+                .map(row -> new LinearFit.Point(row.sizes().on(axis), row.value())).toList())
+                .ifPresent(fit -> fits.put(axis, fit));
+            base.put(axis, base(rows, axis));
+        }
+        return new Series(fits, base);
+    }
+
+    /** The size along an axis while others are varied, or its mean where no other is. */
+    private static double base(List<Measurement> rows, Axis axis) {
+        final List<Measurement> others =
+            rows.stream().filter(row -> !row.axis().equals(Optional.of(axis))).toList();
+        return (others.isEmpty() ? rows : others).stream().mapToDouble(row -> row.sizes().on(axis)).average()
+            .orElse(0);
+    }
+
+    /** All measurements, in the order of their files. */
+    public List<Measurement> measurements() {
+        return all;
+    }
+
+    /** The measures that have at least one fit. */
+    public List<Key> keys() {
+        return series.entrySet().stream().filter(each -> !each.getValue().fits().isEmpty())
+            .map(Map.Entry::getKey).toList();
+    }
+
+    /** The fits of a measure, by axis. */
+    public Map<Axis, LinearFit> fits(Key key) {
+        return series.containsKey(key) ? Collections.unmodifiableMap(series.get(key).fits()) : Map.of();
+    }
+
+    /** The value of a measure at these sizes; nothing where it has no fit. */
+    public Optional<Estimate> estimate(Key key, Sizes sizes) {
+        final Map<Axis, LinearFit> fits = fits(key);
+        if (fits.isEmpty()) {
+            return Optional.empty();
+        }
+        final Map<Axis, Double> base = series.get(key).base();
+        double value = fits.entrySet().stream()
+            .mapToDouble(each -> each.getValue().at(base.get(each.getKey()))).average().orElseThrow();
+        double squares = 0;
+        boolean extrapolated = false;
+        for (final Map.Entry<Axis, LinearFit> each : fits.entrySet()) {
+            final double distance = sizes.on(each.getKey()) - base.get(each.getKey());
+            value += each.getValue().slope() * distance;
+            squares += Math.pow(each.getValue().slopeHalfWidth() * distance, 2);
+            extrapolated |= each.getValue().extrapolates(sizes.on(each.getKey()));
+        }
+        return Optional.of(new Estimate(value, Math.sqrt(squares), extrapolated));
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/capacity/CapacityPage.java
@@ -0,0 +1,83 @@
+package cresschute.capacity;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Writes tables into a page, between the markers that name them. */
+public final class CapacityPage {
+
+    /** A page whose markers are not those of the tables. */
+    public static final class MarkerException extends Exception {
+
+        private static final long serialVersionUID = 1;
+
+        private MarkerException(String message) {
+            super(message);
+        }
+    }
+
+    private static final String BEGIN = "<!-- table: ";
+    private static final String BEGIN_END = " -->";
+    private static final String END = "<!-- end table -->";
+
+    private CapacityPage() {}
+
+    /**
+     * The page with each table in its place.
+     *
+     * @param page the page's text
+     * @param tables the text of each table, by the name in its marker
+     * @throws MarkerException where a table has no marker or two, or a marker no table or no end
+     */
+    public static String write(String page, Map<String, String> tables) throws MarkerException {
+        final List<String> lines = new ArrayList<>();
+        final Set<String> written = new HashSet<>();
+        String open = null;
+        for (final String line : page.lines().toList()) {
+            if (line.equals(END)) {
+                if (open == null) {
+                    throw new MarkerException("an end of a table without its beginning");
+                }
+                open = null;
+            } else if (line.startsWith(BEGIN) && line.endsWith(BEGIN_END)) {
+                if (open != null) {
+                    throw new MarkerException("the table " + open + " has no end");
+                }
+                open = line.substring(BEGIN.length(), line.length() - BEGIN_END.length());
+                lines.add(line);
+                lines.addAll(table(tables, open, written).lines().toList());
+                continue;
+            }
+            if (open == null) {
+                lines.add(line);
+            }
+        }
+        checkWhole(open, tables.keySet(), written);
+        return String.join("\n", lines) + "\n";
+    }
+
+    private static String table(Map<String, String> tables, String name, Set<String> written)
+        throws MarkerException {
+        if (!tables.containsKey(name)) {
+            throw new MarkerException("there is no table " + name);
+        }
+        if (!written.add(name)) {
+            throw new MarkerException("the table " + name + " comes twice");
+        }
+        return tables.get(name);
+    }
+
+    private static void checkWhole(String open, Set<String> names, Set<String> written)
+        throws MarkerException {
+        if (open != null) {
+            throw new MarkerException("the table " + open + " has no end");
+        }
+        final List<String> missing = names.stream().filter(name -> !written.contains(name)).sorted().toList();
+        if (!missing.isEmpty()) {
+            throw new MarkerException("no marker for the tables " + String.join(", ", missing));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/capacity/CsvTable.java
@@ -0,0 +1,118 @@
+package cresschute.capacity;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A comma-separated file without quotes, with a version line and a header, checked for its shape. */
+final class CsvTable {
+
+    /** The lines before the first row: the version and the header. */
+    private static final int HEAD_LINES = 2;
+
+    /** One row, with typed access to its fields; a field that cannot be read names its line. */
+    static final class Row {
+
+        private final CsvTable table;
+        private final int line;
+        private final String[] fields;
+
+        private Row(CsvTable table, int line, String[] fields) {
+            this.table = table;
+            this.line = line;
+            this.fields = fields;
+        }
+
+        CsvFormatException error(String reason) {
+            return new CsvFormatException(table.file, line, reason);
+        }
+
+        /** A field that must not be empty. */
+        String text(String column) throws CsvFormatException {
+            final String value = fields[table.columns.indexOf(column)].strip();
+            if (value.isEmpty()) {
+                throw error(column + " is empty");
+            }
+            return value;
+        }
+
+        /** A finite number. */
+        double number(String column) throws CsvFormatException {
+            final String value = text(column);
+            final double number;
+            try {
+                number = Double.parseDouble(value);
+            } catch (NumberFormatException e) {
+                throw error(column + ": '" + value + "' is no number");
+            }
+            if (!Double.isFinite(number)) {
+                throw error(column + ": '" + value + "' is not finite");
+            }
+            return number;
+        }
+
+        /** A finite number that is not negative. */
+        double size(String column) throws CsvFormatException {
+            final double number = number(column);
+            if (number < 0) {
+                throw error(column + ": '" + text(column) + "' is negative");
+            }
+            return number;
+        }
+
+        /** A whole number that is not negative. */
+        int count(String column) throws CsvFormatException {
+            final double number = size(column);
+            if (number != Math.rint(number) || number > Integer.MAX_VALUE) {
+                throw error(column + ": '" + text(column) + "' is no whole number");
+            }
+            return (int) number;
+        }
+
+        /** {@code true} or {@code false}, also written as 1 or 0. */
+        boolean flag(String column) throws CsvFormatException {
+            final String value = text(column);
+            return switch (value) {
+                case "true", "1" -> true;
+                case "false", "0" -> false;
+                default -> throw error(column + ": '" + value + "' is neither true nor false");
+            };
+        }
+    }
+
+    private final String file;
+    private final List<String> columns;
+    private final List<Row> rows = new ArrayList<>();
+
+    /** Reads a file's text, which must begin with the version line and these columns in this order. */
+    CsvTable(String file, String text, String versionLine, List<String> columns) throws CsvFormatException {
+        this.file = file;
+        this.columns = columns;
+        final List<String> lines = text.lines().toList();
+        checkHead(lines, versionLine);
+        if (!text.endsWith("\n")) {
+            throw new CsvFormatException(file, lines.size(), "the file is cut: its last line has no end");
+        }
+        for (int i = HEAD_LINES; i < lines.size(); i++) {
+            final String[] fields = lines.get(i).split(",", -1);
+            if (fields.length != columns.size()) {
+                throw new CsvFormatException(file, i + 1,
+                    fields.length + " fields where " + columns.size() + " are expected");
+            }
+            rows.add(new Row(this, i + 1, fields));
+        }
+    }
+
+    private void checkHead(List<String> lines, String versionLine) throws CsvFormatException {
+        if (lines.isEmpty() || !lines.get(0).strip().equals(versionLine)) {
+            throw new CsvFormatException(file, 1, "the first line must be '" + versionLine + "'");
+        }
+        if (lines.size() < HEAD_LINES || !lines.get(1).strip().equals(String.join(",", columns))) {
+            throw new CsvFormatException(file, HEAD_LINES,
+                "the header must be '" + String.join(",", columns) + "'");
+        }
+    }
+
+    List<Row> rows() {
+        return rows;
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/capacity/MarkdownTable.java
@@ -0,0 +1,34 @@
+package cresschute.capacity;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A table in Markdown, built row by row. */
+final class MarkdownTable {
+
+    private final int columns;
+    private final List<String> lines = new ArrayList<>();
+
+    MarkdownTable(String... header) {
+        columns = header.length;
+        lines.add(line(List.of(header)));
+        lines.add("| --- ".repeat(columns) + "|");
+    }
+
+    MarkdownTable row(String... cells) {
+        if (cells.length != columns) {
+            throw new IllegalArgumentException(cells.length + " cells in a row of " + columns);
+        }
+        lines.add(line(List.of(cells)));
+        return this;
+    }
+
+    private static String line(List<String> cells) {
+        return "| " + String.join(" | ", cells) + " |";
+    }
+
+    /** The table, each line ended; a sentence in its place where there is no row. */
+    String textOr(String sentence) {
+        return lines.size() == 2 ? sentence + "\n" : String.join("\n", lines) + "\n";
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/capacity/MessagesTable.java
@@ -0,0 +1,50 @@
+package cresschute.capacity;
+
+import java.util.Optional;
+
+/** The messages of each role by kind: how many a second, their bytes a second and the bytes of one. */
+final class MessagesTable {
+
+    private final CapacityModel model;
+    private final MarkdownTable table =
+        new MarkdownTable("role", "messages", "carried by", "a second", "bytes a second", "bytes of one");
+
+    private MessagesTable(CapacityModel model) {
+        this.model = model;
+    }
+
+    static String text(CapacityModel model) {
+        final MessagesTable messages = new MessagesTable(model);
+        messages.row(Role.CLIENT, "requests", "ClientFront", "requests_per_second", null);
+        messages.row(Role.DISPATCHER, "probes", "HttpProbe", "probes_per_second", "probe_bytes_per_second");
+        messages.row(Role.DISPATCHER, "handshakes", "BackendConnections", "handshake_per_second", null);
+        messages.row(Role.DISPATCHER, "the list", "DirectorClient", null, "list_bytes_per_second");
+        messages.row(Role.DISPATCHER, "load reports", "Loads", null, "report_bytes_per_second");
+        messages.row(Role.DISPATCHER, "all control", "NodeServer", null, "control_bytes_per_second");
+        messages.row(Role.WORKER, "probes", "HttpProbe", "probes_per_second", null);
+        messages.row(Role.WORKER, "handshakes", "BackendConnections", "handshakes_per_second", null);
+        messages.row(Role.WORKER, "all control", "BackendConnections", null, "control_bytes_per_second");
+        messages.row(Role.DISCOVERY, "calls and answers", "DirectorClient", "calls_per_second",
+            "bytes_per_second");
+        messages.row(Role.CONSOLE, "rows and events", "Board", null, "bytes_per_second");
+        return messages.table.textOr("");
+    }
+
+    private void row(Role role, String what, String mechanism, String counts, String bytes) {
+        final Optional<Estimate> count = estimate(role, counts);
+        final Optional<Estimate> size = estimate(role, bytes);
+        final Optional<Double> one =
+            count.flatMap(number -> size.map(each -> each.value() / number.value()));
+        table.row(role.label(), what, Mechanism.markdown(mechanism), cell(count), cell(size),
+            one.filter(Double::isFinite).map(Figures::number).orElse("-"));
+    }
+
+    private Optional<Estimate> estimate(Role role, String measure) {
+        return measure == null ? Optional.empty()
+            : model.estimate(new CapacityModel.Key(role, measure), PlannedSize.OPERATORS.sizes());
+    }
+
+    private static String cell(Optional<Estimate> estimate) {
+        return estimate.map(Figures::estimate).orElse(Figures.NOT_MEASURED);
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/capacity/PlannedSize.java
@@ -0,0 +1,73 @@
+package cresschute.capacity;
+
+import java.util.EnumMap;
+import java.util.Map;
+
+/**
+ * The size that an installation is planned for, as its operators state it.
+ *
+ * @param workers listed workers
+ * @param accelerators accelerators among them, each a slot of a kind of worker
+ * @param jobsPerDay jobs a day
+ * @param startsPerSecond attempts a second at the peak, over all dispatchers
+ * @param running requests open at once, over all dispatchers
+ * @param gangSize the most requests of one tenant that are of use only together
+ * @param tenants tenants with a quota
+ * @param urgentStartMs within which a request of the class of most value starts, in ms
+ * @param regions sets of zones that can lose each other
+ * @param zones zones over all regions
+ * @param configurationChangesPerDay changes of settings, drains, bans and of the list, a day
+ * @param configurationDelayMs within which such a change is in force at every dispatcher, in ms
+ * @param failuresPerDay machines that fail on an ordinary day
+ * @param replacementsPerDay machines that are restarted or replaced on an ordinary day
+ * @param dispatchers dispatcher processes, one on each machine set aside for control
+ */
+public record PlannedSize(int workers, int accelerators, int jobsPerDay, int startsPerSecond, int running,
+    int gangSize, int tenants, int urgentStartMs, int regions, int zones, int configurationChangesPerDay,
+    int configurationDelayMs, int failuresPerDay, int replacementsPerDay, int dispatchers) {
+
+    /** The operators' size within two years. */
+    public static final PlannedSize OPERATORS = new PlannedSize(1_400, 1_800, 8_600, 300, 9_100, 128, 54,
+        5_400, 2, 7, 1_500, 10_000, 19, 79, ControlLimits.OPERATORS.machines());
+
+    private static final double SECONDS_PER_DAY = 86_400;
+    /** A machine that fails or is replaced leaves the list once and comes back once. */
+    private static final int LIST_CHANGES_PER_MACHINE = 2;
+
+    /** The mean time for which a request is open, in seconds, by Little's law. */
+    public double meanOpenSeconds() {
+        return (double) running / startsPerSecond;
+    }
+
+    /** Changes of the list a second, where every change of the configuration is one as well. */
+    public double listChangesPerSecond() {
+        return (configurationChangesPerDay
+            + (double) LIST_CHANGES_PER_MACHINE * (failuresPerDay + replacementsPerDay)) / SECONDS_PER_DAY;
+    }
+
+    /** Settings reloads a second, where every change of the configuration is one. */
+    public double settingsChangesPerSecond() {
+        return configurationChangesPerDay / SECONDS_PER_DAY;
+    }
+
+    /** This size along every axis of the sweep. */
+    public Sizes sizes() {
+        final Map<Axis, Double> sizes = new EnumMap<>(Axis.class);
+        sizes.put(Axis.WORKERS, (double) workers);
+        sizes.put(Axis.RUNNING, (double) running);
+        sizes.put(Axis.STARTS, (double) startsPerSecond);
+        sizes.put(Axis.TENANTS, (double) tenants);
+        sizes.put(Axis.DISPATCHERS, (double) dispatchers);
+        sizes.put(Axis.LIST_CHANGES, listChangesPerSecond());
+        sizes.put(Axis.SETTINGS_CHANGES, settingsChangesPerSecond());
+        return new Sizes(sizes);
+    }
+
+    /** Twice of everything that grows with the installation; limits, delays and control machines stay. */
+    public PlannedSize doubled() {
+        return new PlannedSize(2 * workers, 2 * accelerators, 2 * jobsPerDay, 2 * startsPerSecond, 2
+            * running,
+            2 * gangSize, 2 * tenants, urgentStartMs, regions, zones, 2 * configurationChangesPerDay,
+            configurationDelayMs, 2 * failuresPerDay, 2 * replacementsPerDay, dispatchers);
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/capacity/Role.java
@@ -0,0 +1,35 @@
+package cresschute.capacity;
+
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/** A part of an installation whose cost is measured on its own. */
+public enum Role {
+
+    /** Whoever sends requests and waits for their answers. */
+    CLIENT("client"),
+    /** One dispatcher process; figures are means over all of them. */
+    DISPATCHER("dispatcher"),
+    /** One worker's machine; figures are means over all listed workers. */
+    WORKER("worker"),
+    /** The service that tells dispatchers of the workers. */
+    DISCOVERY("discovery"),
+    /** The operators' console and the management listener. */
+    CONSOLE("console");
+
+    private final String label;
+
+    Role(String label) {
+        this.label = label;
+    }
+
+    /** The name in the column {@code role} of a measurement file. */
+    public String label() {
+        return label;
+    }
+
+    /** The role with this name, if there is one. */
+    public static Optional<Role> of(String label) {
+        return Stream.of(values()).filter(role -> role.label.equals(label)).findFirst();
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/capacity/Sizes.java
@@ -0,0 +1,37 @@
+package cresschute.capacity;
+
+import java.util.EnumMap;
+import java.util.Map;
+
+/**
+ * A size along every axis.
+ *
+ * @param values the size by axis; every axis has one
+ */
+public record Sizes(Map<Axis, Double> values) {
+
+    /** Copies the values; refuses a missing, negative or infinite one. */
+    public Sizes {
+        final Map<Axis, Double> copy = new EnumMap<>(Axis.class);
+        for (final Axis axis : Axis.values()) {
+            final Double value = values.get(axis);
+            if (value == null || !(value >= 0) || value.isInfinite()) {
+                throw new IllegalArgumentException("size along " + axis.label() + " is " + value);
+            }
+            copy.put(axis, value);
+        }
+        values = Map.copyOf(copy);
+    }
+
+    /** The size along one axis. */
+    public double on(Axis axis) {
+        return values.get(axis);
+    }
+
+    /** These sizes with another one along one axis. */
+    public Sizes with(Axis axis, double value) {
+        final Map<Axis, Double> changed = new EnumMap<>(values);
+        changed.put(axis, value);
+        return new Sizes(changed);
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/cli/CapacityPageCommand.java
@@ -0,0 +1,116 @@
+package cresschute.cli;
+
+import cresschute.capacity.CapacityPage;
+import cresschute.capacity.CapacityTables;
+import cresschute.capacity.CsvFormatException;
+import cresschute.capacity.FaultFile;
+import cresschute.capacity.FaultMeasurement;
+import cresschute.capacity.Measurement;
+import cresschute.capacity.MeasurementFile;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Writes the tables of the capacity page from the measurements that are kept, or checks them. */
+@Command(name = "capacity-page", mixinStandardHelpOptions = true,
+    description = "Computes the tables of the capacity page from the measurements in a folder and writes "
+        + "them into the page; other text of the page stays.",
+    footer = {"", "Example: cresschute lab capacity-page --check", "",
+        "Exit codes: 0 done, 1 the page says something else (--check), 2 a file cannot be used."})
+final class CapacityPageCommand implements Callable<Integer> {
+
+    @Option(names = "--measurements", paramLabel = "FOLDER", defaultValue = "docs/results/capacity",
+        description = "the folder with the CSV files (default: ${DEFAULT-VALUE})")
+    private Path folder;
+
+    @Option(names = "--page", paramLabel = "FILE", defaultValue = "docs/CAPACITY.md",
+        description = "the page (default: ${DEFAULT-VALUE})")
+    private Path page;
+
+    @Option(names = "--check", description = "change nothing; end with 1 if the page says something else")
+    private boolean check;
+
+    @Spec
+    private CommandSpec spec;
+
+    private final List<Measurement> measurements = new ArrayList<>();
+    private final List<FaultMeasurement> faults = new ArrayList<>();
+
+    @Override
+    public Integer call() throws IOException {
+        final PrintWriter err = spec.commandLine().getErr();
+        final String before;
+        final String after;
+        try {
+            before = read(page);
+            readMeasurements();
+            after = CapacityPage.write(before, CapacityTables.of(measurements, faults));
+        } catch (CsvFormatException e) {
+            err.println("cresschute: " + e.getMessage());
+            return ExitCodes.UNUSABLE;
+        } catch (CapacityPage.MarkerException e) {
+            err.println("cresschute: " + page + ": " + e.getMessage());
+            return ExitCodes.UNUSABLE;
+        } catch (NoSuchFileException e) {
+            err.println("cresschute: " + e.getFile() + ": no such file");
+            return ExitCodes.UNUSABLE;
+        }
+        return check ? compare(before, after) : write(after);
+    }
+
+    private void readMeasurements() throws IOException, CsvFormatException {
+        if (!Files.isDirectory(folder)) {
+            return;
+        }
+        final List<Path> files = new ArrayList<>();
+        try (DirectoryStream<Path> found = Files.newDirectoryStream(folder, "*.csv")) {
+            found.forEach(files::add);
+        }
+        files.sort(null);
+        for (final Path file : files) {
+            final String text = read(file);
+            if (FaultFile.isOne(text)) {
+                faults.addAll(FaultFile.parse(file.toString(), text));
+            } else {
+                measurements.addAll(MeasurementFile.parse(file.toString(), text));
+            }
+        }
+    }
+
+    private int write(String after) throws IOException {
+        Files.writeString(page, after, StandardCharsets.UTF_8);
+        spec.commandLine().getOut().println(page + ": written from " + measurements.size()
+            + " measurements and " + faults.size() + " of faults");
+        return ExitCodes.DONE;
+    }
+
+    private int compare(String before, String after) {
+        if (before.equals(after)) {
+            return ExitCodes.DONE;
+        }
+        final List<String> said = before.lines().toList();
+        final List<String> computed = after.lines().toList();
+        int line = 0;
+        while (line < said.size() && line < computed.size() && said.get(line).equals(computed.get(line))) {
+            line++;
+        }
+        spec.commandLine().getErr().println("cresschute: " + page + ":" + (line + 1)
+            + ": the page says something else than the measurements");
+        return ExitCodes.FAILED;
+    }
+
+    private static String read(Path file) throws IOException {
+        return Files.readString(file, StandardCharsets.UTF_8);
+    }
+}
--- a/src/test/java/cresschute/LayoutTest.java
+++ b/src/test/java/cresschute/LayoutTest.java
@@ -49,6 +49,7 @@
             "cresschute.flow");
         mayUse(of("cresschute.health"), "cresschute");
         mayUse(of("cresschute.flow"));
+        mayUse(of("cresschute.capacity"));
         mayUse(of("cresschute.control"), "cresschute");
         mayUse(of("cresschute.control.socket", "cresschute.control.files"), "cresschute.control",
             "cresschute.logs");
@@ -84,7 +85,7 @@
     @Test
     void pureClassesDoNoInputOrOutput() {
         noClasses().that().resideInAnyPackage("cresschute.settings..", "cresschute.control",
-            "cresschute.health", "cresschute.flow")
+            "cresschute.health", "cresschute.flow", "cresschute.capacity")
             .and().doNotHaveSimpleName("SettingsFile")
             .should().dependOnClassesThat().resideInAnyPackage("java.io", "java.nio.file", "io.netty..")
             .check(CLASSES);
@@ -93,6 +94,17 @@
             .check(CLASSES);
     }
 
+    /** The page's figures need the JDK and a library of statistics, and the node needs neither of them. */
+    @Test
+    void capacityUsesStatisticsAlone() {
+        noClasses().that().resideInAPackage("cresschute.capacity..").should().dependOnClassesThat()
+            .resideOutsideOfPackages("cresschute.capacity..", "java..", "org.apache.commons.math3..")
+            .check(CLASSES);
+        noClasses().that().resideOutsideOfPackages("cresschute.capacity..", "cresschute.cli..").should()
+            .dependOnClassesThat().resideInAnyPackage("cresschute.capacity..", "org.apache.commons.math3..")
+            .check(CLASSES);
+    }
+
     /** The screen's parts that decide what is drawn know neither the terminal nor the socket. */
     @Test
     void screenIsDrawnWithoutInputOrOutput() {
--- /dev/null
+++ b/src/test/java/cresschute/capacity/MeasurementFileTest.java
@@ -0,0 +1,121 @@
+package cresschute.capacity;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Files of measurements: what is read, and the one line that says what is wrong. */
+class MeasurementFileTest {
+
+    private static final String HEAD =
+        MeasurementFile.VERSION_LINE + "\n" + String.join(",", MeasurementFile.COLUMNS) + "\n";
+    private static final String ROW =
+        "r1,abc1234,2026-12-02,7,workers,2,false,200,500,50,10,3,0,0.02,dispatcher,cpu_percent,12.5,false";
+
+    private static CsvFormatException failure(String text) {
+        return catchThrowableOfType(CsvFormatException.class, () -> MeasurementFile.parse("a.csv", text));
+    }
+
+    @Test
+    void rowIsReadWhole() throws CsvFormatException {
+        final List<Measurement> rows = MeasurementFile.parse("a.csv", HEAD + ROW + "\n");
+        assertThat(rows).hasSize(1);
+        final Measurement row = rows.get(0);
+        assertThat(row.run()).isEqualTo("r1");
+        assertThat(row.commit()).isEqualTo("abc1234");
+        assertThat(row.date()).isEqualTo("2026-12-02");
+        assertThat(row.seed()).isEqualTo("7");
+        assertThat(row.axis()).isEqualTo(Optional.of(Axis.WORKERS));
+        assertThat(row.repetition()).isEqualTo(2);
+        assertThat(row.heldOut()).isFalse();
+        assertThat(row.sizes().on(Axis.RUNNING)).isEqualTo(500);
+        assertThat(row.sizes().on(Axis.SETTINGS_CHANGES)).isEqualTo(0.02);
+        assertThat(row.role()).isEqualTo(Role.DISPATCHER);
+        assertThat(row.measure()).isEqualTo("cpu_percent");
+        assertThat(row.value()).isEqualTo(12.5);
+        assertThat(row.partial()).isFalse();
+    }
+
+    @Test
+    void headAloneIsAFileWithoutRows() throws CsvFormatException {
+        assertThat(MeasurementFile.parse("a.csv", HEAD)).isEmpty();
+    }
+
+    /** One field of a row replaced by another, and what is said of it. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+        value             | 12.5       | NaN       | value: 'NaN' is not finite
+        value             | 12.5       | Infinity  | value: 'Infinity' is not finite
+        value             | 12.5       | 12.5x     | value: '12.5x' is no number
+        value             | 12.5       | ''        | value is empty
+        workers           | 200        | -200      | workers: '-200' is negative
+        running           | 500        | NaN       | running: 'NaN' is not finite
+        settings changes  | 0.02       | -0.02     | settings_changes_per_second: '-0.02' is negative
+        repetition        | ,2,        | ,1.5,     | repetition: '1.5' is no whole number
+        axis              | workers    | jobs      | axis: 'jobs' is unknown
+        full in the fits  | workers    | full      | a run at full size must be held out
+        held out          | 2,false    | 2,maybe   | held_out: 'maybe' is neither true nor false
+        role              | dispatcher | engine    | role: 'engine' is unknown
+        commit            | abc1234    | ''        | commit is empty
+        a field too few   | ,10,       | ,         | 17 fields where 18 are expected
+        """)
+    void badFieldIsToldWithItsLine(String name, String from, String to, String message) {
+        final CsvFormatException failure =
+            failure(HEAD + ROW + "\n" + ROW.replaceFirst(from, to) + "\n");
+        assertThat(failure).as(name).hasMessage("a.csv:4: " + message);
+        assertThat(failure.file()).isEqualTo("a.csv");
+        assertThat(failure.line()).isEqualTo(4);
+    }
+
+    @Test
+    void negativeValueIsNoError() throws CsvFormatException {
+        assertThat(MeasurementFile.parse("a.csv", HEAD + ROW.replace("12.5", "-1") + "\n").get(0).value())
+            .isEqualTo(-1);
+    }
+
+    @Test
+    void otherVersionAndOtherHeaderAreRefused() {
+        assertThat(failure(HEAD.replace("version 1", "version 2") + ROW + "\n"))
+            .hasMessage("a.csv:1: the first line must be '" + MeasurementFile.VERSION_LINE + "'");
+        assertThat(failure("")).hasMessageStartingWith("a.csv:1: the first line must be");
+        assertThat(failure(MeasurementFile.VERSION_LINE + "\n" + ROW + "\n"))
+            .hasMessageStartingWith("a.csv:2: the header must be 'run,commit,");
+        assertThat(failure(MeasurementFile.VERSION_LINE + "\n")).hasMessageStartingWith("a.csv:2: ");
+    }
+
+    /** Cut at any byte, a file is either refused or has only whole rows. */
+    @Test
+    void cutFileNeverGivesAnotherRow() throws CsvFormatException {
+        final String whole = HEAD + ROW + "\n" + ROW + "\n";
+        final List<Measurement> rows = MeasurementFile.parse("a.csv", whole);
+        for (int length = 0; length < whole.length(); length++) {
+            final String cut = whole.substring(0, length);
+            if (cut.equals(HEAD) || cut.equals(HEAD + ROW + "\n")) {
+                final List<Measurement> read = MeasurementFile.parse("a.csv", cut);
+                assertThat(read).isEqualTo(rows.subList(0, read.size()));
+            } else {
+                assertThatThrownBy(() -> MeasurementFile.parse("a.csv", cut)).as(cut)
+                    .isInstanceOf(CsvFormatException.class).hasMessageStartingWith("a.csv:");
+            }
+        }
+        assertThat(failure(HEAD + ROW)).hasMessage("a.csv:3: the file is cut: its last line has no end");
+    }
+
+    @Test
+    void faultsHaveAFormatOfTheirOwn() throws CsvFormatException {
+        final String head = FaultFile.VERSION_LINE + "\n" + String.join(",", FaultFile.COLUMNS) + "\n";
+        final String text = head + "d1,abc1234,2026-12-02,3,zone-loss,1,seconds_until_back,41.5,false\n";
+        assertThat(FaultFile.isOne(text)).isTrue();
+        assertThat(FaultFile.isOne(HEAD)).isFalse();
+        assertThat(FaultFile.parse("f.csv", text)).containsExactly(new FaultMeasurement("d1", "abc1234",
+            "2026-12-02", "3", FaultKind.ZONE_LOSS, 1, "seconds_until_back", 41.5, false));
+        assertThatThrownBy(() -> FaultFile.parse("f.csv", text.replace("zone-loss", "moon-loss")))
+            .isInstanceOf(CsvFormatException.class).hasMessage("f.csv:3: fault: 'moon-loss' is unknown");
+    }
+}
