Say how sure the base of a capacity figure is, and check only whole points held out

Need: a need's interval left out how sure the value at the base is; a point held out that was cut short counted like a whole one.

Change: the interval is made of that of the lines at their mean and those of the slopes. Points held out of one size are one row; partial ones are used only where there is no whole one. Rows for the dispatcher that takes most, and for the messages of requests.

--- a/src/main/java/cresschute/capacity/CapacityModel.java
+++ b/src/main/java/cresschute/capacity/CapacityModel.java
@@ -81,7 +81,8 @@
         final Map<Axis, Double> base = series.get(key).base();
         double value = fits.entrySet().stream()
             .mapToDouble(each -> each.getValue().at(base.get(each.getKey()))).average().orElseThrow();
-        double squares = 0;
+        double squares = fits.values().stream()
+            .mapToDouble(fit -> Math.pow(fit.meanHalfWidth() / fits.size(), 2)).sum();
         boolean extrapolated = false;
         for (final Map.Entry<Axis, LinearFit> each : fits.entrySet()) {
             final double distance = sizes.on(each.getKey()) - base.get(each.getKey());
--- a/src/main/java/cresschute/capacity/Figures.java
+++ b/src/main/java/cresschute/capacity/Figures.java
@@ -36,7 +36,7 @@
 
     /** A need over its limit. */
     static String ratio(double ratio) {
-        return Double.isInfinite(ratio) ? "none may" : number(ratio);
+        return Double.isInfinite(ratio) ? "over a limit of 0" : number(ratio);
     }
 
     /** A value with its interval, marked where it lies outside the measured sizes. */
--- a/src/main/java/cresschute/capacity/HeldOutTable.java
+++ b/src/main/java/cresschute/capacity/HeldOutTable.java
@@ -6,11 +6,11 @@
     private HeldOutTable() {}
 
     static String text(CapacityModel model) {
-        final MarkdownTable table = new MarkdownTable("role", "measure", "run", "values", "the fits say",
-            "measured", "off by", "within the interval");
+        final MarkdownTable table = new MarkdownTable("role", "measure", "runs", "values", "the fits say",
+            "measured", "off by", "in the fits' interval");
         HeldOutCheck.of(model).stream().filter(check -> RoleTables.isTracked(check.key())).forEach(
             check -> table.row(check.key().role().label(),
-                "`" + check.key().measure() + "`", check.run() + (check.partial() ? " (partial)" : ""),
+                "`" + check.key().measure() + "`", check.runs() + (check.partial() ? " (partial)" : ""),
                 Figures.number(check.points()), Figures.estimate(check.predicted()),
                 Figures.number(check.measured()), off(check), check.withinInterval() ? "yes" : "no"));
         return table.textOr("No point is held out yet: how far the fits are off is **"
--- a/src/main/java/cresschute/capacity/LinearFit.java
+++ b/src/main/java/cresschute/capacity/LinearFit.java
@@ -10,13 +10,14 @@
  * @param intercept the value at size 0
  * @param slope the change of the value for one unit of the size
  * @param slopeHalfWidth half the width of the slope's 95 % confidence interval, by Student's distribution
+ * @param meanHalfWidth half the width of the 95 % confidence interval of the line at the mean size
  * @param rSquared the share of the values' variance that the line explains; NaN where there is none
  * @param points how many points it goes through
  * @param minSize the least size that was measured
  * @param maxSize the greatest size that was measured
  */
-public record LinearFit(double intercept, double slope, double slopeHalfWidth, double rSquared, int points,
-    double minSize, double maxSize) {
+public record LinearFit(double intercept, double slope, double slopeHalfWidth, double meanHalfWidth,
+    double rSquared, int points, double minSize, double maxSize) {
 
     /** The chance that a slope lies outside its interval. */
     private static final double SIGNIFICANCE = 0.05;
@@ -34,7 +35,7 @@
         final SimpleRegression regression = new SimpleRegression();
         points.forEach(point -> regression.addData(point.size(), point.value()));
         return Optional.of(new LinearFit(regression.getIntercept(), regression.getSlope(),
-            halfWidth(regression), regression.getRSquare(), points.size(),
+            halfWidth(regression), meanHalfWidth(regression), regression.getRSquare(), points.size(),
             points.stream().mapToDouble(Point::size).min().orElseThrow(),
             points.stream().mapToDouble(Point::size).max().orElseThrow()));
     }
@@ -44,6 +45,13 @@
             : regression.getSlopeConfidenceInterval(SIGNIFICANCE);
     }
 
+    /** The interval of the slope, scaled from the standard error of the slope to that of the mean. */
+    private static double meanHalfWidth(SimpleRegression regression) {
+        final double meanError = Math.sqrt(regression.getMeanSquareError() / regression.getN());
+        return regression.getSlopeStdErr() == 0 ? 0
+            : halfWidth(regression) / regression.getSlopeStdErr() * meanError;
+    }
+
     /** The line's value at a size. */
     public double at(double size) {
         return intercept + slope * size;
--- a/src/main/java/cresschute/capacity/MessagesTable.java
+++ b/src/main/java/cresschute/capacity/MessagesTable.java
@@ -21,6 +21,13 @@
         messages.row(Role.DISPATCHER, "the list", "DirectorClient", null, "list_bytes_per_second");
         messages.row(Role.DISPATCHER, "load reports", "Loads", null, "report_bytes_per_second");
         messages.row(Role.DISPATCHER, "all control", "NodeServer", null, "control_bytes_per_second");
+        messages.row(Role.DISPATCHER, "attempts: requests to workers", "BackendConnections",
+            "attempts_per_second", "request_bytes_per_second");
+        messages.row(Role.DISPATCHER, "starts told by workers", "JobLine", null,
+            "start_line_bytes_per_second");
+        messages.row(Role.DISPATCHER, "progress told by workers", "JobLine", null,
+            "progress_line_bytes_per_second");
+        messages.row(Role.DISPATCHER, "results", "JobLine", null, "result_line_bytes_per_second");
         messages.row(Role.WORKER, "probes", "HttpProbe", "probes_per_second", null);
         messages.row(Role.WORKER, "handshakes", "BackendConnections", "handshakes_per_second", null);
         messages.row(Role.WORKER, "all control", "BackendConnections", null, "control_bytes_per_second");
--- a/src/main/java/cresschute/capacity/StateTable.java
+++ b/src/main/java/cresschute/capacity/StateTable.java
@@ -28,7 +28,7 @@
         state.none("worker", "load report, running tasks", Mechanism.MISSING, "stand-ins");
         state.none("discovery", "the list and its versions", Mechanism.MISSING, "a stand-in");
         state.none("console", "rows and health of each worker, events", "HealthBook",
-            "not in the sweep; see below the table");
+            "not in the sweep; see the console above");
         return state.table.textOr("");
     }
 
--- a/src/main/java/cresschute/capacity/TrackedMeasure.java
+++ b/src/main/java/cresschute/capacity/TrackedMeasure.java
@@ -33,10 +33,15 @@
     /** Processor time of a dispatcher without any request. */
     DISPATCHER_CONTROL_CPU(Role.DISPATCHER, "cpu_percent", Kind.PROCESSOR_WITHOUT_REQUESTS, "% of a core",
         Limits.CONTROL_CPU, "NodeServer"),
+    /** Processor time of the dispatcher that takes most. */
+    DISPATCHER_CPU_MAX(Role.DISPATCHER, "cpu_percent_max", Kind.PROCESSOR, "% of a core", Limits.ONE_CORE,
+        "NodeServer"),
     /** Heap in use. */
     DISPATCHER_HEAP(Role.DISPATCHER, "heap_mb", Kind.MEMORY, "MB", Limits.HEAP, "Core"),
     /** Resident memory of the process. */
     DISPATCHER_RSS(Role.DISPATCHER, "rss_mb", Kind.MEMORY, "MB", Limits.CONTROL_MEMORY, "NodeServer"),
+    /** Resident memory of the dispatcher that takes most. */
+    DISPATCHER_RSS_MAX(Role.DISPATCHER, "rss_mb_max", Kind.MEMORY, "MB", Limits.CONTROL_MEMORY, "NodeServer"),
     /** Open descriptors. */
     DISPATCHER_DESCRIPTORS(Role.DISPATCHER, "descriptors", Kind.MEMORY, "descriptors", Limits.DESCRIPTORS,
         "BackendConnections"),
@@ -57,6 +62,21 @@
     /** Bytes of load reports. */
     DISPATCHER_REPORT_BYTES(Role.DISPATCHER, "report_bytes_per_second", Kind.MESSAGES, "bytes a second", null,
         "Loads"),
+    /** Attempts sent to workers. */
+    DISPATCHER_ATTEMPTS(Role.DISPATCHER, "attempts_per_second", Kind.MESSAGES, "a second", null,
+        "BackendConnections"),
+    /** Bytes of requests to workers, head and body, and of the heads of their answers. */
+    DISPATCHER_REQUEST_BYTES(Role.DISPATCHER, "request_bytes_per_second", Kind.MESSAGES, "bytes a second",
+        null, "BackendConnections"),
+    /** Bytes of lines that tell of a start. */
+    DISPATCHER_START_BYTES(Role.DISPATCHER, "start_line_bytes_per_second", Kind.MESSAGES, "bytes a second",
+        null, "JobLine"),
+    /** Bytes of lines that tell of progress. */
+    DISPATCHER_PROGRESS_BYTES(Role.DISPATCHER, "progress_line_bytes_per_second", Kind.MESSAGES,
+        "bytes a second", null, "JobLine"),
+    /** Bytes of lines with a result. */
+    DISPATCHER_RESULT_BYTES(Role.DISPATCHER, "result_line_bytes_per_second", Kind.MESSAGES, "bytes a second",
+        null, "JobLine"),
 
     /** Probes that a worker answers. */
     WORKER_PROBES(Role.WORKER, "probes_per_second", Kind.MESSAGES, "a second", null, "HttpProbe"),
--- a/src/test/java/cresschute/capacity/CapacityModelTest.java
+++ b/src/test/java/cresschute/capacity/CapacityModelTest.java
@@ -61,6 +61,19 @@
         assertThat(checks.get(0).partial()).isFalse();
     }
 
+    @Test
+    void partialPointIsUsedOnlyWhereThereIsNoWholeOne() throws CsvFormatException {
+        final Sweep sweep = linearSweep();
+        final Map<Axis, Double> size = PLANNED.values();
+        sweep.row(Axis.FULL, true, size, "dispatcher", "cpu_percent", sizes -> 10, true);
+        assertThat(HeldOutCheck.of(new CapacityModel(sweep.measurements())).get(0))
+            .matches(HeldOutCheck::partial).matches(check -> check.measured() == 10);
+        sweep.row(Axis.FULL, true, size, "dispatcher", "cpu_percent", sizes -> 70, false);
+        final List<HeldOutCheck> checks = HeldOutCheck.of(new CapacityModel(sweep.measurements()));
+        assertThat(checks).hasSize(1);
+        assertThat(checks.get(0)).matches(check -> !check.partial()).matches(check -> check.measured() == 70);
+    }
+
     @Test
     void measureWithoutAFitHasNoEstimate() throws CsvFormatException {
         final Sweep sweep = new Sweep().along(Axis.WORKERS, 100, "dispatcher", "heap_mb", sizes -> 1)
--- a/src/test/java/cresschute/capacity/LinearFitTest.java
+++ b/src/test/java/cresschute/capacity/LinearFitTest.java
@@ -40,6 +40,8 @@
         assertThat(fit.rSquared()).isCloseTo(0.999993745883712, within(1e-12));
         // The certified standard error of the slope times the 97.5 % quantile of Student's t, 34 degrees.
         assertThat(fit.slopeHalfWidth()).isCloseTo(0.429796848199937e-3 * 2.0322445093, within(1e-11));
+        // The certified residual standard deviation over the root of 36, times the same quantile.
+        assertThat(fit.meanHalfWidth()).isCloseTo(0.884796396144373 / 6 * 2.0322445093, within(1e-9));
     }
 
     @Test
