--- a/src/main/java/cresschute/capacity/Axis.java
+++ b/src/main/java/cresschute/capacity/Axis.java
@@ -21,8 +21,10 @@
     /** Settings reloads a second. */
     SETTINGS_CHANGES("settings-changes", "settings_changes_per_second", "settings changes a second");
 
-    /** The name of the axis of a run at full size, which varies no single dimension. */
+    /** The name of the axis of a run at full size, which varies no single dimension and is held out. */
     public static final String FULL = "full";
+    /** The name of the axis of a run that varies nothing; it is in no fit. */
+    public static final String NONE = "none";
 
     private final String label;
     private final String column;
--- a/src/main/java/cresschute/capacity/CapacityModel.java
+++ b/src/main/java/cresschute/capacity/CapacityModel.java
@@ -27,15 +27,19 @@
     private final List<Measurement> all;
     private final Map<Key, Series> series = new LinkedHashMap<>();
 
-    /** Fits all measurements that are neither held out nor partial. */
+    /** Fits all measurements along an axis that are neither held out nor partial. */
     public CapacityModel(List<Measurement> measurements) {
         this.all = List.copyOf(measurements);
-        all.stream().filter(each -> !each.heldOut() && !each.partial())
+        all.stream().filter(CapacityModel::isFitted)
             .collect(Collectors.groupingBy(each -> new Key(each.role(), each.measure()), LinkedHashMap::new,
                 Collectors.toList()))
             .forEach((key, rows) -> series.put(key, series(rows)));
     }
 
+    private static boolean isFitted(Measurement measurement) {
+        return measurement.axis().isPresent() && !measurement.heldOut() && !measurement.partial();
+    }
+
     private static Series series(List<Measurement> rows) {
         final Map<Axis, LinearFit> fits = new EnumMap<>(Axis.class);
         final Map<Axis, Double> base = new EnumMap<>(Axis.class);
--- a/src/main/java/cresschute/capacity/Measurement.java
+++ b/src/main/java/cresschute/capacity/Measurement.java
@@ -9,7 +9,7 @@
  * @param commit the commit that was measured
  * @param date when it was measured, as the file says
  * @param seed the seed of the run's random choices
- * @param axis the axis that the run varied, or nothing for a run at full size
+ * @param axis the axis that the run varied, or nothing for a run that varied none
  * @param repetition which repetition of the run this is
  * @param heldOut whether it is kept out of every fit, to check the fits
  * @param sizes the size at which it was measured
--- a/src/main/java/cresschute/capacity/MeasurementFile.java
+++ b/src/main/java/cresschute/capacity/MeasurementFile.java
@@ -36,11 +36,11 @@
     private static Measurement measurement(CsvTable.Row row) throws CsvFormatException {
         final String axisLabel = row.text("axis");
         final Optional<Axis> axis = Axis.of(axisLabel);
-        if (axis.isEmpty() && !axisLabel.equals(Axis.FULL)) {
+        if (axis.isEmpty() && !axisLabel.equals(Axis.FULL) && !axisLabel.equals(Axis.NONE)) {
             throw row.error("axis: '" + axisLabel + "' is unknown");
         }
         final boolean heldOut = row.flag("held_out");
-        if (axis.isEmpty() && !heldOut) {
+        if (axisLabel.equals(Axis.FULL) && !heldOut) {
             throw row.error("a run at full size must be held out");
         }
         final String roleLabel = row.text("role");
--- a/src/main/java/cresschute/capacity/RunsTable.java
+++ b/src/main/java/cresschute/capacity/RunsTable.java
@@ -15,7 +15,8 @@
         final MarkdownTable table = new MarkdownTable("axis", "commit", "dates", "seeds", "runs", "values",
             "held out", "partial, left out of fits");
         measurements.stream().collect(Collectors.groupingBy(
-            row -> new Group(row.axis().map(Axis::label).orElse(Axis.FULL), row.commit()), LinkedHashMap::new,
+            row -> new Group(row.axis().map(Axis::label).orElse(row.heldOut() ? Axis.FULL : Axis.NONE), row
+                .commit()), LinkedHashMap::new,
             Collectors.toList()))
             .forEach((group, rows) -> table.row(group.axis(), "`" + group.commit() + "`",
                 range(rows.stream().map(Measurement::date).sorted().toList()),
--- a/src/test/java/cresschute/capacity/CapacityModelTest.java
+++ b/src/test/java/cresschute/capacity/CapacityModelTest.java
@@ -61,6 +61,18 @@
         assertThat(checks.get(0).partial()).isFalse();
     }
 
+    @Test
+    void runThatVariesNothingIsInNoFit() throws CsvFormatException {
+        final Sweep sweep = linearSweep();
+        sweep.row(Axis.NONE, false, PLANNED.values(), "dispatcher", "cpu_percent", sizes -> 1e6, false);
+        final CapacityModel model = new CapacityModel(sweep.measurements());
+        assertThat(model.estimate(CPU, PLANNED).orElseThrow().value()).isCloseTo(73.5, within(1e-6));
+        sweep.row(Axis.NONE, true, PLANNED.values(), "dispatcher", "cpu_percent", sizes -> 70, false);
+        assertThat(HeldOutCheck.of(new CapacityModel(sweep.measurements()))).hasSize(1);
+        assertThat(CapacityTables.of(sweep.measurements(), List.of()).get("runs"))
+            .contains("| none | ", "| full | ");
+    }
+
     @Test
     void partialPointIsUsedOnlyWhereThereIsNoWholeOne() throws CsvFormatException {
         final Sweep sweep = linearSweep();
