--- a/src/main/java/cresschute/capacity/StatedBound.java
+++ b/src/main/java/cresschute/capacity/StatedBound.java
@@ -18,8 +18,8 @@
         PlannedSize::configurationChangesPerDay, 64, "ClassTable", "64 numbers from a start to the next"),
     /** Connections to workers, one for each open request. */
     WORKER_CONNECTIONS("connections of one dispatcher to workers",
-        size -> (double) size.running() / size.dispatchers(), 440, "BackendConnections",
-        "45 % of 1,024 descriptors less 48; `limits.sockets` can be up to 1,000,000"),
+        size -> (double) size.running() / size.dispatchers(), 440, "DescriptorShares",
+        "45 % of 1,024 descriptors less 48, no management listener; `limits.sockets`: up to 1,000,000"),
     /** How much more than its quota a tenant may take. */
     QUOTA_SLACK("traffic of a tenant that counts as within its quota, in quotas", size -> 1.5, 1,
         "ShareMeter",
