--- a/src/main/java/cresschute/capacity/MessagesTable.java
+++ b/src/main/java/cresschute/capacity/MessagesTable.java
@@ -18,7 +18,7 @@
         messages.row(Role.CLIENT, "requests", "ClientFront", "requests_per_second", null);
         messages.row(Role.DISPATCHER, "probes", "HttpProbe", "probes_per_second", "probe_bytes_per_second");
         messages.row(Role.DISPATCHER, "handshakes", "BackendConnections", "handshake_per_second", null);
-        messages.row(Role.DISPATCHER, "the list", "DirectorClient", null, "list_bytes_per_second");
+        messages.row(Role.DISPATCHER, "the list", "DiscoveryClient", null, "list_bytes_per_second");
         messages.row(Role.DISPATCHER, "load reports", "Loads", null, "report_bytes_per_second");
         messages.row(Role.DISPATCHER, "all control", "NodeServer", null, "control_bytes_per_second");
         messages.row(Role.DISPATCHER, "attempts: requests to workers", "BackendConnections",
@@ -31,7 +31,7 @@
         messages.row(Role.WORKER, "probes", "HttpProbe", "probes_per_second", null);
         messages.row(Role.WORKER, "handshakes", "BackendConnections", "handshakes_per_second", null);
         messages.row(Role.WORKER, "all control", "BackendConnections", null, "control_bytes_per_second");
-        messages.row(Role.DISCOVERY, "calls and answers", "DirectorClient", "calls_per_second",
+        messages.row(Role.DISCOVERY, "calls and answers", "DiscoveryClient", "calls_per_second",
             "bytes_per_second");
         messages.row(Role.CONSOLE, "rows and events", "Board", null, "bytes_per_second");
         return messages.table.textOr("");
--- a/src/main/java/cresschute/capacity/StatedBound.java
+++ b/src/main/java/cresschute/capacity/StatedBound.java
@@ -29,9 +29,9 @@
         "ClientConnection", "one more than 120 without an answer closes the connection"),
     /** A change of the worker list. */
     LIST_CHANGE("ms until a change of the list is in force, one call having fallen silent", size -> 6_000,
-        PlannedSize.OPERATORS.configurationDelayMs(), "DirectorClient", "2.5 + 1.5 + 1.5 s, stated as 6 s"),
+        PlannedSize.OPERATORS.configurationDelayMs(), "DiscoveryClient", "2.5 + 1.5 + 1.5 s, stated as 6 s"),
     /** The size of the worker list. */
-    LIST_SIZE("workers in one list", PlannedSize::workers, 10_000, "DirectorClient",
+    LIST_SIZE("workers in one list", PlannedSize::workers, 10_000, "DiscoveryClient",
         "4 MiB, about 10,000 workers"),
     /** A drain or ban at one dispatcher. */
     DRAIN("ms until a drain or ban is in force at the dispatcher that was called", size -> 400,
--- a/src/main/java/cresschute/capacity/TrackedMeasure.java
+++ b/src/main/java/cresschute/capacity/TrackedMeasure.java
@@ -58,7 +58,7 @@
         "BackendConnections"),
     /** Bytes of the worker list. */
     DISPATCHER_LIST_BYTES(Role.DISPATCHER, "list_bytes_per_second", Kind.MESSAGES, "bytes a second", null,
-        "DirectorClient"),
+        "DiscoveryClient"),
     /** Bytes of load reports. */
     DISPATCHER_REPORT_BYTES(Role.DISPATCHER, "report_bytes_per_second", Kind.MESSAGES, "bytes a second", null,
         "Loads"),
@@ -93,10 +93,10 @@
     WORKER_MEMORY(Role.WORKER, "rss_mb", Kind.MEMORY, "MB", Limits.CONTROL_MEMORY, Mechanism.MISSING),
 
     /** Calls of dispatchers for the list. */
-    DISCOVERY_CALLS(Role.DISCOVERY, "calls_per_second", Kind.MESSAGES, "a second", null, "DirectorClient"),
+    DISCOVERY_CALLS(Role.DISCOVERY, "calls_per_second", Kind.MESSAGES, "a second", null, "DiscoveryClient"),
     /** Bytes of these calls and their answers. */
     DISCOVERY_BYTES(Role.DISCOVERY, "bytes_per_second", Kind.MESSAGES, "bytes a second", null,
-        "DirectorClient"),
+        "DiscoveryClient"),
     /** Processor time of the discovery service. */
     DISCOVERY_CPU(Role.DISCOVERY, "cpu_percent", Kind.PROCESSOR, "% of a core", Limits.CONTROL_CPU,
         Mechanism.MISSING),
