--- a/src/main/java/cresschute/lab/CellKeys.java
+++ b/src/main/java/cresschute/lab/CellKeys.java
@@ -10,7 +10,7 @@
  * What the workers of one cell know of keys: a repeat within the window does not run. It waits for the first
  * run and takes its result; if that is lost with its worker, the key is free again.
  */
-final class CellKeys {
+public final class CellKeys {
 
     private static final class Entry {
         private long fromUs;
@@ -21,7 +21,8 @@
     private final Map<String, Entry> entries = new HashMap<>();
     private final long windowUs;
 
-    CellKeys(long windowUs) {
+    /** Repeats are dropped for this long after the first run began. */
+    public CellKeys(long windowUs) {
         this.windowUs = windowUs;
     }
 
@@ -30,7 +31,7 @@
      *
      * @param otherwise called with the first run's result where it is not, or with null if that run is lost
      */
-    boolean begins(String key, long nowUs, Consumer<String> otherwise) {
+    public boolean begins(String key, long nowUs, Consumer<String> otherwise) {
         final Entry entry = entries.get(key);
         if (entry == null || entry.result != null && nowUs > entry.fromUs + windowUs) {
             final Entry first = new Entry();
@@ -46,7 +47,8 @@
         return false;
     }
 
-    void done(String key, String result) {
+    /** The first run of a key is done; those that wait take its result. */
+    public void done(String key, String result) {
         final Entry entry = entries.get(key);
         if (entry != null) {
             entry.result = result;
@@ -55,7 +57,8 @@
         }
     }
 
-    void lost(String key) {
+    /** The first run of a key is lost with its worker, so that the key is free again. */
+    public void lost(String key) {
         final Entry entry = entries.remove(key);
         if (entry != null) {
             entry.waiting.forEach(each -> each.accept(null));
--- a/src/main/java/cresschute/lab/DirectorStandIn.java
+++ b/src/main/java/cresschute/lab/DirectorStandIn.java
@@ -4,6 +4,7 @@
 import com.google.gson.JsonObject;
 import cresschute.lab.Observation.WorkerTold;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -20,12 +21,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * The service that tells of the workers: the whole list, and watches that wait for changes. What happens to a
  * worker is told as late as it is set to; it can be down, and its connections reset. All on one loop.
  */
-final class DirectorStandIn {
+public final class DirectorStandIn {
 
     private static final String PATH = "/registry/instances";
     private static final int MOST_BODY_BYTES = 4096;
@@ -63,12 +65,27 @@
     private long lateUs;
     private boolean down;
     private final LoopbackServer server;
+    private long calls;
 
     DirectorStandIn(EventLoop loop, Recorder recorder) {
+        this(loop, recorder, null);
+    }
+
+    /**
+     * One that does not listen yet.
+     *
+     * @param first makes the handler next to the socket of each connection, or null for none
+     */
+    public DirectorStandIn(EventLoop loop, Recorder recorder, Supplier<ChannelHandler> first) {
         this.loop = loop;
         this.recorder = recorder;
-        server = new LoopbackServer(loop, channel -> channel.pipeline().addLast(new HttpServerCodec(),
-            new HttpObjectAggregator(MOST_BODY_BYTES), new Handler()));
+        server = new LoopbackServer(loop, channel -> {
+            if (first != null) {
+                channel.pipeline().addLast(first.get());
+            }
+            channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY_BYTES),
+                new Handler());
+        });
     }
 
     /** Listens on a free port of the loopback address; blocks, so not on the loop. */
@@ -76,6 +93,21 @@
         return server.listen();
     }
 
+    /** Listens on a free port of this address; blocks, so not on the loop. */
+    public InetSocketAddress start(InetAddress at) {
+        return server.listen(at);
+    }
+
+    /** Calls so far. On the loop. */
+    public long calls() {
+        return calls;
+    }
+
+    /** Watches that wait for a change now. On the loop. */
+    public int watching() {
+        return watches.size();
+    }
+
     // ---- What happens; all on the loop ----
 
     /** Changes are told so much later than they happen. */
@@ -98,7 +130,7 @@
     }
 
     /** The same of a worker that is nowhere but on the list. */
-    void set(WorkerStandIn.Make make, InetSocketAddress address, String state, long startedMs) {
+    public void set(WorkerStandIn.Make make, InetSocketAddress address, String state, long startedMs) {
         final Entry entry = new Entry(make.id(), address, make.zone(), make.kind(), make.cell(), state,
             startedMs);
         loop.schedule(() -> publish(entry), lateUs, TimeUnit.MICROSECONDS);
@@ -135,6 +167,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            calls++;
             final QueryStringDecoder query = new QueryStringDecoder(request.uri());
             if (down) {
                 answer(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "");
@@ -221,7 +254,8 @@
         ctx.writeAndFlush(LoopbackServer.answer(status, body));
     }
 
-    void close() {
+    /** Closes the listener and all connections. On the loop. */
+    public void close() {
         server.close();
     }
 }
--- a/src/main/java/cresschute/lab/LoadClients.java
+++ b/src/main/java/cresschute/lab/LoadClients.java
@@ -31,8 +31,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -46,9 +48,10 @@
  * connections, send one req at a time on each, try again after a refusal up to two times as it advises, and
  * after a failure where a repeat is safe. All of it happens on one loop.
  */
-final class LoadClients {
+public final class LoadClients {
 
-    static final int OK = 200;
+    /** The status of an answer that serves. */
+    public static final int OK = 200;
     private static final int REFUSED = 503;
     private static final int TOO_MANY = 429;
     private static final int MOST_TRIES = 3;
@@ -66,16 +69,19 @@
     private final double ratePerS;
     private final ContinuousSampler spread;
     private final ContinuousSampler gap;
-    private final Deque<Connection> idle = new ArrayDeque<>();
+    private final Map<SocketAddress, Deque<Connection>> idle = new HashMap<>();
     private final Set<Try> open = new HashSet<>();
     private final Set<Connection> connections = new HashSet<>();
-    private SocketAddress node;
+    private List<SocketAddress> nodes = List.of();
+    private long connects;
+    private long sent;
     private boolean arriving;
     private double burst = 1;
     private double tail = 1;
     private int lastOrigin;
 
-    LoadClients(EventLoop loop, Recorder recorder, UniformRandomProvider chance, List<JobClass> classes,
+    /** Clients that send nothing yet. */
+    public LoadClients(EventLoop loop, Recorder recorder, UniformRandomProvider chance, List<JobClass> classes,
         double ratePerS) {
         this.loop = loop;
         this.recorder = recorder;
@@ -92,13 +98,39 @@
 
     /** Begins to send to a node. On the loop. */
     void start(SocketAddress to) {
-        node = to;
-        arriving = true;
+        connectTo(List.of(to));
         next();
     }
 
+    /** From now on what is submitted goes to these, drawn evenly; nothing arrives by itself. On the loop. */
+    public void connectTo(List<SocketAddress> to) {
+        nodes = List.copyOf(to);
+        arriving = true;
+    }
+
+    /**
+     * Sends one request now. On the loop.
+     *
+     * @param origin names the request in all its retries
+     * @param tenant the customer, or null where there are none
+     */
+    public void submit(JobClass stated, String origin, long workUs, String tenant) {
+        final String key = stated.effect() == Effect.KEYED ? "key-" + origin : null;
+        new Try(stated, origin, origin, key, workUs, 1, 1, tenant).send();
+    }
+
+    /** Connections opened so far. On the loop. */
+    public long connects() {
+        return connects;
+    }
+
+    /** Requests written so far, retries included. On the loop. */
+    public long sent() {
+        return sent;
+    }
+
     /** No new jobs come; those under way go on. On the loop. */
-    void stopArriving() {
+    public void stopArriving() {
         arriving = false;
     }
 
@@ -129,7 +161,7 @@
         final double slots = chance.nextDouble() < WIDE_SHARE ? 2 : 1;
         final String origin = "job-" + ++lastOrigin + "-" + Long.toHexString(chance.nextLong());
         final String key = stated.effect() == Effect.KEYED ? "key-" + origin : null;
-        new Try(stated, origin, origin, key, workUs, slots, 1).send();
+        new Try(stated, origin, origin, key, workUs, slots, 1, null).send();
     }
 
     private JobClass draw() {
@@ -144,12 +176,12 @@
     }
 
     /** Tries that wait for an answer. */
-    int waiting() {
+    public int waiting() {
         return open.size();
     }
 
     /** Ends all at once: what still waits is unfinished. On the loop. */
-    void abandon() {
+    public void abandon() {
         arriving = false;
         for (final Try each : new ArrayList<>(open)) {
             each.over();
@@ -169,9 +201,11 @@
         private final long workUs;
         private final double slots;
         private final int number;
+        private final String tenant;
         private Future<?> unanswered;
 
-        Try(JobClass stated, String origin, String id, String key, long workUs, double slots, int number) {
+        Try(JobClass stated, String origin, String id, String key, long workUs, double slots, int number,
+            String tenant) {
             this.stated = stated;
             this.origin = origin;
             this.id = id;
@@ -179,21 +213,24 @@
             this.workUs = workUs;
             this.slots = slots;
             this.number = number;
+            this.tenant = tenant;
         }
 
         void send() {
             open.add(this);
-            final Connection kept = idle.pollLast();
+            final SocketAddress node = nodes.get(nodes.size() == 1 ? 0 : chance.nextInt(nodes.size()));
+            final Connection kept = idle.computeIfAbsent(node, unseen -> new ArrayDeque<>()).pollLast();
             if (kept != null) {
                 kept.send(this);
                 return;
             }
+            connects++;
             new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true).handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new HttpClientCodec(),
-                            new HttpObjectAggregator(MOST_ANSWER_BYTES), new Connection(channel));
+                            new HttpObjectAggregator(MOST_ANSWER_BYTES), new Connection(channel, node));
                     }
                 }).connect(node).addListener((ChannelFutureListener) connected -> {
                     if (!connected.isSuccess()) {
@@ -207,6 +244,7 @@
         }
 
         void written() {
+            sent++;
             recorder.add(new ReqSent(recorder.nowUs(), id, origin, stated.name(), key, workUs, slots,
                 stated.deadlineUs()));
             unanswered = loop.schedule(() -> {
@@ -250,7 +288,7 @@
             if (number < MOST_TRIES && arriving) {
                 final long delayUs = Math.max(adviceUs, (long) (200_000 * (0.5 + chance.nextDouble())));
                 final Try next = new Try(stated, origin, "again-" + number + "-" + origin, key, workUs, slots,
-                    number + 1);
+                    number + 1, tenant);
                 loop.schedule(() -> {
                     if (arriving) {
                         next.send();
@@ -268,6 +306,9 @@
                 Unpooled.copiedBuffer(body.toString(), StandardCharsets.UTF_8));
             request.headers().set(HttpHeaderNames.HOST, "lab").set("X-Request-Id", id)
                 .set("X-Deadline", stated.deadlineUs() / 1000 + "m").set("X-Extras", "slots=" + slots);
+            if (tenant != null) {
+                request.headers().set("X-Tenant", tenant);
+            }
             if (key != null) {
                 request.headers().set("Idempotency-Key", key);
             }
@@ -283,10 +324,12 @@
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
 
         private final Channel channel;
+        private final SocketAddress node;
         private Try current;
 
-        Connection(Channel channel) {
+        Connection(Channel channel, SocketAddress node) {
             this.channel = channel;
+            this.node = node;
             connections.add(this);
         }
 
@@ -309,7 +352,7 @@
             }
             // Kept before the answer is acted on, so that a try that follows at once may use it.
             if (HttpUtil.isKeepAlive(response)) {
-                idle.addLast(this);
+                idle.get(node).addLast(this);
             } else {
                 ctx.close();
             }
@@ -319,7 +362,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             connections.remove(this);
-            idle.remove(this);
+            idle.get(node).remove(this);
             if (current != null && current.unanswered != null && current.over()) {
                 recorder.add(new ReqLost(recorder.nowUs(), current.id));
             } else if (current != null && current.over()) {
--- a/src/main/java/cresschute/lab/LoopbackServer.java
+++ b/src/main/java/cresschute/lab/LoopbackServer.java
@@ -22,7 +22,7 @@
 import java.util.function.Consumer;
 
 /** What the stand-ins that are called share: a listener on loopback, and its connections. On one loop. */
-final class LoopbackServer {
+public final class LoopbackServer {
 
     private final EventLoop loop;
     private final Consumer<Channel> pipeline;
@@ -30,15 +30,19 @@
     private Channel server;
 
     /** A server that does not listen yet; {@code pipeline} puts the handlers on each new connection. */
-    LoopbackServer(EventLoop loop, Consumer<Channel> pipeline) {
+    public LoopbackServer(EventLoop loop, Consumer<Channel> pipeline) {
         this.loop = loop;
         this.pipeline = pipeline;
     }
 
     /** Listens on a free port; blocks, so not on the loop. */
     InetSocketAddress listen() {
-        server = bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).syncUninterruptibly()
-            .channel();
+        return listen(InetAddress.getLoopbackAddress());
+    }
+
+    /** Listens on a free port of this address; blocks, so not on the loop. */
+    public InetSocketAddress listen(InetAddress at) {
+        server = bind(new InetSocketAddress(at, 0)).syncUninterruptibly().channel();
         return (InetSocketAddress) server.localAddress();
     }
 
--- a/src/main/java/cresschute/lab/WorkerStandIn.java
+++ b/src/main/java/cresschute/lab/WorkerStandIn.java
@@ -45,7 +45,7 @@
  * How long a job takes is told by its body, {@code {"work_us":..., "slots":...}}. It has scripted troubles,
  * and all of it happens on one loop.
  */
-final class WorkerStandIn {
+public final class WorkerStandIn {
 
     private static final int MOST_BODY_BYTES = 128 * 1024;
     private static final long DEFAULT_WORK_US = 100_000;
@@ -56,7 +56,7 @@
     private static final int MOST_WAITING_A_SLOT = 8;
 
     /** What a worker is. */
-    record Make(String id, int cell, String zone, String kind, int slots, double speed) {
+    public record Make(String id, int cell, String zone, String kind, int slots, double speed) {
 
         double capacity() {
             return slots * speed;
--- /dev/null
+++ b/src/main/java/cresschute/lab/capacity/ByteCounter.java
@@ -0,0 +1,54 @@
+package cresschute.lab.capacity;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
+
+/** Next to a socket: counts what is read and written, and notes when the first byte of a message came. */
+final class ByteCounter extends ChannelDuplexHandler {
+
+    private final LongSupplier clock;
+    private final LongConsumer counted;
+    private long firstByteUs;
+    private long readSinceTaken;
+
+    /** {@code counted} is told the size of each piece that is read or written. */
+    ByteCounter(LongSupplier clock, LongConsumer counted) {
+        this.clock = clock;
+        this.counted = counted;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        if (message instanceof ByteBuf bytes) {
+            firstByteUs = firstByteUs == 0 ? clock.getAsLong() : firstByteUs;
+            readSinceTaken += bytes.readableBytes();
+            counted.accept(bytes.readableBytes());
+        }
+        ctx.fireChannelRead(message);
+    }
+
+    @Override
+    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+        if (message instanceof ByteBuf bytes) {
+            counted.accept(bytes.readableBytes());
+        }
+        ctx.write(message, promise);
+    }
+
+    /** When the first byte since the last call of {@link #takeRead} came, us. */
+    long firstByteUs() {
+        return firstByteUs;
+    }
+
+    /** Bytes read since the last call of this. */
+    long takeRead() {
+        final long taken = readSinceTaken;
+        readSinceTaken = 0;
+        firstByteUs = 0;
+        return taken;
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/capacity/CapacityExperiment.java
@@ -0,0 +1,245 @@
+package cresschute.lab.capacity;
+
+import com.google.gson.JsonObject;
+import cresschute.lab.Observation;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+
+/**
+ * One experiment: dispatcher processes between hollow workers, hollow clients and discovery, each in a
+ * process of its own. Jobs come faster until as many run as wanted; then the window is measured, what is
+ * open is waited for, and all of it ends. Blocks; whatever happens, no process is left.
+ */
+public final class CapacityExperiment implements AutoCloseable {
+
+    private static final long SAMPLE_MS = 1_000;
+    private static final long LOOK_MS = 100;
+    private static final long MAX_RAMP_SECONDS = 20;
+    private static final long LISTED_SECONDS = 20;
+    private static final long SPARE_DRAIN_SECONDS = 10;
+    private static final double REACHED = 0.98;
+    private static final double NS_A_SECOND = 1e9;
+    private static final double US_A_SECOND = 1e6;
+
+    /** The end of an experiment before its time, with why. */
+    private static final class Interrupted extends Exception {
+        private static final long serialVersionUID = 1L;
+    }
+
+    private final CapacityPlan plan;
+    private final Consumer<String> progress;
+    private final CountDownLatch interrupted;
+    private final SharedClock clock = SharedClock.start();
+    private final List<PeerProcess> peers = new ArrayList<>();
+    private final List<DispatcherProcess> dispatchers = new ArrayList<>();
+    private final List<Sample> samples = new ArrayList<>();
+    private final List<Double> heapsMb = new ArrayList<>();
+    private Path folder;
+
+    /**
+     * One that is not started.
+     *
+     * @param progress is told what goes on, a line at a time
+     * @param interrupted ends it early at zero
+     */
+    public CapacityExperiment(CapacityPlan plan, Consumer<String> progress, CountDownLatch interrupted) {
+        this.plan = plan;
+        this.progress = progress;
+        this.interrupted = interrupted;
+    }
+
+    /** Looks whether the machine has what this plan needs; {@link MachineLimitException} where it has not. */
+    public static void check(CapacityPlan plan) throws IOException {
+        Preflight.check(plan);
+    }
+
+    /** Plays it. A process that dies, or an interruption, ends it with what was measured until then. */
+    public CapacityResult run() throws IOException, InterruptedException {
+        check(plan);
+        folder = Files.createTempDirectory("cresschute-capacity");
+        String partial = null;
+        try {
+            play();
+        } catch (PeerException e) {
+            partial = e.getMessage();
+        } catch (Interrupted e) {
+            partial = "interrupted";
+        } finally {
+            close();
+        }
+        try {
+            final List<Observation> seen = ObservationFile.read(peers.stream().map(PeerProcess::observations)
+                .toList());
+            return Evaluation.of(plan, samples, heapsMb, seen, partial);
+        } finally {
+            deleteFolder();
+        }
+    }
+
+    private void play() throws IOException, InterruptedException, Interrupted {
+        start();
+        ramp();
+        window();
+        measureHeaps();
+        drain();
+    }
+
+    // ---- The stages ----
+
+    private void start() throws IOException, InterruptedException, Interrupted {
+        progress.accept("starting " + plan.workers() + " workers and " + plan.dispatchers()
+            + " dispatchers");
+        final PeerProcess workers = peer(PeerMain.Role.WORKERS);
+        final PeerProcess discovery = peer(PeerMain.Role.DISCOVERY);
+        final PeerProcess clients = peer(PeerMain.Role.CLIENTS);
+        final List<InetSocketAddress> workersAt = PeerProcess.addresses(workers.start(plan, clock,
+            List.of()));
+        final InetSocketAddress discoveryAt = PeerProcess.addresses(discovery.start(plan, clock, workersAt))
+            .get(0);
+        clients.start(plan, clock, List.of());
+        for (int i = 0; i < plan.dispatchers(); i++) {
+            dispatchers.add(new DispatcherProcess(plan, i, discoveryAt, folder));
+        }
+        final List<InetSocketAddress> dispatchersAt = new ArrayList<>();
+        for (final DispatcherProcess each : dispatchers) {
+            dispatchersAt.add(each.awaitListening());
+        }
+        // Each has the whole list once it watches for changes of it.
+        final long startNs = System.nanoTime();
+        while (discovery.ask("counts").get("watching").getAsInt() < plan.dispatchers()) {
+            if (secondsSince(startNs) > LISTED_SECONDS) {
+                throw new PeerException("the dispatchers do not watch the list");
+            }
+            pause(LOOK_MS);
+        }
+        clients.begin(dispatchersAt);
+    }
+
+    private PeerProcess peer(PeerMain.Role role) throws IOException {
+        final PeerProcess peer = new PeerProcess(role, folder);
+        peers.add(peer);
+        return peer;
+    }
+
+    private void ramp() throws IOException, InterruptedException, Interrupted {
+        final long startNs = System.nanoTime();
+        int running = 0;
+        while (running < REACHED * plan.running() && secondsSince(startNs) < MAX_RAMP_SECONDS) {
+            pause(LOOK_MS);
+            running = peers.get(Sample.WORKERS).ask("counts").get("running").getAsInt();
+            progress.accept("ramp: " + running + " of " + plan.running() + " running after "
+                + Math.round(secondsSince(startNs)) + " s");
+        }
+        peers.get(Sample.CLIENTS).ask("end_ramp");
+        peers.get(Sample.DISCOVERY).begin(List.of());
+    }
+
+    private void window() throws IOException, InterruptedException, Interrupted {
+        final long startNs = System.nanoTime();
+        int changes = 0;
+        samples.add(sample());
+        while (secondsSince(startNs) < plan.seconds()) {
+            final double leftMs = 1_000 * (plan.seconds() - secondsSince(startNs));
+            pause(Math.max(1, Math.min(SAMPLE_MS, (long) Math.ceil(leftMs))));
+            if (secondsSince(startNs) * plan.settingsChangesPerSecond() >= changes + 1) {
+                changes++;
+                for (final DispatcherProcess each : dispatchers) {
+                    each.changeSettings();
+                }
+            }
+            samples.add(sample());
+            progress.accept("measured " + Math.round(secondsSince(startNs)) + " of "
+                + Math.round(plan.seconds()) + " s: " + samples.get(samples.size() - 1).running()
+                + " running, " + samples.get(samples.size() - 1).open() + " open");
+        }
+    }
+
+    private Sample sample() throws IOException {
+        final JsonObject workers = peers.get(Sample.WORKERS).ask("counts");
+        final JsonObject discovery = peers.get(Sample.DISCOVERY).ask("counts");
+        final JsonObject clients = peers.get(Sample.CLIENTS).ask("counts");
+        final List<ProcessUse> ofDispatchers = new ArrayList<>();
+        for (final DispatcherProcess each : dispatchers) {
+            ofDispatchers.add(use(each.pid(), "a dispatcher"));
+        }
+        final List<ProcessUse> ofPeers = new ArrayList<>();
+        for (final PeerProcess each : peers) {
+            ofPeers.add(use(each.pid(), "a process"));
+        }
+        return new Sample(System.nanoTime(), clock.nowUs(), ofDispatchers, ofPeers, workers, discovery,
+            clients);
+    }
+
+    private static ProcessUse use(long pid, String what) throws PeerException {
+        try {
+            return ProcessUse.of(pid);
+        } catch (IOException | RuntimeException e) {
+            throw new PeerException(what + " of the experiment ended");
+        }
+    }
+
+    private void measureHeaps() throws IOException {
+        for (final DispatcherProcess each : dispatchers) {
+            final double heapMb = ProcessUse.heapMb(each.pid());
+            if (Double.isFinite(heapMb)) {
+                heapsMb.add(heapMb);
+            }
+        }
+    }
+
+    /** Waits until all that is open is answered; what is not by the time that the longest job takes, stays. */
+    private void drain() throws IOException, InterruptedException, Interrupted {
+        final PeerProcess clients = peers.get(Sample.CLIENTS);
+        clients.ask("stop_arriving");
+        final double longest = SPARE_DRAIN_SECONDS + new Site(plan).deadlineUs() / US_A_SECOND;
+        final long startNs = System.nanoTime();
+        int open = clients.ask("counts").get("open").getAsInt();
+        while (open > 0 && secondsSince(startNs) < longest) {
+            pause(LOOK_MS);
+            open = clients.ask("counts").get("open").getAsInt();
+            progress.accept("waiting for " + open + " open requests");
+        }
+        clients.ask("abandon");
+        peers.get(Sample.WORKERS).ask("counts");
+        peers.get(Sample.DISCOVERY).ask("counts");
+    }
+
+    private static double secondsSince(long startNs) {
+        return (System.nanoTime() - startNs) / NS_A_SECOND;
+    }
+
+    /** Looks meanwhile whether all processes are there. */
+    private void pause(long ms) throws InterruptedException, Interrupted, PeerException {
+        if (interrupted.await(ms, TimeUnit.MILLISECONDS)) {
+            throw new Interrupted();
+        }
+        for (int i = 0; i < dispatchers.size(); i++) {
+            if (!dispatchers.get(i).isAlive()) {
+                throw new PeerException("dispatcher " + (i + 1) + " ended");
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        peers.forEach(PeerProcess::close);
+        dispatchers.forEach(DispatcherProcess::close);
+    }
+
+    private void deleteFolder() throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (final Path each : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(each);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/capacity/Evaluation.java
@@ -0,0 +1,182 @@
+package cresschute.lab.capacity;
+
+import cresschute.DispatchApi.ColdStart;
+import cresschute.lab.Observation;
+import cresschute.lab.RuleChecker;
+import java.util.List;
+import java.util.function.ToDoubleFunction;
+
+/** Turns the samples of a window and what was observed into figures. Pure. */
+final class Evaluation {
+
+    private static final double NS_A_SECOND = 1e9;
+    private static final double PERCENT = 100;
+    private static final double P50 = 50;
+    private static final double P99 = 99;
+    private static final double P999 = 99.9;
+    /** No worker is cold. */
+    private static final ColdStart WARM = new ColdStart(1, 0, 3, 1_000_000);
+
+    private final CapacityPlan plan;
+    private final List<Sample> samples;
+    private final List<Double> heapsMb;
+    private final Measures measures = new Measures();
+
+    private Evaluation(CapacityPlan plan, List<Sample> samples, List<Double> heapsMb) {
+        this.plan = plan;
+        this.samples = samples;
+        this.heapsMb = heapsMb;
+    }
+
+    /**
+     * The result.
+     *
+     * @param samples of the window, in order; none where it did not begin
+     * @param heapsMb each dispatcher's heap after a collection, as far as measured
+     * @param partial why it was not measured whole, or null
+     */
+    static CapacityResult of(CapacityPlan plan, List<Sample> samples, List<Double> heapsMb,
+        List<Observation> seen, String partial) {
+        final Evaluation evaluation = new Evaluation(plan, samples, heapsMb);
+        if (samples.size() > 1) {
+            evaluation.dispatchers();
+            evaluation.workers();
+            evaluation.discovery();
+        }
+        evaluation.clients(seen);
+        final List<String> broken = RuleChecker.check(seen, new Site(plan).classes(), WARM).stream()
+            .map(each -> each.rule() + ": " + each.what()).toList();
+        return new CapacityResult(plan, evaluation.measures, broken, partial);
+    }
+
+    private Sample first() {
+        return samples.get(0);
+    }
+
+    private Sample last() {
+        return samples.get(samples.size() - 1);
+    }
+
+    private double seconds() {
+        return samples.size() < 2 ? 0 : (last().ns() - first().ns()) / NS_A_SECOND;
+    }
+
+    private double perSecond(double count) {
+        return count / seconds();
+    }
+
+    private Traffic workerTraffic() {
+        return last().workerTraffic().since(first().workerTraffic());
+    }
+
+    private Traffic discoveryTraffic() {
+        return last().discoveryTraffic().since(first().discoveryTraffic());
+    }
+
+    private double cpuPercent(ToDoubleFunction<Sample> cpuSeconds) {
+        return PERCENT * perSecond(cpuSeconds.applyAsDouble(last()) - cpuSeconds.applyAsDouble(first()));
+    }
+
+    // ---- Roles ----
+
+    private void dispatchers() {
+        final int count = plan.dispatchers();
+        double sum = 0;
+        double most = 0;
+        for (int i = 0; i < count; i++) {
+            final int number = i;
+            final double percent = cpuPercent(sample -> sample.dispatchers().get(number).cpuSeconds());
+            sum += percent;
+            most = Math.max(most, percent);
+        }
+        final Traffic all = workerTraffic().plus(discoveryTraffic());
+        put(Role.DISPATCHER, "cpu_percent", sum / count);
+        put(Role.DISPATCHER, "cpu_percent_max", most);
+        put(Role.DISPATCHER, "memory_mb", mean(ProcessUse::rssMb));
+        put(Role.DISPATCHER, "rss_mb", mean(ProcessUse::rssMb));
+        put(Role.DISPATCHER, "rss_mb_max", samples.stream().flatMap(each -> each.dispatchers().stream())
+            .mapToDouble(ProcessUse::rssMb).max().orElse(0));
+        put(Role.DISPATCHER, "heap_mb",
+            heapsMb.stream().mapToDouble(each -> each).average().orElse(Double.NaN));
+        put(Role.DISPATCHER, "descriptors", mean(ProcessUse::descriptors));
+        put(Role.DISPATCHER, "control_bytes_per_second", perSecond(all.controlBytes()) / count);
+        put(Role.DISPATCHER, "probe_bytes_per_second", perSecond(all.bytes(TrafficKind.PROBE)) / count);
+        put(Role.DISPATCHER, "probes_per_second", perSecond(all.messages(TrafficKind.PROBE)) / count);
+        put(Role.DISPATCHER, "handshake_per_second", perSecond(all.messages(TrafficKind.HANDSHAKE)) / count);
+        put(Role.DISPATCHER, "list_bytes_per_second", perSecond(all.bytes(TrafficKind.LIST)) / count);
+        put(Role.DISPATCHER, "report_bytes_per_second",
+            perSecond(all.bytes(TrafficKind.LOAD_REPORT)) / count);
+        put(Role.DISPATCHER, "request_bytes_per_second", perSecond(all.bytes(TrafficKind.REQUEST)) / count);
+        put(Role.DISPATCHER, "start_line_bytes_per_second",
+            perSecond(all.bytes(TrafficKind.START_LINE)) / count);
+        put(Role.DISPATCHER, "progress_line_bytes_per_second",
+            perSecond(all.bytes(TrafficKind.PROGRESS_LINE)) / count);
+        put(Role.DISPATCHER, "result_line_bytes_per_second",
+            perSecond(all.bytes(TrafficKind.RESULT_LINE)) / count);
+        put(Role.DISPATCHER, "attempts_per_second", perSecond(all.messages(TrafficKind.REQUEST)) / count);
+    }
+
+    private double mean(ToDoubleFunction<ProcessUse> figure) {
+        return last().dispatchers().stream().mapToDouble(figure).average().orElse(0);
+    }
+
+    private void workers() {
+        final Traffic traffic = workerTraffic();
+        final double each = plan.workers();
+        peer(Role.WORKER, Sample.WORKERS);
+        put(Role.WORKER, "running", samples.stream().mapToInt(Sample::running).average().orElse(0));
+        put(Role.WORKER, "connections", last().workers().get("connections").getAsDouble());
+        put(Role.WORKER, "probes_per_second", perSecond(traffic.messages(TrafficKind.PROBE)) / each);
+        put(Role.WORKER, "handshakes_per_second", perSecond(traffic.messages(TrafficKind.HANDSHAKE)) / each);
+        put(Role.WORKER, "control_bytes_per_second", perSecond(traffic.controlBytes()) / each);
+    }
+
+    private void discovery() {
+        final Traffic traffic = discoveryTraffic();
+        peer(Role.DISCOVERY, Sample.DISCOVERY);
+        put(Role.DISCOVERY, "calls_per_second", perSecond(last().discovery().get("calls").getAsLong()
+            - first().discovery().get("calls").getAsLong()));
+        put(Role.DISCOVERY, "bytes_per_second", perSecond(traffic.bytes(TrafficKind.LIST)));
+        put(Role.DISCOVERY, "control_bytes_per_second", perSecond(traffic.controlBytes()));
+        put(Role.DISCOVERY, "changes_per_second", perSecond(last().discovery().get("changes").getAsLong()
+            - first().discovery().get("changes").getAsLong()));
+    }
+
+    private void peer(Role role, int number) {
+        put(role, "cpu_percent", cpuPercent(sample -> sample.peers().get(number).cpuSeconds()));
+        put(role, "memory_mb", last().peers().get(number).rssMb());
+    }
+
+    private void clients(List<Observation> seen) {
+        final long fromUs = samples.isEmpty() ? Long.MAX_VALUE : first().us();
+        final long toUs = samples.isEmpty() ? Long.MAX_VALUE : last().us();
+        final RequestOutcomes outcomes = RequestOutcomes.of(seen, fromUs, toUs);
+        if (samples.size() > 1) {
+            peer(Role.CLIENT, Sample.CLIENTS);
+            final long connects = last().clients().get("connects").getAsLong()
+                - first().clients().get("connects").getAsLong();
+            put(Role.CLIENT, "control_bytes_per_second", perSecond(connects * Traffic.HANDSHAKE_BYTES));
+            put(Role.CLIENT, "handshakes_per_second", perSecond(connects));
+            put(Role.CLIENT, "measured_seconds", seconds());
+            put(Role.CLIENT, "open", samples.stream().mapToInt(Sample::open).average().orElse(0));
+            put(Role.CLIENT, "requests_per_second", perSecond(outcomes.requests()));
+        }
+        put(Role.CLIENT, "served_share", outcomes.servedShare());
+        put(Role.CLIENT, "refused_share", outcomes.refusedShare());
+        put(Role.CLIENT, "first_refused_share", outcomes.firstRefusedShare());
+        put(Role.CLIENT, "unanswered", outcomes.unanswered());
+        put(Role.CLIENT, "urgent_start_p50_ms", outcomes.urgentStartMs(P50));
+        put(Role.CLIENT, "urgent_start_p99_ms", outcomes.urgentStartMs(P99));
+        put(Role.CLIENT, "urgent_start_p999_ms", outcomes.urgentStartMs(P999));
+        put(Role.CLIENT, "urgent_not_started", outcomes.urgentNotStarted());
+        final int[] gangs = outcomes.gangs();
+        put(Role.CLIENT, "gangs_whole", gangs[0]);
+        put(Role.CLIENT, "gangs_partial", gangs[1]);
+        put(Role.CLIENT, "gangs_refused", gangs[2]);
+        put(Role.CLIENT, "retries_per_request", outcomes.retriesPerRequest());
+    }
+
+    private void put(Role role, String measure, double value) {
+        measures.put(role, measure, value);
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/capacity/HollowClients.java
@@ -0,0 +1,171 @@
+package cresschute.lab.capacity;
+
+import com.google.gson.JsonObject;
+import cresschute.lab.JobClass;
+import cresschute.lab.LoadClients;
+import cresschute.lab.Recorder;
+import io.netty.channel.EventLoop;
+import java.net.SocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Clients of all tenants: single requests that come by chance, and gangs, many requests of one tenant in one
+ * instant. Until the wanted number of jobs is open they come faster, each with what is left of a run. All on
+ * one loop.
+ */
+final class HollowClients {
+
+    /** Begins the id of each request of a gang, with the gang's number after it. */
+    static final String GANG = "gang-";
+    /** Part of the requests that come in gangs. */
+    private static final double GANG_SHARE = 0.1;
+    /** Gangs are the largest one, and halves of it. */
+    private static final int GANG_SIZES = 4;
+    private static final double RAMP_SECONDS = 8;
+    private static final long STEP_US = 2_000;
+    private static final double US_A_SECOND = 1e6;
+
+    private final EventLoop loop;
+    private final CapacityPlan plan;
+    private final Recorder recorder;
+    private final UniformRandomProvider chance;
+    private final List<JobClass> classes;
+    private final RunTimes runTimes;
+    private final LoadClients clients;
+    private boolean arriving;
+    private boolean ramping = true;
+    private double dueSingles;
+    private double nextGangUs;
+    private long lastStepUs;
+    private long lastNumber;
+    private long submitted;
+
+    HollowClients(EventLoop loop, Recorder recorder, CapacityPlan plan) {
+        this.loop = loop;
+        this.plan = plan;
+        this.recorder = recorder;
+        chance = RandomSource.XO_SHI_RO_256_PP.create(plan.seed());
+        classes = new Site(plan).classes();
+        runTimes = new RunTimes(RandomSource.XO_SHI_RO_256_PP.create(plan.seed() + 1), plan.meanRunUs());
+        clients = new LoadClients(loop, recorder, RandomSource.XO_SHI_RO_256_PP.create(plan.seed() + 2),
+            classes, plan.startsPerSecond());
+    }
+
+    /** Begins to send to these. On the loop. */
+    void begin(List<SocketAddress> dispatchers) {
+        clients.connectTo(dispatchers);
+        arriving = true;
+        lastStepUs = recorder.nowUs();
+        dueSingles = nextSingle();
+        step();
+    }
+
+    /** From now on requests come at the plan's rate, and gangs among them. On the loop. */
+    void endRamp() {
+        ramping = false;
+        nextGangUs = recorder.nowUs() + gangGapUs() * chance.nextDouble();
+    }
+
+    /** Nothing new comes from now on. On the loop. */
+    void stopArriving() {
+        arriving = false;
+        clients.stopArriving();
+    }
+
+    /** Ends all at once; what is open stays unfinished. On the loop. */
+    void abandon() {
+        arriving = false;
+        clients.abandon();
+    }
+
+    /** What was counted so far. On the loop. */
+    JsonObject counts() {
+        final JsonObject counts = new JsonObject();
+        counts.addProperty("open", clients.waiting());
+        counts.addProperty("submitted", submitted);
+        counts.addProperty("sent", clients.sent());
+        counts.addProperty("connects", clients.connects());
+        return counts;
+    }
+
+    // ---- Arrivals ----
+
+    private void step() {
+        if (!arriving) {
+            return;
+        }
+        final long nowUs = recorder.nowUs();
+        final double elapsedSeconds = (nowUs - lastStepUs) / US_A_SECOND;
+        lastStepUs = nowUs;
+        // Arrivals by chance: the rate's sum until the next one is drawn anew after each.
+        dueSingles -= rate() * elapsedSeconds;
+        while (dueSingles <= 0 && (!ramping || clients.waiting() < plan.running())) {
+            submitSingle();
+            dueSingles += nextSingle();
+        }
+        if (!ramping && plan.gang() > 0 && nowUs >= nextGangUs) {
+            submitGang();
+            nextGangUs += gangGapUs();
+        }
+        loop.schedule(this::step, STEP_US, TimeUnit.MICROSECONDS);
+    }
+
+    private double nextSingle() {
+        return -Math.log(1 - chance.nextDouble());
+    }
+
+    private double rate() {
+        return ramping ? Math.max(plan.startsPerSecond(), plan.running() / RAMP_SECONDS)
+            : plan.startsPerSecond() * (plan.gang() > 0 ? 1 - GANG_SHARE : 1);
+    }
+
+    /** Time from one gang to the next, us, so that gangs have their share of all requests. */
+    private double gangGapUs() {
+        double mean = 0;
+        for (int i = 0; i < GANG_SIZES; i++) {
+            mean += (double) gangSize(i) / GANG_SIZES;
+        }
+        return mean / (GANG_SHARE * plan.startsPerSecond()) * US_A_SECOND;
+    }
+
+    private int gangSize(int halvings) {
+        return Math.max(1, plan.gang() >> halvings);
+    }
+
+    private void submitSingle() {
+        final long restOfRampUs = ramping
+            ? (long) ((plan.running() - clients.waiting()) / rate() * US_A_SECOND) : 0;
+        final long workUs = ramping ? restOfRampUs + runTimes.rest() : runTimes.next();
+        submit(drawClass(), "job-", workUs, Site.tenant(chance.nextInt(plan.tenants())));
+    }
+
+    private void submitGang() {
+        final long number = ++lastNumber;
+        final String tenant = Site.tenant(chance.nextInt(plan.tenants()));
+        final JobClass stated = classes.get(1 + chance.nextInt(classes.size() - 1));
+        final int size = gangSize(chance.nextInt(GANG_SIZES));
+        for (int i = 0; i < size; i++) {
+            submit(stated, GANG + number + "-", runTimes.next(), tenant);
+        }
+    }
+
+    private void submit(JobClass stated, String prefix, long workUs, String tenant) {
+        submitted++;
+        clients.submit(stated, prefix + ++lastNumber + "-" + Long.toHexString(chance.nextLong()), workUs,
+            tenant);
+    }
+
+    private JobClass drawClass() {
+        double left = chance.nextDouble();
+        for (final JobClass each : classes) {
+            left -= each.share();
+            if (left < 0) {
+                return each;
+            }
+        }
+        return classes.get(classes.size() - 1);
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/capacity/HollowWorkers.java
@@ -0,0 +1,284 @@
+package cresschute.lab.capacity;
+
+import com.google.gson.JsonObject;
+import cresschute.lab.CellKeys;
+import cresschute.lab.LoopbackServer;
+import cresschute.lab.Observation.EffectMade;
+import cresschute.lab.Observation.RunDone;
+import cresschute.lab.Observation.RunStarted;
+import cresschute.lab.Observation.SendCame;
+import cresschute.lab.Observation.SendTurnedAway;
+import cresschute.lab.Recorder;
+import cresschute.lab.WorkerStandIn.Make;
+import cresschute.node.Json;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Very many workers that run nothing: each listens at an address of its own and speaks the whole protocol,
+ * but a job there is a timer. All of them share one loop. They count what is read and written, by kind.
+ */
+final class HollowWorkers {
+
+    private static final int MAX_BODY_BYTES = 64 * 1024;
+    private static final int MAX_WAITING_A_SLOT = 4;
+    private static final int HOSTS_A_NET = 250;
+    private static final int FIRST_NET = 20;
+    private static final String HEAD = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    private static final String LAST_CHUNK = "0\r\n\r\n";
+
+    private final EventLoop loop;
+    private final Recorder recorder;
+    private final long progressUs;
+    private final Map<Integer, CellKeys> keys = new HashMap<>();
+    private final long repeatWindowUs;
+    private final Traffic traffic = new Traffic();
+    private int running;
+    private long connections;
+
+    HollowWorkers(EventLoop loop, Recorder recorder, Site site) {
+        this.loop = loop;
+        this.recorder = recorder;
+        this.progressUs = site.progressUs();
+        this.repeatWindowUs = site.repeatWindowUs();
+    }
+
+    /** Starts them all and returns where they listen; not on the loop. */
+    List<InetSocketAddress> start(List<Make> makes) throws UnknownHostException {
+        final List<InetSocketAddress> addresses = new ArrayList<>();
+        for (int i = 0; i < makes.size(); i++) {
+            final Worker worker = new Worker(makes.get(i));
+            final LoopbackServer server = new LoopbackServer(loop, channel -> accept(channel, worker));
+            addresses.add(server.listen(InetAddress.getByAddress(new byte[]{127,
+                (byte) (FIRST_NET + i / HOSTS_A_NET / HOSTS_A_NET), (byte) (i / HOSTS_A_NET % HOSTS_A_NET),
+                (byte) (i % HOSTS_A_NET + 1)})));
+        }
+        return addresses;
+    }
+
+    private void accept(Channel channel, Worker worker) {
+        traffic.handshake();
+        connections++;
+        channel.closeFuture().addListener(closed -> connections--);
+        final ByteCounter counter = new ByteCounter(recorder::nowUs, size -> {});
+        channel.pipeline().addLast(counter, new HttpRequestDecoder(),
+            new HttpObjectAggregator(MAX_BODY_BYTES), new Handler(worker, counter));
+    }
+
+    /** What was counted so far. On the loop. */
+    JsonObject counts() {
+        final JsonObject counts = new JsonObject();
+        counts.addProperty("running", running);
+        counts.addProperty("connections", connections);
+        counts.add("traffic", traffic.json());
+        return counts;
+    }
+
+    // ---- Workers and their jobs ----
+
+    private static final class Worker {
+        private final Make make;
+        private final Deque<Job> waiting = new ArrayDeque<>(2);
+        private int running;
+
+        Worker(Make make) {
+            this.make = make;
+        }
+
+        String report() {
+            return "\"x0\":" + (make.slots() - running) + ",\"queue\":" + waiting.size();
+        }
+    }
+
+    private void startWaiting(Worker worker) {
+        while (worker.running < worker.make.slots() && !worker.waiting.isEmpty()) {
+            final Job job = worker.waiting.poll();
+            if (job.channel.isActive()) {
+                job.start();
+            } else if (job.key != null) {
+                // The dispatcher has given it up: it never runs.
+                keysOf(worker).lost(job.key);
+            }
+        }
+    }
+
+    private CellKeys keysOf(Worker worker) {
+        return keys.computeIfAbsent(worker.make.cell(), unseen -> new CellKeys(repeatWindowUs));
+    }
+
+    private final class Job {
+        private final Worker worker;
+        private final String id;
+        private final String key;
+        private final long workUs;
+        private final Channel channel;
+        private long startedUs;
+        private Future<?> progress;
+
+        Job(Worker worker, String id, String key, long workUs, Channel channel) {
+            this.worker = worker;
+            this.id = id;
+            this.key = key;
+            this.workUs = workUs;
+            this.channel = channel;
+        }
+
+        void start() {
+            worker.running++;
+            running++;
+            startedUs = recorder.nowUs();
+            recorder.add(new RunStarted(startedUs, worker.make.id(), id));
+            line(TrafficKind.START_LINE, line("started"));
+            loop.schedule(this::done, workUs, TimeUnit.MICROSECONDS);
+            tellProgress();
+        }
+
+        private void tellProgress() {
+            if (recorder.nowUs() - startedUs + progressUs < workUs) {
+                progress = loop.schedule(() -> {
+                    final double share = (recorder.nowUs() - startedUs) / (double) workUs;
+                    line(TrafficKind.PROGRESS_LINE, line("running") + ",\"share\":"
+                        + Math.round(Math.min(1, share) * 1_000) / 1e3);
+                    tellProgress();
+                }, progressUs, TimeUnit.MICROSECONDS);
+            }
+        }
+
+        private void done() {
+            worker.running--;
+            running--;
+            if (progress != null) {
+                progress.cancel(false);
+            }
+            final String result = worker.make.id() + " did " + id;
+            recorder.add(new RunDone(recorder.nowUs(), worker.make.id(), id, result));
+            if (key != null) {
+                recorder.add(new EffectMade(recorder.nowUs(), worker.make.id(), id, key));
+                keysOf(worker).done(key, result);
+            }
+            end(result);
+            startWaiting(worker);
+        }
+
+        /** The result of another run under the same key, or null where that run is lost. */
+        void repeat(String result) {
+            if (result != null) {
+                recorder.add(new RunDone(recorder.nowUs(), worker.make.id(), id, result));
+            }
+            end(result);
+        }
+
+        private void end(String result) {
+            final String report = ",\"load\":{" + worker.report() + "}";
+            final String line = (result == null ? line("lost") : line("done") + ",\"result\":\"" + result
+                + "\"") + report;
+            if (channel.isActive()) {
+                traffic.add(TrafficKind.LOAD_REPORT, report.length());
+                traffic.more(TrafficKind.RESULT_LINE, LAST_CHUNK.length() - report.length());
+            }
+            line(TrafficKind.RESULT_LINE, line);
+            write(channel, LAST_CHUNK);
+        }
+
+        private String line(String state) {
+            return "{\"id\":\"" + id + "\",\"from\":\"" + worker.make.id() + "\",\"state\":\"" + state + '"';
+        }
+
+        /** Writes a line that lacks its end. */
+        private void line(TrafficKind kind, String open) {
+            final String line = open + "}\n";
+            final String chunk = Integer.toHexString(line.length()) + "\r\n" + line + "\r\n";
+            if (write(channel, chunk)) {
+                traffic.add(kind, chunk.length());
+            }
+        }
+    }
+
+    private static boolean write(Channel channel, String text) {
+        final boolean open = channel.isActive();
+        if (open) {
+            channel.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+        }
+        return open;
+    }
+
+    // ---- Requests ----
+
+    private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final Worker worker;
+        private final ByteCounter counter;
+
+        Handler(Worker worker, ByteCounter counter) {
+            this.worker = worker;
+            this.counter = counter;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            final long firstByteUs = counter.firstByteUs();
+            final long size = counter.takeRead();
+            final String id = request.headers().get("X-Request-Id");
+            if (request.uri().equals("/stats") || request.uri().equals("/health/live")) {
+                final String answer = answer("200 OK", "", "{" + worker.report() + "}");
+                traffic.add(TrafficKind.PROBE, size + answer.length());
+                write(ctx.channel(), answer);
+            } else if (id == null) {
+                write(ctx.channel(), answer("404 Not Found", "", ""));
+            } else {
+                traffic.add(TrafficKind.REQUEST, size);
+                take(ctx.channel(), request, id, firstByteUs);
+            }
+        }
+
+        private void take(Channel channel, FullHttpRequest request, String id, long firstByteUs) {
+            final String key = request.headers().get("Idempotency-Key");
+            final long workUs = Math.max(1, (long) Json.number(
+                Json.object(request.content().toString(StandardCharsets.UTF_8)), "work_us", 1));
+            recorder.add(new SendCame(recorder.nowUs(), firstByteUs, worker.make.id(), worker.make.cell(), id,
+                key, workUs));
+            if (worker.waiting.size() >= MAX_WAITING_A_SLOT * worker.make.slots()) {
+                recorder.add(new SendTurnedAway(recorder.nowUs(), worker.make.id(), id));
+                final String report = "x-load: " + worker.report().replace("\"", "").replace(':', '=')
+                    + "\r\n";
+                traffic.add(TrafficKind.LOAD_REPORT, report.length());
+                write(channel, answer("503 Service Unavailable", "x-not-run: 1\r\n" + report, ""));
+                return;
+            }
+            write(channel, HEAD);
+            traffic.more(TrafficKind.REQUEST, HEAD.length());
+            final Job job = new Job(worker, id, key, workUs, channel);
+            if (key == null || keysOf(worker).begins(key, recorder.nowUs(), job::repeat)) {
+                worker.waiting.add(job);
+                startWaiting(worker);
+            }
+        }
+
+        private static String answer(String status, String headers, String body) {
+            return "HTTP/1.1 " + status + "\r\n" + headers + "content-length: " + body.length() + "\r\n\r\n"
+                + body;
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/capacity/PeerException.java
@@ -0,0 +1,14 @@
+package cresschute.lab.capacity;
+
+import java.io.IOException;
+
+/** A process of the experiment ended, fell silent or could not be started. */
+public final class PeerException extends IOException {
+
+    private static final long serialVersionUID = 1L;
+
+    /** The message names the process. */
+    public PeerException(String message) {
+        super(message);
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/capacity/PeerProcess.java
@@ -0,0 +1,122 @@
+package cresschute.lab.capacity;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.io.BufferedReader;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** A process of the experiment's own, as the one that started it sees it: it is asked and answers. */
+final class PeerProcess implements AutoCloseable {
+
+    /** How long an answer may take, s. */
+    static final long ANSWER_SECONDS = 30;
+    private static final int MAX_HEAP_MB = 1_024;
+
+    private final PeerMain.Role role;
+    private final Process process;
+    private final Path observations;
+    private final BufferedWriter commands;
+    private final BufferedReader answers;
+
+    PeerProcess(PeerMain.Role role, Path folder) throws IOException {
+        this.role = role;
+        observations = folder.resolve(name() + ".observations");
+        final List<String> command = new ArrayList<>(ProcessCommand.java());
+        command.addAll(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx" + MAX_HEAP_MB + "m",
+            "-cp", System.getProperty("java.class.path"), PeerMain.class.getName(), role.name(),
+            observations.toString()));
+        process = new ProcessBuilder(command)
+            .redirectError(folder.resolve(name() + ".log").toFile()).start();
+        commands = process.outputWriter();
+        answers = process.inputReader();
+    }
+
+    private String name() {
+        return role.name().toLowerCase(Locale.ROOT);
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** Where what it observed is kept. */
+    Path observations() {
+        return observations;
+    }
+
+    JsonObject start(CapacityPlan plan, SharedClock clock, List<InetSocketAddress> addresses)
+        throws PeerException {
+        final JsonObject command = command("start");
+        command.add("plan", new Gson().toJsonTree(plan));
+        command.add("clock", new Gson().toJsonTree(clock));
+        command.add("addresses", json(addresses));
+        return ask(command);
+    }
+
+    JsonObject begin(List<InetSocketAddress> addresses) throws PeerException {
+        final JsonObject command = command("begin");
+        command.add("addresses", json(addresses));
+        return ask(command);
+    }
+
+    JsonObject ask(String command) throws PeerException {
+        return ask(command(command));
+    }
+
+    private static JsonObject command(String name) {
+        final JsonObject command = new JsonObject();
+        command.addProperty("command", name);
+        return command;
+    }
+
+    private synchronized JsonObject ask(JsonObject command) throws PeerException {
+        try {
+            commands.write(command + "\n");
+            commands.flush();
+            final String answer = answers.readLine();
+            if (answer != null) {
+                return JsonParser.parseString(answer).getAsJsonObject();
+            }
+        } catch (IOException e) {
+            throw new PeerException("the process of the hollow " + name() + " ended: " + e.getMessage());
+        }
+        throw new PeerException("the process of the hollow " + name() + " ended");
+    }
+
+    static JsonArray json(List<InetSocketAddress> addresses) {
+        final JsonArray json = new JsonArray();
+        addresses.forEach(each -> json.add(each.getAddress().getHostAddress() + ":" + each.getPort()));
+        return json;
+    }
+
+    static List<InetSocketAddress> addresses(JsonObject answer) {
+        final List<InetSocketAddress> addresses = new ArrayList<>();
+        for (final JsonElement each : answer.getAsJsonArray("addresses")) {
+            addresses.add(address(each.getAsString()));
+        }
+        return addresses;
+    }
+
+    static InetSocketAddress address(String text) {
+        final int colon = text.lastIndexOf(':');
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    @Override
+    public void close() {
+        ProcessCommand.end(process);
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/capacity/Preflight.java
@@ -0,0 +1,77 @@
+package cresschute.lab.capacity;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Looks, before anything is started, whether the machine has what an experiment needs. */
+final class Preflight {
+
+    private static final int OTHER_DESCRIPTORS = 300;
+    private static final double DISPATCHER_MB = 200;
+    private static final double PEER_MB = 200;
+    private static final double KB_A_REQUEST = 80;
+    private static final double KB_A_MB = 1_024;
+    private static final Pattern DESCRIPTORS = Pattern.compile("Max open files\\s+\\S+\\s+([0-9]+)");
+    private static final Pattern AVAILABLE = Pattern.compile("MemAvailable:\\s+([0-9]+) kB");
+
+    private Preflight() {}
+
+    /** Throws {@link MachineLimitException} with one line where something is missing. */
+    static void check(CapacityPlan plan) throws IOException {
+        descriptors(plan, number(DESCRIPTORS, "/proc/self/limits", Long.MAX_VALUE));
+        memory(plan, number(AVAILABLE, "/proc/meminfo", Long.MAX_VALUE) / KB_A_MB);
+        // Read by lines: such a file gives all of it to the first read, which must be large enough.
+        ports(plan, Files.readAllLines(Path.of("/proc/sys/net/ipv4/ip_local_port_range")).get(0));
+    }
+
+    private static long number(Pattern pattern, String file, long otherwise) throws IOException {
+        final Matcher found = pattern.matcher(Files.readString(Path.of(file)));
+        return found.find() ? Long.parseLong(found.group(1)) : otherwise;
+    }
+
+    /** The hollow workers need the most: a listener each, and what all dispatchers may hold to them. */
+    static void descriptors(CapacityPlan plan, long limit) {
+        final long atWorkers = plan.workers() + OTHER_DESCRIPTORS
+            + (long) plan.dispatchers() * DispatcherProcess.workerConnections(plan);
+        final long atClients = OTHER_DESCRIPTORS
+            + (long) plan.dispatchers() * DispatcherProcess.workerConnections(plan);
+        final long needed = Math.max(Math.max(atWorkers, atClients), DispatcherProcess.descriptors(plan));
+        if (needed > limit) {
+            throw new MachineLimitException("descriptors: one process needs " + needed
+                + ", the hard limit (ulimit -Hn) is " + limit
+                + "; raise it, or lower --running or --workers");
+        }
+    }
+
+    static void memory(CapacityPlan plan, double availableMb) {
+        final double needed = plan.dispatchers() * Math.max(DISPATCHER_MB, plan.memoryMb()) + 3 * PEER_MB
+            + plan.running() * KB_A_REQUEST / KB_A_MB;
+        if (needed > availableMb) {
+            throw new MachineLimitException("memory: " + Math.round(needed) + " MB are needed, "
+                + Math.round(availableMb) + " MB are available");
+        }
+    }
+
+    /** Each dispatcher is called from one address, which has a port for each connection. */
+    static void ports(CapacityPlan plan, String range) throws IOException {
+        final String[] ends = range.strip().split("\\s+");
+        final long ports = Long.parseLong(ends[1]) - Long.parseLong(ends[0]) + 1;
+        final long needed = DispatcherProcess.descriptors(plan);
+        if (needed > ports) {
+            throw new MachineLimitException("ports: up to " + needed + " connections to one dispatcher, "
+                + ports + " local ports (net.ipv4.ip_local_port_range)");
+        }
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName("127.20.0.1"))) {
+            if (probe.getLocalPort() == 0) {
+                throw new MachineLimitException("ports: none is free on 127.20.0.1");
+            }
+        } catch (IOException e) {
+            throw new MachineLimitException("ports: cannot listen on 127.20.0.1: " + e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/capacity/ProcessUse.java
@@ -0,0 +1,72 @@
+package cresschute.lab.capacity;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+/**
+ * What a process of this machine has used, by the system's own counters.
+ *
+ * @param cpuSeconds user and system time since its start
+ * @param rssMb resident memory
+ * @param descriptors open files and sockets
+ */
+record ProcessUse(double cpuSeconds, double rssMb, int descriptors) {
+
+    /** The kernel tells times in this unit to user space on all of its machines. */
+    private static final double TICKS_A_SECOND = 100;
+    private static final int USER_TIME = 11;
+    private static final int SYSTEM_TIME = 12;
+    private static final double KB_A_MB = 1_024;
+    private static final long COMMAND_SECONDS = 20;
+    private static final Pattern RESIDENT = Pattern.compile("VmRSS:\\s+([0-9]+) kB");
+    private static final Pattern USED = Pattern.compile("generation\\s+total [0-9]+K, used ([0-9]+)K");
+
+    static ProcessUse of(long pid) throws IOException {
+        final Path folder = Path.of("/proc", Long.toString(pid));
+        final String stat = Files.readString(folder.resolve("stat"));
+        final String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+        final double cpuSeconds = (Long.parseLong(fields[USER_TIME]) + Long.parseLong(fields[SYSTEM_TIME]))
+            / TICKS_A_SECOND;
+        final Matcher resident = RESIDENT.matcher(Files.readString(folder.resolve("status")));
+        try (Stream<Path> descriptors = Files.list(folder.resolve("fd"))) {
+            return new ProcessUse(cpuSeconds, resident.find()
+                ? Long.parseLong(resident.group(1)) / KB_A_MB : 0, (int) descriptors.count());
+        }
+    }
+
+    /** Heap in use of a Java process right after a collection, MB, or NaN where it cannot be had. */
+    static double heapMb(long pid) throws IOException {
+        command(pid, "GC.run");
+        final Matcher used = USED.matcher(command(pid, "GC.heap_info"));
+        double sumKb = 0;
+        boolean found = false;
+        while (used.find()) {
+            sumKb += Long.parseLong(used.group(1));
+            found = true;
+        }
+        return found ? sumKb / KB_A_MB : Double.NaN;
+    }
+
+    private static String command(long pid, String what) throws IOException {
+        final Path jcmd = Path.of(System.getProperty("java.home"), "bin", "jcmd");
+        if (!Files.isExecutable(jcmd)) {
+            return "";
+        }
+        final Process process = new ProcessBuilder(List.of(jcmd.toString(), Long.toString(pid), what))
+            .redirectErrorStream(true).start();
+        final String out = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        try {
+            process.waitFor(COMMAND_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return out;
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/capacity/RunTimes.java
@@ -0,0 +1,33 @@
+package cresschute.lab.capacity;
+
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Running times: exponential up to a longest one, which the rest take. Pure but for the source of chance.
+ */
+final class RunTimes {
+
+    /** Mean of the exponential over the mean wanted, where the longest run is twice the mean. */
+    private static final double SCALE = 1.2550;
+
+    private final UniformRandomProvider chance;
+    private final double scaleUs;
+    private final double maxUs;
+
+    RunTimes(UniformRandomProvider chance, double meanUs) {
+        this.chance = chance;
+        scaleUs = SCALE * meanUs;
+        maxUs = Site.MAX_RUN_OVER_MEAN * meanUs;
+    }
+
+    /** The running time of a job, us. */
+    long next() {
+        return (long) Math.max(1, Math.min(maxUs, -scaleUs * Math.log(1 - chance.nextDouble())));
+    }
+
+    /** What is left of the running time of a job that is met at any moment of its run, us. */
+    long rest() {
+        final double reached = 1 - Math.exp(-maxUs / scaleUs);
+        return (long) Math.max(1, -scaleUs * Math.log(1 - chance.nextDouble() * reached));
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/capacity/Sample.java
@@ -0,0 +1,39 @@
+package cresschute.lab.capacity;
+
+import com.google.gson.JsonObject;
+import java.util.List;
+
+/**
+ * All counters at one moment of the window.
+ *
+ * @param ns the monotonic clock
+ * @param us the experiment's clock
+ * @param dispatchers what each dispatcher has used
+ * @param peers what the processes of the workers, of discovery and of the clients have used
+ * @param workers counts of the hollow workers
+ * @param discovery counts of discovery
+ * @param clients counts of the hollow clients
+ */
+record Sample(long ns, long us, List<ProcessUse> dispatchers, List<ProcessUse> peers, JsonObject workers,
+    JsonObject discovery, JsonObject clients) {
+
+    static final int WORKERS = 0;
+    static final int DISCOVERY = 1;
+    static final int CLIENTS = 2;
+
+    Traffic workerTraffic() {
+        return Traffic.of(workers.getAsJsonObject("traffic"));
+    }
+
+    Traffic discoveryTraffic() {
+        return Traffic.of(discovery.getAsJsonObject("traffic"));
+    }
+
+    int running() {
+        return workers.get("running").getAsInt();
+    }
+
+    int open() {
+        return clients.get("open").getAsInt();
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/capacity/SharedClock.java
@@ -0,0 +1,24 @@
+package cresschute.lab.capacity;
+
+import cresschute.node.Clock;
+
+/**
+ * One clock for all processes of an experiment: Unix time as the first of them read it, run on by the
+ * machine's monotonic clock, which all of them read.
+ *
+ * @param startUs Unix time at the start, us
+ * @param startNs the monotonic clock at the start, ns
+ */
+record SharedClock(long startUs, long startNs) implements Clock {
+
+    private static final long NS_A_US = 1_000;
+
+    static SharedClock start() {
+        return new SharedClock(System.currentTimeMillis() * 1_000, System.nanoTime());
+    }
+
+    @Override
+    public long nowUs() {
+        return startUs + (System.nanoTime() - startNs) / NS_A_US;
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/capacity/Traffic.java
@@ -0,0 +1,84 @@
+package cresschute.lab.capacity;
+
+import com.google.gson.JsonObject;
+
+/** Messages and bytes by kind, summed since the start. On one thread. */
+final class Traffic {
+
+    /** Segments of a TCP connection's opening and closing with their headers, as reckoned, bytes. */
+    static final long HANDSHAKE_BYTES = 200;
+
+    private final long[] messages = new long[TrafficKind.values().length];
+    private final long[] bytes = new long[TrafficKind.values().length];
+
+    void add(TrafficKind kind, long size) {
+        messages[kind.ordinal()]++;
+        bytes[kind.ordinal()] += size;
+    }
+
+    /** Adds bytes to a message that was counted before. */
+    void more(TrafficKind kind, long size) {
+        bytes[kind.ordinal()] += size;
+    }
+
+    void handshake() {
+        add(TrafficKind.HANDSHAKE, HANDSHAKE_BYTES);
+    }
+
+    long messages(TrafficKind kind) {
+        return messages[kind.ordinal()];
+    }
+
+    long bytes(TrafficKind kind) {
+        return bytes[kind.ordinal()];
+    }
+
+    long controlBytes() {
+        long sum = 0;
+        for (final TrafficKind kind : TrafficKind.values()) {
+            sum += kind.isControl() ? bytes(kind) : 0;
+        }
+        return sum;
+    }
+
+    /** What came since an earlier reading of the same counters. */
+    Traffic since(Traffic before) {
+        final Traffic difference = new Traffic();
+        for (final TrafficKind kind : TrafficKind.values()) {
+            difference.messages[kind.ordinal()] = messages(kind) - before.messages(kind);
+            difference.bytes[kind.ordinal()] = bytes(kind) - before.bytes(kind);
+        }
+        return difference;
+    }
+
+    /** The sum of two readings of unlike counters. */
+    Traffic plus(Traffic other) {
+        final Traffic sum = new Traffic();
+        for (final TrafficKind kind : TrafficKind.values()) {
+            sum.messages[kind.ordinal()] = messages(kind) + other.messages(kind);
+            sum.bytes[kind.ordinal()] = bytes(kind) + other.bytes(kind);
+        }
+        return sum;
+    }
+
+    JsonObject json() {
+        final JsonObject json = new JsonObject();
+        for (final TrafficKind kind : TrafficKind.values()) {
+            final JsonObject counted = new JsonObject();
+            counted.addProperty("messages", messages(kind));
+            counted.addProperty("bytes", bytes(kind));
+            json.add(kind.word(), counted);
+        }
+        return json;
+    }
+
+    static Traffic of(JsonObject json) {
+        final Traffic traffic = new Traffic();
+        for (final TrafficKind kind : TrafficKind.values()) {
+            final JsonObject counted = json.getAsJsonObject(kind.word());
+            traffic.messages[kind.ordinal()] = counted.get("messages").getAsLong();
+            traffic.bytes[kind.ordinal()] = counted.get("bytes").getAsLong();
+        }
+        return traffic;
+    }
+}
