--- a/src/main/java/cresschute/lab/capacity/PeerProcess.java
+++ b/src/main/java/cresschute/lab/capacity/PeerProcess.java
@@ -9,6 +9,7 @@
 import java.io.BufferedWriter;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,18 +25,20 @@
     private final PeerMain.Role role;
     private final Process process;
     private final Path observations;
+    private final Path log;
     private final BufferedWriter commands;
     private final BufferedReader answers;
 
     PeerProcess(PeerMain.Role role, Path folder) throws IOException {
         this.role = role;
         observations = folder.resolve(name() + ".observations");
+        log = folder.resolve(name() + ".log");
         final List<String> command = new ArrayList<>(ProcessCommand.java());
         command.addAll(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx" + MAX_HEAP_MB + "m",
             "-cp", System.getProperty("java.class.path"), PeerMain.class.getName(), role.name(),
             observations.toString()));
         process = new ProcessBuilder(command)
-            .redirectError(folder.resolve(name() + ".log").toFile()).start();
+            .redirectError(log.toFile()).start();
         commands = process.outputWriter();
         answers = process.inputReader();
     }
@@ -91,9 +94,18 @@
                 return JsonParser.parseString(answer).getAsJsonObject();
             }
         } catch (IOException e) {
-            throw new PeerException("the process of the hollow " + name() + " ended: " + e.getMessage());
+            throw ended();
+        }
+        throw ended();
+    }
+
+    private PeerException ended() {
+        try {
+            return new PeerException("the process of the hollow " + name() + " ended"
+                + Files.readAllLines(log).stream().findFirst().map(each -> ": " + each).orElse(""));
+        } catch (IOException e) {
+            return new PeerException("the process of the hollow " + name() + " ended");
         }
-        throw new PeerException("the process of the hollow " + name() + " ended");
     }
 
     static JsonArray json(List<InetSocketAddress> addresses) {
