--- a/src/main/java/cresschute/cli/CapacityCommand.java
+++ b/src/main/java/cresschute/cli/CapacityCommand.java
@@ -4,9 +4,15 @@
 import cresschute.lab.capacity.CapacityPlan;
 import cresschute.lab.capacity.CapacityResult;
 import cresschute.lab.capacity.MachineLimitException;
+import cresschute.lab.capacity.MeasurementFile;
+import cresschute.lab.capacity.Sweep;
 import cresschute.lab.capacity.UnusablePlanException;
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import picocli.CommandLine.Command;
@@ -19,15 +25,21 @@
 @Command(name = "capacity", mixinStandardHelpOptions = true,
     description = "Runs dispatcher processes between hollow workers, hollow clients and discovery, at a size "
         + "that is given, and prints what each of them uses.",
-    footer = {"", "Example: cresschute lab capacity --quick --json"})
+    footer = {"", "Example: cresschute lab capacity --quick --json", "",
+        "Exit codes: 0 measured whole and all rules kept, 1 partial, a rule broken, a request unanswered or "
+            + "a limit of the machine in the way, 2 it could not be used as given, 130 interrupted."})
 final class CapacityCommand implements Callable<Integer> {
 
     private static final int INTERRUPTED = 130;
+    private static final int MAX_REPETITIONS = 100;
+    private static final double ACCELERATORS_A_WORKER = 1_800 / 1_400.0;
+    private static final String UNKNOWN = "unknown";
 
     @Option(names = "--workers", paramLabel = "N", description = "listed workers (default: 1400)")
     private Integer workers;
 
-    @Option(names = "--accelerators", paramLabel = "N", description = "accelerators among them (default: 1800)")
+    @Option(names = "--accelerators", paramLabel = "N",
+        description = "accelerators among them (default: 1800 for 1400 workers)")
     private Integer accelerators;
 
     @Option(names = "--running", paramLabel = "N", description = "jobs that run at a time (default: 9100)")
@@ -75,10 +87,23 @@
             + "(default: ${DEFAULT-VALUE})")
     private int memoryMb;
 
+    @Option(names = "--sweep", paramLabel = "AXIS",
+        description = "measure along workers, running, starts, tenants, dispatchers, list-changes, "
+            + "settings-changes or all, and then the whole size once")
+    private String sweep;
+
+    @Option(names = "--repetitions", paramLabel = "N", defaultValue = "1",
+        description = "how often each size is measured (default: ${DEFAULT-VALUE})")
+    private int repetitions;
+
+    @Option(names = "--csv", paramLabel = "FILE",
+        description = "write all measurements to this file, a row for each size, role and measure")
+    private Path csv;
+
     @Option(names = "--quick", description = "smaller sizes, where no others are given")
     private boolean quick;
 
-    @Option(names = "--json", description = "print one JSON object")
+    @Option(names = "--json", description = "print one JSON object for each size instead of tables")
     private boolean json;
 
     @Spec
@@ -86,7 +111,7 @@
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        final CapacityPlan plan = plan();
+        final List<Sweep.Point> points = points();
         final CountDownLatch interrupted = new CountDownLatch(1);
         final CountDownLatch ended = new CountDownLatch(1);
         final Thread hook = new Thread(() -> {
@@ -96,10 +121,10 @@
         }, "capacity-interrupted");
         Runtime.getRuntime().addShutdownHook(hook);
         try {
-            final CapacityResult result = new CapacityExperiment(plan, this::progress, interrupted).run();
-            print(result);
-            return interrupted.getCount() == 0 ? INTERRUPTED
-                : result.isSound() ? ExitCodes.DONE : ExitCodes.FAILED;
+            for (final Sweep.Point each : points) {
+                CapacityExperiment.check(each.plan());
+            }
+            return measure(points, interrupted);
         } catch (MachineLimitException e) {
             spec.commandLine().getErr().println("cresschute: " + e.getMessage());
             return ExitCodes.FAILED;
@@ -109,6 +134,41 @@
         }
     }
 
+    private int measure(List<Sweep.Point> points, CountDownLatch interrupted) throws IOException,
+        InterruptedException {
+        int code = ExitCodes.DONE;
+        try (MeasurementFile file = csv == null ? null : new MeasurementFile(csv, commit())) {
+            for (int i = 0; i < points.size() && interrupted.getCount() > 0; i++) {
+                if (points.size() > 1) {
+                    progress("point " + (i + 1) + " of " + points.size() + ", along "
+                        + points.get(i).axis());
+                }
+                final CapacityResult result = new CapacityExperiment(points.get(i).plan(), this::progress,
+                    interrupted).run();
+                if (file != null) {
+                    file.add(points.get(i), result);
+                }
+                print(result);
+                code = result.isSound() ? code : ExitCodes.FAILED;
+            }
+        }
+        return interrupted.getCount() == 0 ? INTERRUPTED : code;
+    }
+
+    /** The commit that the program was built from, where it still stands in its working tree. */
+    private static String commit() {
+        try {
+            final Path classes = Path.of(CapacityCommand.class.getProtectionDomain().getCodeSource()
+                .getLocation().getPath());
+            final Process git = new ProcessBuilder("git", "-C", classes.getParent().toString(), "rev-parse",
+                "--short=12", "HEAD").redirectError(ProcessBuilder.Redirect.DISCARD).start();
+            final String out = new String(git.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            return out.isBlank() ? UNKNOWN : out.strip();
+        } catch (IOException e) {
+            return UNKNOWN;
+        }
+    }
+
     private static void awaitQuietly(CountDownLatch latch) {
         try {
             latch.await();
@@ -125,19 +185,32 @@
         }
     }
 
-    private CapacityPlan plan() {
+    private List<Sweep.Point> points() {
+        if (repetitions < 1 || repetitions > MAX_REPETITIONS) {
+            throw new ParameterException(spec.commandLine(), "--repetitions: " + repetitions
+                + " is out of range; allowed: 1 to " + MAX_REPETITIONS);
+        }
+        if (csv != null && csv.getParent() != null && !Files.isDirectory(csv.getParent())) {
+            throw new ParameterException(spec.commandLine(), "--csv: there is no folder "
+                + csv.getParent());
+        }
         try {
-            final int count = or(workers, 1_400, 200);
-            return new CapacityPlan(count,
-                accelerators != null ? accelerators : (int) Math.round(count * 1_800 / 1_400.0),
-                or(running, 9_100, 400), or(starts, 300.0, 80.0), or(tenants, 54, 54), or(dispatchers, 7, 2),
-                zones, regions, or(gang, 128, 32), changesADay, listChanges, or(seconds, 60.0, 12.0), seed,
-                memoryMb);
+            return sweep == null ? Sweep.single(plan(), repetitions)
+                : Sweep.along(sweep, plan(), repetitions);
         } catch (UnusablePlanException e) {
             throw new ParameterException(spec.commandLine(), e.getMessage());
         }
     }
 
+    private CapacityPlan plan() {
+        final int count = or(workers, 1_400, 200);
+        return new CapacityPlan(count,
+            accelerators != null ? accelerators : (int) Math.round(count * ACCELERATORS_A_WORKER),
+            or(running, 9_100, 400), or(starts, 300.0, 80.0), or(tenants, 54, 54), or(dispatchers, 7, 2),
+            zones, regions, or(gang, 128, 32), changesADay, listChanges, or(seconds, 60.0, 12.0), seed,
+            memoryMb);
+    }
+
     private <T> T or(T given, T whole, T small) {
         return given != null ? given : quick ? small : whole;
     }
@@ -150,7 +223,11 @@
 
     private void print(CapacityResult result) {
         final PrintWriter out = spec.commandLine().getOut();
-        out.println(result.json());
+        if (json) {
+            out.println(result.json());
+        } else {
+            result.table().forEach(out::println);
+        }
         out.flush();
     }
 }
--- a/src/main/java/cresschute/lab/LoadClients.java
+++ b/src/main/java/cresschute/lab/LoadClients.java
@@ -81,7 +81,8 @@
     private int lastOrigin;
 
     /** Clients that send nothing yet. */
-    public LoadClients(EventLoop loop, Recorder recorder, UniformRandomProvider chance, List<JobClass> classes,
+    public LoadClients(EventLoop loop, Recorder recorder, UniformRandomProvider chance,
+        List<JobClass> classes,
         double ratePerS) {
         this.loop = loop;
         this.recorder = recorder;
--- a/src/main/java/cresschute/lab/capacity/CapacityResult.java
+++ b/src/main/java/cresschute/lab/capacity/CapacityResult.java
@@ -2,7 +2,9 @@
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.TreeMap;
 
 /**
  * What one experiment came to.
@@ -45,6 +47,22 @@
         return json;
     }
 
+    /** The result as a table in Markdown, with what must not be after it. */
+    public List<String> table() {
+        final List<String> lines = new ArrayList<>();
+        lines.add("| " + plan.workers() + " workers, " + plan.running() + " running, "
+            + plan.startsPerSecond() + " starts a second, " + plan.dispatchers() + " dispatchers | |");
+        lines.add("| --- | --- |");
+        for (final Role role : Role.values()) {
+            new TreeMap<>(measures.of(role)).forEach((measure, value) -> lines.add("| " + role.word() + " "
+                + measure.replace('_', ' ') + " | " + Measures.rounded(value) + " |"));
+        }
+        lines.add("");
+        lines.add(partial == null ? "Measured whole." : "PARTIAL: " + partial);
+        rulesBroken.forEach(each -> lines.add("RULE BROKEN: " + each));
+        return lines;
+    }
+
     private JsonObject urgent() {
         final JsonObject urgent = new JsonObject();
         urgent.addProperty("p50", Measures.rounded(figure(Role.CLIENT, "urgent_start_p50_ms")));
--- a/src/main/java/cresschute/lab/capacity/HollowWorkers.java
+++ b/src/main/java/cresschute/lab/capacity/HollowWorkers.java
@@ -66,7 +66,7 @@
         final Worker worker = new Worker(make);
         final LoopbackServer server = new LoopbackServer(loop, channel -> accept(channel, worker));
         return server.listen(InetAddress.getByAddress(new byte[]{127,
-                (byte) (FIRST_NET + number / HOSTS_A_NET / HOSTS_A_NET),
+            (byte) (FIRST_NET + number / HOSTS_A_NET / HOSTS_A_NET),
             (byte) (number / HOSTS_A_NET % HOSTS_A_NET), (byte) (number % HOSTS_A_NET + 1)}));
     }
 
--- a/src/main/java/cresschute/lab/capacity/PeerMain.java
+++ b/src/main/java/cresschute/lab/capacity/PeerMain.java
@@ -152,7 +152,8 @@
 
     private JsonObject counts() {
         return switch (role) {
-            case WORKERS -> workers.entrySet().stream().map(each -> on(each.getKey(), each.getValue()::counts))
+            case WORKERS -> workers.entrySet().stream().map(each -> on(each.getKey(), each
+                .getValue()::counts))
                 .reduce(HollowWorkers.Counts::plus).orElseThrow().json();
             case CLIENTS -> onLoop(clients::counts);
             case DISCOVERY -> onLoop(discovery::counts);
--- a/src/main/java/cresschute/lab/capacity/Site.java
+++ b/src/main/java/cresschute/lab/capacity/Site.java
@@ -63,8 +63,8 @@
     }
 
     private boolean isAccelerated(int number) {
-        return (long) (number + 1) * acceleratorWorkers / plan.workers()
-            > (long) number * acceleratorWorkers / plan.workers();
+        return (long) (number + 1) * acceleratorWorkers / plan.workers() > (long) number * acceleratorWorkers
+            / plan.workers();
     }
 
     private int acceleratorSlots() {
--- a/src/main/java/cresschute/lab/capacity/Sweep.java
+++ b/src/main/java/cresschute/lab/capacity/Sweep.java
@@ -83,7 +83,8 @@
     private static CapacityPlan middle(CapacityPlan largest) {
         return largest.withWorkers(Math.max(1, largest.workers() / 2))
             .withRunning(Math.max(1, largest.running() / 2))
-            .withStarts(FIXED_STARTS * largest.startsPerSecond()).withDispatchers((largest.dispatchers() + 1) / 2);
+            .withStarts(FIXED_STARTS * largest.startsPerSecond()).withDispatchers((largest.dispatchers() + 1)
+                / 2);
     }
 
     private static List<CapacityPlan> plans(Axis axis, CapacityPlan fixed, CapacityPlan largest) {
--- a/src/test/java/cresschute/cli/CommandsTest.java
+++ b/src/test/java/cresschute/cli/CommandsTest.java
@@ -51,6 +51,20 @@
         demo --for 5                | --for: '5' is no duration; allowed: a number and ms, s or m, such as 500ms; try 'cresschute demo --help'
         demo --for 0s               | --for: '0s' is out of range; allowed: up to 60m; try 'cresschute demo --help'
         demo --trouble slow:w9@1s   | --trouble: no worker is called 'w9'; there are w1 to w8; try 'cresschute demo --help'
+        lab capacity --workers -3   | --workers: -3 is out of range; allowed: 1 to 10000; try 'cresschute lab capacity --help'
+        lab capacity --workers 10001| --workers: 10001 is out of range; allowed: 1 to 10000; try 'cresschute lab capacity --help'
+        lab capacity --workers many | Invalid value for option '--workers': 'many' is not an int; try 'cresschute lab capacity --help'
+        lab capacity --zones 1      | --zones: 1 zones cannot make 2 regions: a zone belongs to one region; try 'cresschute lab capacity --help'
+        lab capacity --tenants 0    | --tenants: 0 is out of range; allowed: 1 to 1000; try 'cresschute lab capacity --help'
+        lab capacity --dispatchers 8| --dispatchers: 8 is out of range; allowed: 1 to 7; try 'cresschute lab capacity --help'
+        lab capacity --starts NaN   | --starts: NaN is out of range; allowed: 0.1 to 5000; try 'cresschute lab capacity --help'
+        lab capacity --starts 1     | --running: 9100 at 1 starts a second are jobs of 9100 s; allowed: 0.1 to 120 s; try 'cresschute lab capacity --help'
+        lab capacity --gang -1      | --gang: -1 is out of range; allowed: 0 to 1024; try 'cresschute lab capacity --help'
+        lab capacity --seconds 0    | --seconds: 0 is out of range; allowed: 1 to 900; try 'cresschute lab capacity --help'
+        lab capacity --memory-mb 8  | --memory-mb: 8 is out of range; allowed: 160 to 4096; try 'cresschute lab capacity --help'
+        lab capacity --repetitions 0| --repetitions: 0 is out of range; allowed: 1 to 100; try 'cresschute lab capacity --help'
+        lab capacity --sweep speed  | --sweep: 'speed' is no axis; allowed: workers, running, starts, tenants, dispatchers, list-changes, settings-changes, all; try 'cresschute lab capacity --help'
+        lab capacity --csv no/x.csv | --csv: there is no folder no; try 'cresschute lab capacity --help'
         """)
     void unusableWordsAreToldInOneLine(String words, String message) {
         final Ran ran = run(words == null ? new String[0] : words.split(" +"));
--- a/src/test/java/cresschute/cli/ProgramTest.java
+++ b/src/test/java/cresschute/cli/ProgramTest.java
@@ -1,5 +1,9 @@
 package cresschute.cli;
 
+import static cresschute.cli.Programs.lineWith;
+import static cresschute.cli.Programs.program;
+import static cresschute.cli.Programs.signal;
+import static cresschute.cli.Programs.start;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.gson.JsonObject;
@@ -16,7 +20,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -26,28 +29,6 @@
 @Timeout(60)
 class ProgramTest {
 
-    private static final long MOST_S = 40;
-
-    /** Interrupts are heard whatever the test runs under: a shell's background jobs have them ignored. */
-    private static ProcessBuilder program(String... args) {
-        final List<String> command = new ArrayList<>(List.of("env", "--default-signal=INT",
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-ea",
-            "-cp", System.getProperty("java.class.path"), "cresschute.cli.Main"));
-        command.addAll(List.of(args));
-        return new ProcessBuilder(command);
-    }
-
-    /** Guards the build against a process that does not end: a blocked read heeds no time limit. */
-    private static Process start(ProcessBuilder builder) throws IOException {
-        final Process process = builder.start();
-        CompletableFuture.delayedExecutor(MOST_S, TimeUnit.SECONDS).execute(process::destroyForcibly);
-        return process;
-    }
-
-    private static void signal(Process process, String name) throws Exception {
-        new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
-    }
-
     private static ServerSocket listen() throws IOException {
         return new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
     }
@@ -61,14 +42,6 @@
             """.formatted(port, worker, logs);
     }
 
-    private static String lineWith(BufferedReader log, String part) throws IOException {
-        String line = log.readLine();
-        while (line != null && !line.contains(part)) {
-            line = log.readLine();
-        }
-        return line;
-    }
-
     /** The verdict of a seed is the same every time, and a program can read it. */
     @Test
     void demoKeepsAllRulesWithSeedOne() throws Exception {
--- /dev/null
+++ b/src/test/java/cresschute/lab/capacity/RequestOutcomesTest.java
@@ -0,0 +1,101 @@
+package cresschute.lab.capacity;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import cresschute.lab.Observation;
+import cresschute.lab.Observation.ReqAnswered;
+import cresschute.lab.Observation.ReqLost;
+import cresschute.lab.Observation.ReqSent;
+import cresschute.lab.Observation.RunStarted;
+import cresschute.lab.Observation.SendCame;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What became of requests, from observations made up here. */
+class RequestOutcomesTest {
+
+    private final List<Observation> seen = new ArrayList<>();
+
+    private void sent(long us, String id, String origin, String className) {
+        seen.add(new ReqSent(us, id, origin, className, null, 1, 1, 1));
+    }
+
+    private void answered(long us, String id, int status) {
+        seen.add(new ReqAnswered(us, id, status, ""));
+    }
+
+    private RequestOutcomes outcomes() {
+        return RequestOutcomes.of(seen, 0, 1_000_000);
+    }
+
+    @Test
+    void refusedAndThenServedIsServed() {
+        sent(1, "a", "a", "batch");
+        answered(2, "a", 503);
+        sent(3, "again-a", "a", "batch");
+        answered(4, "again-a", 200);
+        sent(5, "b", "b", "batch");
+        answered(6, "b", 429);
+        sent(2_000_000, "late", "late", "batch");
+        assertThat(outcomes().requests()).isEqualTo(2);
+        assertThat(outcomes().servedShare()).isEqualTo(0.5);
+        assertThat(outcomes().refusedShare()).isEqualTo(0.5);
+        assertThat(outcomes().firstRefusedShare()).isEqualTo(1);
+        assertThat(outcomes().retriesPerRequest()).isEqualTo(0.5);
+        assertThat(outcomes().unanswered()).isZero();
+    }
+
+    @Test
+    void lostIsUnanswered() {
+        sent(1, "a", "a", "batch");
+        seen.add(new ReqLost(2, "a"));
+        assertThat(outcomes().unanswered()).isEqualTo(1);
+        assertThat(outcomes().refusedShare()).isZero();
+    }
+
+    /** Also where the worker's word is older than the client's note, and only the first start counts. */
+    @Test
+    void urgentStartCountsFromTheFirstTry() {
+        sent(1_000, "a", "a", Site.URGENT);
+        answered(2_000, "a", 503);
+        seen.add(new RunStarted(8_999, "w1", "again-a"));
+        sent(9_000, "again-a", "a", Site.URGENT);
+        seen.add(new RunStarted(20_000, "w2", "again-a"));
+        sent(10_000, "b", "b", Site.URGENT);
+        assertThat(outcomes().urgentStartMs(50)).isCloseTo(8, within(0.01));
+        assertThat(outcomes().urgentNotStarted()).isEqualTo(1);
+    }
+
+    @Test
+    void gangsAreCountedByTheirFirstTries() {
+        for (final String id : List.of("gang-1-1-x", "gang-1-2-x", "gang-2-3-x", "gang-2-4-x",
+            "gang-3-5-x")) {
+            sent(1, id, id, "batch");
+        }
+        answered(2, "gang-2-3-x", 503);
+        answered(2, "gang-3-5-x", 503);
+        assertThat(outcomes().gangs()).containsExactly(1, 1, 1);
+    }
+
+    @Test
+    void observationsOutliveTheirProcess(@TempDir Path folder) throws Exception {
+        final Path first = folder.resolve("first");
+        final Path second = folder.resolve("second");
+        final SendCame came = new SendCame(7, 6, "w1", 3, "a", null, 12);
+        final ReqSent sent = new ReqSent(5, "a", "a", "batch", "key", 1, 1, 1);
+        try (ObservationFile one = new ObservationFile(first);
+            ObservationFile two = new ObservationFile(
+                second)) {
+            one.accept(came);
+            two.accept(sent);
+        }
+        Files.writeString(second, Files.readString(second) + "{\"type\":\"RunDone\",\"us\":9,\"wor");
+        assertThat(ObservationFile.read(List.of(first, second, folder.resolve("none")))).containsExactly(sent,
+            came);
+    }
+}
