--- a/src/main/java/cresschute/cli/CapacityCommand.java
+++ b/src/main/java/cresschute/cli/CapacityCommand.java
@@ -5,6 +5,7 @@
 import cresschute.lab.capacity.CapacityResult;
 import cresschute.lab.capacity.MachineLimitException;
 import cresschute.lab.capacity.MeasurementFile;
+import cresschute.lab.capacity.NeedChart;
 import cresschute.lab.capacity.Sweep;
 import cresschute.lab.capacity.UnusablePlanException;
 import java.io.IOException;
@@ -100,6 +101,10 @@
         description = "write all measurements to this file, a row for each size, role and measure")
     private Path csv;
 
+    @Option(names = "--charts", paramLabel = "FOLDER",
+        description = "draw what a dispatcher needs against the size, for each axis of a sweep")
+    private Path charts;
+
     @Option(names = "--quick", description = "smaller sizes, where no others are given")
     private boolean quick;
 
@@ -138,6 +143,7 @@
         InterruptedException {
         int code = ExitCodes.DONE;
         try (MeasurementFile file = csv == null ? null : new MeasurementFile(csv, commit())) {
+            final NeedChart chart = new NeedChart();
             for (int i = 0; i < points.size() && interrupted.getCount() > 0; i++) {
                 if (points.size() > 1) {
                     progress("point " + (i + 1) + " of " + points.size() + ", along "
@@ -148,9 +154,15 @@
                 if (file != null) {
                     file.add(points.get(i), result);
                 }
+                chart.add(points.get(i), result);
                 print(result);
                 code = result.isSound() ? code : ExitCodes.FAILED;
             }
+            if (charts != null) {
+                System.setProperty("java.awt.headless", "true");
+                Files.createDirectories(charts);
+                chart.draw(charts);
+            }
         }
         return interrupted.getCount() == 0 ? INTERRUPTED : code;
     }
@@ -206,8 +218,8 @@
         final int count = or(workers, 1_400, 200);
         return new CapacityPlan(count,
             accelerators != null ? accelerators : (int) Math.round(count * ACCELERATORS_A_WORKER),
-            or(running, 9_100, 400), or(starts, 300.0, 80.0), or(tenants, 54, 54), or(dispatchers, 7, 2),
-            zones, regions, or(gang, 128, 32), changesADay, listChanges, or(seconds, 60.0, 12.0), seed,
+            or(running, 9_100, 320), or(starts, 300.0, 80.0), or(tenants, 54, 54), or(dispatchers, 7, 2),
+            zones, regions, or(gang, 128, 32), changesADay, listChanges, or(seconds, 60.0, 10.0), seed,
             memoryMb);
     }
 
--- a/src/main/java/cresschute/lab/capacity/DispatcherProcess.java
+++ b/src/main/java/cresschute/lab/capacity/DispatcherProcess.java
@@ -33,6 +33,7 @@
     private static final long START_MS = 30_000;
     private static final long LOOK_MS = 20;
     private static final int FIRST_HOST = 1;
+    private static final Pattern FAULT = Pattern.compile("invariants broken|not reloaded");
     private static final Pattern LISTENS = Pattern.compile("listens on /([0-9.]+:[0-9]+)");
 
     private final CapacityPlan plan;
@@ -136,6 +137,12 @@
         new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
     }
 
+    /** What its log tells of broken invariants and of settings that it refused, one line each. */
+    List<String> faults() throws IOException {
+        return Files.readAllLines(log).stream().filter(line -> FAULT.matcher(line).find())
+            .map(line -> "INVARIANT: dispatcher " + number + ": " + line.strip()).toList();
+    }
+
     long pid() {
         return process.pid();
     }
--- a/src/main/java/cresschute/lab/capacity/HollowWorkers.java
+++ b/src/main/java/cresschute/lab/capacity/HollowWorkers.java
@@ -87,11 +87,18 @@
     /** Counts of some workers: jobs that run, open connections, and all traffic so far. */
     record Counts(int running, long connections, Traffic traffic) {
 
+        static final Counts NONE = new Counts(0, 0, new Traffic());
+
         Counts plus(Counts other) {
             return new Counts(running + other.running, connections + other.connections,
                 traffic.plus(other.traffic));
         }
 
+        static Counts of(JsonObject json) {
+            return new Counts(json.get("running").getAsInt(), json.get("connections").getAsLong(),
+                Traffic.of(json.getAsJsonObject("traffic")));
+        }
+
         JsonObject json() {
             final JsonObject counts = new JsonObject();
             counts.addProperty("running", running);
--- a/src/main/java/cresschute/lab/capacity/PeerProcess.java
+++ b/src/main/java/cresschute/lab/capacity/PeerProcess.java
@@ -23,16 +23,23 @@
     private static final int MAX_HEAP_MB = 1_024;
 
     private final PeerMain.Role role;
+    private final int part;
     private final Process process;
     private final Path observations;
     private final Path log;
     private final BufferedWriter commands;
     private final BufferedReader answers;
 
-    PeerProcess(PeerMain.Role role, Path folder) throws IOException {
+    /**
+     * Starts it.
+     *
+     * @param part counts the processes of one role from 0
+     */
+    PeerProcess(PeerMain.Role role, int part, Path folder) throws IOException {
         this.role = role;
-        observations = folder.resolve(name() + ".observations");
-        log = folder.resolve(name() + ".log");
+        this.part = part;
+        observations = folder.resolve(name() + "-" + part + ".observations");
+        log = folder.resolve(name() + "-" + part + ".log");
         final List<String> command = new ArrayList<>(ProcessCommand.java());
         command.addAll(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx" + MAX_HEAP_MB + "m",
             "-cp", System.getProperty("java.class.path"), PeerMain.class.getName(), role.name(),
@@ -60,12 +67,15 @@
         return observations;
     }
 
-    JsonObject start(CapacityPlan plan, SharedClock clock, List<InetSocketAddress> addresses)
+    /** Has it begin its part of so many. */
+    JsonObject start(CapacityPlan plan, SharedClock clock, int parts, List<InetSocketAddress> addresses)
         throws PeerException {
         final JsonObject command = command("start");
         command.add("plan", new Gson().toJsonTree(plan));
         command.add("clock", new Gson().toJsonTree(clock));
         command.add("addresses", json(addresses));
+        command.addProperty("part", part);
+        command.addProperty("parts", parts);
         return ask(command);
     }
 
@@ -75,6 +85,15 @@
         return ask(command);
     }
 
+    /** Has it end these processes too, should the process that started them all be killed. */
+    void guard(List<Long> processes) throws PeerException {
+        final JsonArray pids = new JsonArray();
+        processes.forEach(pids::add);
+        final JsonObject command = command("guard");
+        command.add("processes", pids);
+        ask(command);
+    }
+
     JsonObject ask(String command) throws PeerException {
         return ask(command(command));
     }
--- a/src/main/java/cresschute/lab/capacity/ProcessUse.java
+++ b/src/main/java/cresschute/lab/capacity/ProcessUse.java
@@ -41,6 +41,12 @@
         }
     }
 
+    /** Of several processes together. */
+    ProcessUse plus(ProcessUse other) {
+        return new ProcessUse(cpuSeconds + other.cpuSeconds, rssMb + other.rssMb,
+            descriptors + other.descriptors);
+    }
+
     /** Heap in use of a Java process right after a collection, MB, or NaN where it cannot be had. */
     static double heapMb(long pid) throws IOException {
         command(pid, "GC.run");
--- a/src/main/java/cresschute/lab/capacity/Sample.java
+++ b/src/main/java/cresschute/lab/capacity/Sample.java
@@ -9,20 +9,20 @@
  * @param ns the monotonic clock
  * @param us the experiment's clock
  * @param dispatchers what each dispatcher has used
- * @param peers what the processes of the workers, of discovery and of the clients have used
+ * @param peers what the processes of the workers have used, together, of discovery and of the clients
  * @param workers counts of the hollow workers
  * @param discovery counts of discovery
  * @param clients counts of the hollow clients
  */
-record Sample(long ns, long us, List<ProcessUse> dispatchers, List<ProcessUse> peers, JsonObject workers,
-    JsonObject discovery, JsonObject clients) {
+record Sample(long ns, long us, List<ProcessUse> dispatchers, List<ProcessUse> peers,
+    HollowWorkers.Counts workers, JsonObject discovery, JsonObject clients) {
 
     static final int WORKERS = 0;
     static final int DISCOVERY = 1;
     static final int CLIENTS = 2;
 
     Traffic workerTraffic() {
-        return Traffic.of(workers.getAsJsonObject("traffic"));
+        return workers.traffic();
     }
 
     Traffic discoveryTraffic() {
@@ -30,7 +30,7 @@
     }
 
     int running() {
-        return workers.get("running").getAsInt();
+        return workers.running();
     }
 
     int open() {
--- a/src/main/java/cresschute/lab/capacity/Site.java
+++ b/src/main/java/cresschute/lab/capacity/Site.java
@@ -62,6 +62,11 @@
         return workers;
     }
 
+    /** Which of so many processes a worker is in: that of its cell. */
+    static int partOf(WorkerStandIn.Make make, int parts) {
+        return make.cell() % parts;
+    }
+
     private boolean isAccelerated(int number) {
         return (long) (number + 1) * acceleratorWorkers / plan.workers() > (long) number * acceleratorWorkers
             / plan.workers();
--- a/src/main/java/cresschute/lab/capacity/Sweep.java
+++ b/src/main/java/cresschute/lab/capacity/Sweep.java
@@ -19,6 +19,19 @@
         public String word() {
             return name().toLowerCase(Locale.ROOT).replace('_', '-');
         }
+
+        /** Where a plan lies along it. */
+        double of(CapacityPlan plan) {
+            return switch (this) {
+                case WORKERS -> plan.workers();
+                case RUNNING -> plan.running();
+                case STARTS -> plan.startsPerSecond();
+                case TENANTS -> plan.tenants();
+                case DISPATCHERS -> plan.dispatchers();
+                case LIST_CHANGES -> plan.listChangesPerSecond();
+                case SETTINGS_CHANGES -> plan.settingsChangesPerSecond();
+            };
+        }
     }
 
     /**
--- a/src/test/java/cresschute/cli/CapacityProgramTest.java
+++ b/src/test/java/cresschute/cli/CapacityProgramTest.java
@@ -170,4 +170,17 @@
             experiment.destroyForcibly();
         }
     }
+
+    /** Whoever kills the experiment outright ends its processes with it. */
+    @Test
+    void killedExperimentLeavesNoProcess() throws Exception {
+        final Process experiment = small("--seconds", "600");
+        try (BufferedReader log = experiment.errorReader()) {
+            final List<ProcessHandle> processes = processes(experiment, log);
+            experiment.destroyForcibly();
+            noneIsLeft(processes);
+        } finally {
+            experiment.destroyForcibly();
+        }
+    }
 }
