--- a/src/main/java/cresschute/cli/CapacityCommand.java
+++ b/src/main/java/cresschute/cli/CapacityCommand.java
@@ -218,8 +218,8 @@
         final int count = or(workers, 1_400, 200);
         return new CapacityPlan(count,
             accelerators != null ? accelerators : (int) Math.round(count * ACCELERATORS_A_WORKER),
-            or(running, 9_100, 320), or(starts, 300.0, 80.0), or(tenants, 54, 54), or(dispatchers, 7, 2),
-            zones, regions, or(gang, 128, 32), changesADay, listChanges, or(seconds, 60.0, 10.0), seed,
+            or(running, 9_100, 240), or(starts, 300.0, 80.0), or(tenants, 54, 54), or(dispatchers, 7, 2),
+            zones, regions, or(gang, 128, 32), changesADay, listChanges, or(seconds, 60.0, 8.0), seed,
             memoryMb);
     }
 
--- a/src/test/java/cresschute/lab/capacity/CapacityPlanTest.java
+++ b/src/test/java/cresschute/lab/capacity/CapacityPlanTest.java
@@ -86,6 +86,16 @@
             .hasMessageContaining("the hard limit (ulimit -Hn) is 4096");
     }
 
+    /** Each worker is in one process, its cell with it. */
+    @Test
+    void workersAreSpreadOverAsManyProcessesAsDescriptorsAsk() {
+        assertThat(Preflight.workerProcesses(WHOLE, 1_000_000)).isEqualTo(1);
+        assertThat(Preflight.workerProcesses(WHOLE, 20_000)).isEqualTo(2);
+        assertThat(new Site(WHOLE).workers().stream().collect(Collectors.groupingBy(Make::cell,
+            Collectors.mapping(make -> Site.partOf(make, 2), Collectors.toSet()))).values())
+            .allMatch(parts -> parts.size() == 1);
+    }
+
     @Test
     void lackOfMemoryOrPortsIsToldInOneLine() {
         assertThatThrownBy(() -> Preflight.memory(WHOLE, 500)).isInstanceOf(MachineLimitException.class)
