--- /dev/null
+++ b/src/main/java/cresschute/lab/capacity/PeerMain.java
@@ -0,0 +1,178 @@
+package cresschute.lab.capacity;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import cresschute.lab.Recorder;
+import cresschute.lab.WorkerStandIn.Make;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.ZoneId;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/**
+ * A process of the experiment's own: hollow workers, hollow clients or discovery. It takes one JSON object a
+ * line on standard input and answers each with one on standard output; it ends when its input does, so that
+ * it never outlives the process that started it.
+ */
+public final class PeerMain {
+
+    /** What a process is. */
+    enum Role { WORKERS, CLIENTS, DISCOVERY }
+
+    /** Loops that the workers share. */
+    private static final int WORKER_LOOPS = 3;
+
+    private final EventLoopGroup group;
+    private final EventLoop loop;
+    private final Role role;
+    private final Map<EventLoop, HollowWorkers> workers = new LinkedHashMap<>();
+    /** Processes that end with this one's input, since they have none of their own. */
+    private final List<ProcessHandle> guarded = new ArrayList<>();
+    private HollowClients clients;
+    private HollowDiscovery discovery;
+
+    private PeerMain(Role role) {
+        this.role = role;
+        group = new MultiThreadIoEventLoopGroup(role == Role.WORKERS ? WORKER_LOOPS : 1,
+            NioIoHandler.newFactory());
+        loop = group.next();
+    }
+
+    /** The first argument names the role, the second the file for observations. */
+    public static void main(String[] args) throws IOException {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        // Guards the log against descriptors running out: its times need a file of the JDK's.
+        ZoneId.systemDefault().getRules();
+        final BufferedReader in = new BufferedReader(new InputStreamReader(System.in,
+            StandardCharsets.UTF_8));
+        try (ObservationFile file = new ObservationFile(Path.of(args[1]))) {
+            final PeerMain peer = new PeerMain(Role.valueOf(args[0]));
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                final JsonObject answer = peer.take(JsonParser.parseString(line).getAsJsonObject(), file);
+                file.flush();
+                System.out.println(answer);
+            }
+            peer.guarded.forEach(ProcessHandle::destroyForcibly);
+        }
+        System.exit(0);
+    }
+
+    private JsonObject take(JsonObject command, ObservationFile file) throws IOException {
+        return switch (command.get("command").getAsString()) {
+            case "start" -> start(command, file);
+            case "guard" -> guard(command);
+            case "begin" -> onLoop(() -> begin(command));
+            case "end_ramp" -> onLoop(() -> done(clients::endRamp));
+            case "stop_arriving" -> onLoop(() -> done(clients::stopArriving));
+            case "abandon" -> onLoop(() -> done(clients::abandon));
+            default -> counts();
+        };
+    }
+
+    private JsonObject guard(JsonObject command) {
+        command.getAsJsonArray("processes")
+            .forEach(each -> ProcessHandle.of(each.getAsLong()).ifPresent(guarded::add));
+        return new JsonObject();
+    }
+
+    private JsonObject onLoop(Supplier<JsonObject> what) {
+        return on(loop, what);
+    }
+
+    private static <T> T on(EventLoop loop, Supplier<T> what) {
+        return CompletableFuture.supplyAsync(what, loop).orTimeout(PeerProcess.ANSWER_SECONDS,
+            TimeUnit.SECONDS).join();
+    }
+
+    private static JsonObject done(Runnable what) {
+        what.run();
+        return new JsonObject();
+    }
+
+    private JsonObject start(JsonObject command, ObservationFile file) throws IOException {
+        final Gson gson = new Gson();
+        final CapacityPlan plan = gson.fromJson(command.get("plan"), CapacityPlan.class);
+        final Recorder recorder = new Recorder(gson.fromJson(command.get("clock"), SharedClock.class), file);
+        final JsonObject answer = new JsonObject();
+        switch (role) {
+            case WORKERS -> {
+                answer.add("addresses", PeerProcess.json(startWorkers(new Site(plan),
+                    command.get("part").getAsInt(), command.get("parts").getAsInt(), recorder)));
+            }
+            case CLIENTS -> clients = new HollowClients(loop, recorder, plan);
+            case DISCOVERY -> {
+                discovery = new HollowDiscovery(loop, recorder, plan, addresses(command));
+                answer.add("addresses", PeerProcess.json(List.of(discovery.start())));
+            }
+        }
+        return answer;
+    }
+
+    /** Starts one part of the workers. Those of a cell share what they know of keys, and so their loop. */
+    private List<InetSocketAddress> startWorkers(Site site, int part, int parts, Recorder recorder)
+        throws IOException {
+        final List<EventLoop> loops = new ArrayList<>();
+        for (int i = 0; i < WORKER_LOOPS; i++) {
+            loops.add(group.next());
+        }
+        final List<InetSocketAddress> addresses = new ArrayList<>();
+        final List<Make> makes = site.workers();
+        for (int i = 0; i < makes.size(); i++) {
+            final Make make = makes.get(i);
+            if (Site.partOf(make, parts) == part) {
+                final EventLoop shared = loops.get(make.cell() / parts % WORKER_LOOPS);
+                addresses.add(workers.computeIfAbsent(shared, unseen -> new HollowWorkers(shared, recorder,
+                    site)).start(make, i));
+            }
+        }
+        return addresses;
+    }
+
+    private static List<InetSocketAddress> addresses(JsonObject command) {
+        final JsonArray listed = command.getAsJsonArray("addresses");
+        final List<InetSocketAddress> addresses = new ArrayList<>();
+        for (final JsonElement each : listed) {
+            addresses.add(PeerProcess.address(each.getAsString()));
+        }
+        return addresses;
+    }
+
+    private JsonObject begin(JsonObject command) {
+        if (role == Role.CLIENTS) {
+            clients.begin(List.<SocketAddress>copyOf(addresses(command)));
+        } else {
+            discovery.beginChanges();
+        }
+        return new JsonObject();
+    }
+
+    private JsonObject counts() {
+        return switch (role) {
+            case WORKERS -> workers.entrySet().stream().map(each -> on(each.getKey(), each
+                .getValue()::counts))
+                .reduce(HollowWorkers.Counts.NONE, HollowWorkers.Counts::plus).json();
+            case CLIENTS -> onLoop(clients::counts);
+            case DISCOVERY -> onLoop(discovery::counts);
+        };
+    }
+}
--- a/src/test/java/cresschute/cli/ProgramTest.java
+++ b/src/test/java/cresschute/cli/ProgramTest.java
@@ -1,5 +1,9 @@
 package cresschute.cli;
 
+import static cresschute.cli.Programs.lineWith;
+import static cresschute.cli.Programs.program;
+import static cresschute.cli.Programs.signal;
+import static cresschute.cli.Programs.start;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.gson.JsonObject;
@@ -17,7 +21,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -27,28 +30,10 @@
 @Timeout(60)
 class ProgramTest {
 
-    private static final long MOST_S = 40;
-
-    /** The words before the JVM's options on that command line: {@code env}, its option, the JVM. */
+    /** The words before the JVM's options on a command line: {@code env}, its option, the JVM. */
     private static final int OPTIONS_AT = 3;
     private static final int SOCKET_WAIT_MS = 20_000;
 
-    private static ProcessBuilder program(String... args) {
-        return new ProcessBuilder(ProgramProcess.command(List.of("-ea"), args));
-    }
-
-    /** Guards the build against a process that does not end: a blocked read heeds no time limit. */
-    private static Process start(ProcessBuilder builder) throws IOException {
-        final Process process = builder.start();
-        CompletableFuture.delayedExecutor(MOST_S, TimeUnit.SECONDS).execute(process::destroyForcibly);
-        return process;
-    }
-
-    private static void signal(Process process, String name) throws Exception {
-        ProgramProcess.exitCode(new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid())
-            .start());
-    }
-
     private static ServerSocket listen() throws IOException {
         final ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
         server.setSoTimeout(SOCKET_WAIT_MS);
@@ -64,14 +49,6 @@
             """.formatted(port, worker, logs);
     }
 
-    private static String lineWith(BufferedReader log, String part) throws IOException {
-        String line = log.readLine();
-        while (line != null && !line.contains(part)) {
-            line = log.readLine();
-        }
-        return line;
-    }
-
     /** The verdict of a seed is the same every time, and a program can read it. */
     @Test
     void demoKeepsAllRulesWithSeedOne() throws Exception {
