--- a/src/main/java/cresschute/node/http/DiscoveryCallSchedule.java
+++ b/src/main/java/cresschute/node/http/DiscoveryCallSchedule.java
@@ -7,9 +7,9 @@
  * How long a call to discovery may take, and when one without an answer is repeated. Pure: chance is passed in,
  * and time passes at the caller's.
  *
- * <p>A change counts as told 6 s after discovery had it and could be reached. The longest that it stays unheard
- * where it is made just after a call was, in ms, up to the start of the call that brings it; an answer may then
- * take up to {@value #ANSWER_MS} ms, of which all but the last row leave more than a second:
+ * <p>A change counts as told 6 s after discovery had it and could be reached. The longest that it stays
+ * unheard where it is made just after a call was, in ms, up to the start of the call that brings it; an answer
+ * may then take up to {@value #ANSWER_MS} ms, of which all but the last row leave more than a second:
  *
  * <table>
  * <caption>Orders of calls without an answer</caption>
@@ -24,8 +24,8 @@
  * <tr><td>three calls in a row are silent: told as failed, then the module's pause</td><td>7,500</td></tr>
  * </table>
  *
- * <p>Three silences in a row are outside the 6 s: discovery could not be reached for longer than that. Repeats
- * follow silence alone. What refuses is asked again after the module's jittered pause, so that dispatchers do
+ * <p>Three silences in a row are outside the 6 s: discovery could not be reached for as long. Repeats follow
+ * silence alone. What refuses is asked again after the module's jittered pause, so that dispatchers do
  * not all come back at once to a discovery that has just returned or is too busy to answer.
  */
 final class DiscoveryCallSchedule {
--- a/src/main/java/cresschute/node/http/DiscoveryClient.java
+++ b/src/main/java/cresschute/node/http/DiscoveryClient.java
@@ -40,9 +40,10 @@
  * Watches the director's list by one call after the other on one connection, until a call fails.
  *
  * <p>There is one call at a time, and one connection: what comes on an older one is not heard. A call that
- * falls silent, whose answer never ends or whose connection never comes up is repeated on a new connection and
- * so that discovery need not wait for news, by {@link DiscoveryCallSchedule}, which works out the bounds; only
- * when the repeats are used up is the module told, as of any other failure. It asks again 0.5 to 1.5 s later.
+ * falls silent, whose answer never ends or whose connection never comes up is repeated on a new connection
+ * and so that discovery need not wait for news, by {@link DiscoveryCallSchedule}, which works out the bounds;
+ * only when the repeats are used up is the module told, as of any other failure. It asks again 0.5 to 1.5 s
+ * later.
  *
  * <p>A list that is older than the one held is taken only from a director at a new address, or where the
  * director says the same again when asked anew for its whole list: a stale answer must not bring a drained
--- a/src/test/java/cresschute/LogicTest.java
+++ b/src/test/java/cresschute/LogicTest.java
@@ -1056,8 +1056,8 @@
     }
 
     /**
-     * lab capacity, 1,400 workers on a busy machine: where no worker answered in time each request asked three
-     * more at once, for as long as it waited, until no connection was left.
+     * lab capacity, 1,400 workers on a busy machine: where no worker answered in time each request asked
+     * three more at once, for as long as it waited, until no connection was left.
      */
     @Test
     void unansweredProbesAreNotRepeatedWithoutBound() {
--- a/src/test/java/cresschute/cli/Programs.java
+++ b/src/test/java/cresschute/cli/Programs.java
@@ -20,7 +20,7 @@
         return new ProcessBuilder(ProgramProcess.command(List.of("-ea"), args));
     }
 
-    /** Starts it. Guards the build against a process that does not end: a blocked read heeds no time limit. */
+    /** Starts it, and ends it in time: a blocked read of its output heeds no time limit. */
     static Process start(ProcessBuilder builder) throws IOException {
         final Process process = builder.start();
         CompletableFuture.delayedExecutor(MAX_RUN_S, TimeUnit.SECONDS).execute(process::destroyForcibly);
--- a/src/test/java/cresschute/node/CrossingRulesTest.java
+++ b/src/test/java/cresschute/node/CrossingRulesTest.java
@@ -867,7 +867,7 @@
         }
     }
 
-    /** A second silence was told as a failure: with the module's pause the next call began 7.05 s after the first. */
+    /** A second silence was told as a failure: with the module's pause, the third call came after 7.05 s. */
     @Test
     void asksAThirdTimeAtOnceWhereTheRepeatIsSilentToo() throws Exception {
         try (TestNode node = new TestNode(HOLDS)) {
