--- a/src/main/java/cresschute/lab/model/FleetModel.java
+++ b/src/main/java/cresschute/lab/model/FleetModel.java
@@ -8,11 +8,13 @@
 import cresschute.DispatchApi.Worker;
 import cresschute.DispatchApi.WorkerState;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Supplier;
 
 /**
  * A fleet in virtual time: many dispatchers, each with a decision module of its own, in front of workers that
@@ -40,6 +42,18 @@
     /** How many of a class's requests came within a time, and what became of them. */
     public record Tally(int asked, int inTime, int late, int refused) {}
 
+    /**
+     * What cold workers were sent in a window of the rule, over what they bore then.
+     *
+     * @param falls cold workers that fell by the work sent
+     * @param fallsByCount cold workers that would have fallen by the number of jobs alone
+     * @param maxWorkRatio the worst window by work
+     * @param maxCountRatio the worst window by number of jobs
+     * @param sends jobs sent to cold workers, by class
+     */
+    public record ColdTally(int falls, int fallsByCount, double maxWorkRatio, double maxCountRatio,
+        List<Integer> sends) {}
+
     /** A client's request, from its first try on. */
     static final class First {
         final int requestClass;
@@ -57,6 +71,8 @@
     private static final long START_US = 10_000_000_000L;
     /** A change of the list is known to a dispatcher this long after it at the latest. */
     private static final long NOTICE_US = 3_000_000;
+    /** A connection without a sign of life from the other end is given up after this. */
+    private static final long BREAK_US = 5_000_000;
     private static final int RETRIES = 2;
     private static final double HONOURED = 0.85;
     private static final long BACKOFF_US = 50_000;
@@ -69,6 +85,7 @@
     private final List<ModelDispatcher> dispatchers = new ArrayList<>();
     private final List<Double> weights = new ArrayList<>();
     private final List<First> firsts = new ArrayList<>();
+    private final int[] coldSends;
     private double burst = 1;
     private boolean arriving = true;
 
@@ -76,6 +93,7 @@
     public FleetModel(Plan plan, ModuleMaker module) {
         this.plan = plan;
         this.random = new SplittableRandom(plan.seed());
+        this.coldSends = new int[plan.demands().size()];
         final List<Worker> listed = new ArrayList<>();
         for (int id = 0; id < plan.workers(); id++) {
             addWorker(id);
@@ -85,7 +103,7 @@
             final Settings told = inZone(plan.settings(), i % plan.settings().zones());
             final long seed = random.nextLong();
             dispatchers.add(new ModelDispatcher(agenda, workers, link, told.zone(),
-                actions -> module.make(told, seed, actions)));
+                actions -> module.make(told, seed, actions), coldSends));
             weights.add(Math.pow(plan.skew(), 2 * random.nextDouble() - 1));
         }
         dispatchers.forEach(each -> each.listed(ListForm.CACHED, listed));
@@ -152,9 +170,18 @@
         burst = times;
     }
 
-    /** The network between the regions. */
-    public RegionLink link() {
-        return link;
+    /**
+     * Cuts the network between the zones below this one and the others. Connections across it, and to workers
+     * that are down, break some seconds later.
+     */
+    public void cutRegions(int firstZone) {
+        link.cut(firstZone);
+        agenda.after(BREAK_US, () -> dispatchers.forEach(ModelDispatcher::breakUnreachable));
+    }
+
+    /** Joins the regions again; the changes of the list that were held back come at once. */
+    public void joinRegions() {
+        link.restore();
     }
 
     /** Workers by number that are up. */
@@ -211,7 +238,7 @@
 
     private void arrive() {
         if (arriving) {
-            firstTry(drawClass(), drawTenant(), anyDispatcher());
+            firstTry(drawClass(), drawTenant(), this::anyDispatcher);
             agenda.after((long) (exponential() * 1e6 / (ratePerS() * burst)), this::arrive);
         }
     }
@@ -234,7 +261,7 @@
         final ModelDispatcher dispatcher = anyDispatcher();
         final List<First> members = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            members.add(firstTry(requestClass, tenant, dispatcher));
+            members.add(firstTry(requestClass, tenant, () -> dispatcher));
         }
         return new Gang(members);
     }
@@ -244,7 +271,7 @@
         return tenants == 0 ? 0 : random.nextInt(tenants);
     }
 
-    private First firstTry(int requestClass, int tenant, ModelDispatcher dispatcher) {
+    private First firstTry(int requestClass, int tenant, Supplier<ModelDispatcher> dispatcher) {
         final Demand demand = plan.demands().get(requestClass);
         final double cv = demand.deviationUs() / demand.meanWorkUs();
         final double sigma = Math.sqrt(Math.log(1 + cv * cv));
@@ -253,7 +280,7 @@
         final int slots = random.nextDouble() < demand.partWithTwoSlots() ? 2 : 1;
         final First first = new First(requestClass, agenda.nowUs());
         firsts.add(first);
-        tryAt(dispatcher, first, tenant, workUs, slots, 0);
+        tryAt(dispatcher.get(), first, tenant, workUs, slots, 0);
         return first;
     }
 
@@ -334,4 +361,13 @@
     public long fallen() {
         return workers.values().stream().filter(ModelWorker::fell).count();
     }
+
+    /** What cold workers were sent, and how near to a fall, or beyond, they came. */
+    public ColdTally coldTally() {
+        return new ColdTally((int) fallen(),
+            (int) workers.values().stream().filter(worker -> worker.maxColdCountRatio() > 1).count(),
+            workers.values().stream().mapToDouble(ModelWorker::maxColdWorkRatio).max().orElse(0),
+            workers.values().stream().mapToDouble(ModelWorker::maxColdCountRatio).max().orElse(0),
+            Arrays.stream(coldSends).boxed().toList());
+    }
 }
--- a/src/main/java/cresschute/lab/model/ModelDispatcher.java
+++ b/src/main/java/cresschute/lab/model/ModelDispatcher.java
@@ -62,15 +62,18 @@
     private final Events module;
     private final Map<Integer, Open> open = new HashMap<>();
     private final DispatcherMeter meter = new DispatcherMeter();
+    /** Jobs sent to cold workers by all dispatchers, by class. */
+    private final int[] coldSends;
     private int lastId;
     long sends;
 
     ModelDispatcher(Agenda agenda, Map<Integer, ModelWorker> workers, RegionLink link, int zone,
-        Function<Actions, Events> module) {
+        Function<Actions, Events> module, int[] coldSends) {
         this.agenda = agenda;
         this.workers = workers;
         this.link = link;
         this.zone = zone;
+        this.coldSends = coldSends;
         this.module = module.apply(this);
     }
 
@@ -83,6 +86,16 @@
         return worker.isUp() && link.connects(zone, worker.zone);
     }
 
+    /** Ends the attempts whose worker is not reached: their connections break, and the jobs may have run. */
+    void breakUnreachable() {
+        List.copyOf(open.keySet()).forEach(requestId -> List.copyOf(open.get(requestId).out.entrySet())
+            .forEach(sent -> {
+                if (!reaches(workers.get(sent.getValue()))) {
+                    end(requestId, sent.getKey(), Outcome.BROKEN, agenda.nowUs());
+                }
+            }));
+    }
+
     /** What it has sent, asked and learned so far. */
     DispatcherMeter meter() {
         return meter;
@@ -114,10 +127,11 @@
         req.out.put(number, workerId);
         final ModelWorker worker = workers.get(workerId);
         if (!reaches(worker)) {
-            meter.sentInVain();
+            meter.inVain();
             agenda.after(CONNECT_TIMEOUT_US, () -> end(requestId, number, Outcome.CONNECT_FAILED, sentUs));
             return;
         }
+        coldSends[req.requestClass] += worker.isCold() ? 1 : 0;
         agenda.at(giveUpUs, () -> end(requestId, number, Outcome.TIMED_OUT, sentUs));
         agenda.after(WAY_US, () -> worker.take(req.workUs, req.slots, new ModelWorker.Sender() {
             @Override
@@ -199,6 +213,9 @@
         final ModelWorker worker = workers.get(workerId);
         final boolean up = reaches(worker);
         meter.probed();
+        if (!up) {
+            meter.inVain();
+        }
         agenda.after(up ? 2 * WAY_US : PROBE_TIMEOUT_US, () -> {
             final LoadReport report = up ? worker.visible() : LoadReport.NONE;
             meter.reported(agenda.nowUs(), workerId, report);
--- a/src/test/java/cresschute/LayoutTest.java
+++ b/src/test/java/cresschute/LayoutTest.java
@@ -51,6 +51,7 @@
         mayUse(of("cresschute.peers.socket"), "cresschute.peers", "cresschute.logs");
         mayUse(of("cresschute.health"), "cresschute");
         mayUse(of("cresschute.flow"));
+        mayUse(of("cresschute.capacity"));
         mayUse(of("cresschute.control"), "cresschute");
         mayUse(of("cresschute.control.socket", "cresschute.control.files"), "cresschute.control",
             "cresschute.logs");
@@ -86,7 +87,7 @@
     @Test
     void pureClassesDoNoInputOrOutput() {
         noClasses().that().resideInAnyPackage("cresschute.settings..", "cresschute.control",
-            "cresschute.health", "cresschute.flow", "cresschute.peers")
+            "cresschute.health", "cresschute.flow", "cresschute.peers", "cresschute.capacity")
             .and().doNotHaveSimpleName("SettingsFile")
             .should().dependOnClassesThat().resideInAnyPackage("java.io", "java.nio.file", "io.netty..")
             .check(CLASSES);
@@ -95,6 +96,17 @@
             .check(CLASSES);
     }
 
+    /** The page's figures need the JDK and a library of statistics, and the node needs neither of them. */
+    @Test
+    void capacityUsesStatisticsAlone() {
+        noClasses().that().resideInAPackage("cresschute.capacity..").should().dependOnClassesThat()
+            .resideOutsideOfPackages("cresschute.capacity..", "java..", "org.apache.commons.math3..")
+            .check(CLASSES);
+        noClasses().that().resideOutsideOfPackages("cresschute.capacity..", "cresschute.cli..").should()
+            .dependOnClassesThat().resideInAnyPackage("cresschute.capacity..", "org.apache.commons.math3..")
+            .check(CLASSES);
+    }
+
     /** The screen's parts that decide what is drawn know neither the terminal nor the socket. */
     @Test
     void screenIsDrawnWithoutInputOrOutput() {
