--- a/src/main/java/cresschute/lab/capacity/CapacityExperiment.java
+++ b/src/main/java/cresschute/lab/capacity/CapacityExperiment.java
@@ -228,7 +228,7 @@
         }
     }
 
-    /** Waits until all that is open is answered; what is not by the time that the longest job takes, stays. */
+    /** Waits until all that is open is answered; what is not when its deadline is long past, stays. */
     private void drain() throws IOException, InterruptedException, Interrupted {
         clients.ask("stop_arriving");
         final double longest = SPARE_DRAIN_SECONDS + new Site(plan).deadlineUs() / US_A_SECOND;
--- a/src/test/java/cresschute/cli/Programs.java
+++ b/src/test/java/cresschute/cli/Programs.java
@@ -15,7 +15,10 @@
 
     private static final long MOST_S = 40;
 
-    /** A command of the program. Interrupts are heard whatever the test runs under: a shell's background jobs have them ignored. */
+    /**
+     * A command of the program. Interrupts are heard whatever the test runs under: a shell's background
+     * jobs have them ignored.
+     */
     static ProcessBuilder program(String... args) {
         final List<String> command = new ArrayList<>(List.of("env", "--default-signal=INT",
             Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-ea",
@@ -24,7 +27,10 @@
         return new ProcessBuilder(command);
     }
 
-    /** Starts it. Guards the build against a process that does not end: a blocked read heeds no time limit. */
+    /**
+     * Starts it. Guards the build against a process that does not end: a blocked read heeds no time
+     * limit.
+     */
     static Process start(ProcessBuilder builder) throws IOException {
         final Process process = builder.start();
         CompletableFuture.delayedExecutor(MOST_S, TimeUnit.SECONDS).execute(process::destroyForcibly);
