Read a client's connection before it is closed to make room

At the bound ClientFront.makeRoom closed the connection that had waited longest without looking whether its request had come meanwhile and lay unread in the socket.

Change: what has come on a connection is read before it makes room; if it brought a request, the next candidate is looked at. Where an answer makes room for those who wait to be accepted, that is done after the reading that brought the answer.

Result: CrossingRulesTest.makesNoRoomByAClientWhoseRequestLiesUnread fails without the change (no request is taken, its connection is closed) and passes with it; SocketRulesTest, DescriptorLimitTest and MainTest pass.

--- a/src/main/java/cresschute/node/http/ClientConnection.java
+++ b/src/main/java/cresschute/node/http/ClientConnection.java
@@ -541,6 +541,16 @@
         return reading != null && answers.size() == 1;
     }
 
+    /** Whether it owes the next word, so that it may be closed where there are too many connections. */
+    boolean mayMakeRoom() {
+        return isIdle() || !isProven() && isReading();
+    }
+
+    /** Reads what has come until now. Not from within its own reading. */
+    void readNow() {
+        Reading.now(context.channel());
+    }
+
     /** A req that could be used has come here before. */
     boolean isProven() {
         return proven;
@@ -564,7 +574,7 @@
      * is taken, and closes it with its answer.
      */
     void endIfIdle() {
-        Reading.now(context.channel());
+        readNow();
         if (isIdle() && !ending) {
             deaf = true;
             endSending();
--- a/src/main/java/cresschute/node/http/ClientFront.java
+++ b/src/main/java/cresschute/node/http/ClientFront.java
@@ -20,7 +20,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -272,25 +271,44 @@
 
     /**
      * Guards the descriptors, and usual clients against those that only hold connections: of those that owe
-     * the next word one makes room, the unproven first, but never the new one, which is about to send. If
-     * there is none, further ones wait to be accepted until an answer makes one.
+     * the next word one makes room, the unproven first, but never the new one, which is about to send. What
+     * has come on a connection is read before it is closed: its request may lie unread. If there is none,
+     * further ones wait to be accepted until an answer makes one. Not from within the reading of a client's
+     * connection.
      */
     private boolean makeRoom(ClientConnection newest) {
-        final Optional<ClientConnection> leaving = connections.stream()
-            .filter(other -> other != newest && (other.isIdle() || !other.isProven() && other.isReading()))
-            .max(Comparator.comparing((ClientConnection other) -> !other.isProven())
-                .thenComparingLong(ClientConnection::waitedNs));
-        leaving.ifPresent(ClientConnection::close);
-        return leaving.isPresent();
+        final List<ClientConnection> candidates = connections.stream()
+            .filter(other -> other != newest && other.mayMakeRoom())
+            .sorted(Comparator.comparing(ClientConnection::isProven)
+                .thenComparing(Comparator.comparingLong(ClientConnection::waitedNs).reversed()))
+            .toList();
+        for (final ClientConnection candidate : candidates) {
+            candidate.readNow();
+            if (candidate.mayMakeRoom()) {
+                candidate.close();
+                return true;
+            }
+        }
+        return false;
     }
 
     /** An answer is written: its connection may be the first that can make room. */
     void answered() {
-        if (connections.size() >= most && !server.config().isAutoRead()) {
+        if (isFull()) {
+            loop.execute(this::makeRoomForNext);
+        }
+    }
+
+    private void makeRoomForNext() {
+        if (isFull()) {
             makeRoom(null);
         }
     }
 
+    private boolean isFull() {
+        return connections.size() >= most && !server.config().isAutoRead();
+    }
+
     void closed(ClientConnection connection) {
         connections.remove(connection);
         if (connections.size() < most && server.isOpen() && !closing) {
--- a/src/test/java/cresschute/node/CrossingRulesTest.java
+++ b/src/test/java/cresschute/node/CrossingRulesTest.java
@@ -841,6 +841,25 @@
         }
     }
 
+    /** The longest waiting made room for the next client though its request lay unread, and got no answer. */
+    @Test
+    void makesNoRoomByAClientWhoseRequestLiesUnread() throws Exception {
+        try (TestNode node = new TestNode(HOLDS); Peer early = node.client()) {
+            // Of 200 descriptors 83 are for clients; the last of 82 is known to be accepted by its request.
+            for (int i = 2; i <= 82; i++) {
+                held.add(node.client());
+            }
+            held.get(held.size() - 1).write(req("last", "", ""));
+            assertThat(node.event()).startsWith("requested 1");
+            holding(node, actions -> {
+                held.add(node.client());
+                early.write(req("early", "", ""));
+            });
+            assertThat(eventStarting(node, "requested")).startsWith("requested 2");
+            assertThat(held.get(0).isClosedByOther()).isTrue();
+        }
+    }
+
     // ---- The director ----
 
     /** Begins a watch; the connection on which the director has its first call, unanswered. */
