Add a model of capacity: value, urgent starts, probes and belief age by fleet size

Need: the growth of these with workers and dispatchers, beside simple policies, as a table.

Measured over 60 s after 90 s of virtual time.

--- a/src/main/java/cresschute/cli/LabCommand.java
+++ b/src/main/java/cresschute/cli/LabCommand.java
@@ -14,7 +14,8 @@
 import picocli.CommandLine.Spec;
 
 /** Experiments of the lab, whose results are tables and charts. */
-@Command(name = "lab", mixinStandardHelpOptions = true, subcommands = LabCommand.Bodies.class,
+@Command(name = "lab", mixinStandardHelpOptions = true, subcommands = {LabCommand.Bodies.class,
+    CapacityModelCommand.class},
     description = "Plays experiments on loopback and writes their results as tables and charts.")
 final class LabCommand implements Runnable {
 
--- /dev/null
+++ b/src/main/java/cresschute/lab/model/BaselineModule.java
@@ -0,0 +1,141 @@
+package cresschute.lab.model;
+
+import cresschute.DispatchApi.Actions;
+import cresschute.DispatchApi.Events;
+import cresschute.DispatchApi.Job;
+import cresschute.DispatchApi.ListForm;
+import cresschute.DispatchApi.LoadReport;
+import cresschute.DispatchApi.Outcome;
+import cresschute.DispatchApi.Settings;
+import cresschute.DispatchApi.Worker;
+import cresschute.DispatchApi.WorkerState;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.IntToDoubleFunction;
+
+/**
+ * A module to compare with: it admits all, chooses by one simple policy, never probes or hedges, and fails a
+ * request whose only attempt fails.
+ */
+final class BaselineModule implements Events {
+
+    /** How a worker is chosen. */
+    enum Policy {
+        /** Any ready worker. */
+        RANDOM,
+        /** The one of two with fewer jobs as last reported to this dispatcher. */
+        POWER_OF_TWO_STALE,
+        /** The one of all with the least load as it truly is: the bound, which no dispatcher can reach. */
+        LEAST_OUTSTANDING_TRUE
+    }
+
+    private final Policy policy;
+    private final Actions actions;
+    private final IntToDoubleFunction trueLoad;
+    private final SplittableRandom random;
+    private final List<Integer> ready = new ArrayList<>();
+    private final Map<Integer, Double> reported = new HashMap<>();
+
+    BaselineModule(Policy policy, long seed, Actions actions, IntToDoubleFunction trueLoad) {
+        this.policy = policy;
+        this.actions = actions;
+        this.trueLoad = trueLoad;
+        this.random = new SplittableRandom(seed);
+    }
+
+    @Override
+    public void listed(long nowUs, ListForm form, List<Worker> entries) {
+        if (form == ListForm.FULL || form == ListForm.CACHED) {
+            ready.clear();
+        }
+        for (final Worker entry : entries) {
+            ready.remove((Integer) entry.id());
+            reported.remove(entry.id());
+            if (entry.state() == WorkerState.READY) {
+                ready.add(entry.id());
+            }
+        }
+    }
+
+    @Override
+    public void requested(long nowUs, int requestId, Job job, long giveUpUs) {
+        if (ready.isEmpty()) {
+            actions.refuse(requestId, 0);
+            return;
+        }
+        actions.send(requestId, choose(), giveUpUs);
+    }
+
+    private int choose() {
+        final int first = any();
+        return switch (policy) {
+            case RANDOM -> first;
+            case POWER_OF_TWO_STALE -> {
+                final int second = any();
+                yield reported.getOrDefault(second, 0.0) < reported.getOrDefault(first, 0.0) ? second : first;
+            }
+            case LEAST_OUTSTANDING_TRUE -> leastLoaded(first);
+        };
+    }
+
+    private int any() {
+        return ready.get(random.nextInt(ready.size()));
+    }
+
+    private int leastLoaded(int first) {
+        int best = first;
+        double least = trueLoad.applyAsDouble(first);
+        for (int i = 0; i < ready.size() && least > 0; i++) {
+            final double load = trueLoad.applyAsDouble(ready.get(i));
+            if (load < least) {
+                best = ready.get(i);
+                least = load;
+            }
+        }
+        return best;
+    }
+
+    @Override
+    public void ended(long nowUs, int requestId, int attempt, int workerId, Outcome outcome, long elapsedUs,
+        boolean requestClosed, LoadReport report) {
+        if (!report.equals(LoadReport.NONE)) {
+            reported.put(workerId, report.waiting() - report.freeSlots());
+        }
+        if (!requestClosed) {
+            actions.fail(requestId);
+        }
+    }
+
+    @Override
+    public void clientLeft(long nowUs, int requestId) {
+        // Nothing is held for a request.
+    }
+
+    @Override
+    public void jobProgressed(long nowUs, int requestId, int attempt, int workerId, double shareDone) {
+        // Progress changes no choice.
+    }
+
+    @Override
+    public void probed(long nowUs, int workerId, Outcome outcome, LoadReport report) {
+        throw new IllegalStateException("no probe was sent");
+    }
+
+    @Override
+    public void toldSilent(long nowUs, int workerId, int requestClass) {
+        // Only the whole worker is chosen or not.
+    }
+
+    @Override
+    public void woken(long nowUs, long token) {
+        throw new IllegalStateException("no timer was set");
+    }
+
+    @Override
+    public void retuned(long nowUs, Settings settings) {
+        // No setting changes a choice.
+    }
+}
--- /dev/null
+++ b/src/main/java/cresschute/lab/model/CapacityModel.java
@@ -0,0 +1,142 @@
+package cresschute.lab.model;
+
+import cresschute.DispatchApi.ColdStart;
+import cresschute.DispatchApi.Effect;
+import cresschute.DispatchApi.Goal;
+import cresschute.DispatchApi.Limits;
+import cresschute.DispatchApi.Placement;
+import cresschute.DispatchApi.RepeatScope;
+import cresschute.DispatchApi.RequestClass;
+import cresschute.DispatchApi.Settings;
+import cresschute.DispatchApi.Tenant;
+import cresschute.DispatchApi.WeightSource;
+import cresschute.Logic;
+import cresschute.lab.model.FleetModel.Demand;
+import cresschute.lab.model.FleetModel.Kind;
+import cresschute.lab.model.FleetModel.ModuleMaker;
+import cresschute.lab.model.FleetModel.Plan;
+import cresschute.lab.model.FleetModel.Tally;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+
+/**
+ * The fleet of the planned size in virtual time, and parts of it at the same load a worker: value served,
+ * urgent starts, probes and the age of belief, for the module and for simple policies to compare with.
+ */
+public final class CapacityModel {
+
+    /** A fleet to measure: its numbers of workers and dispatchers, the policy, the chance. */
+    public record Point(int workers, int dispatchers, String policy, long seed) {}
+
+    /** The module that is measured; the other policies are to compare with. */
+    public static final String MODULE = "module";
+    /** The policies to compare with. */
+    public static final List<String> BASELINES = List.of("random", "power_of_two_stale",
+        "least_outstanding_true");
+
+    private static final long SECOND_US = 1_000_000;
+    private static final int ZONES = 7;
+    private static final int WORKERS_A_CELL = 20;
+    private static final int TENANTS = 54;
+    /** Starts a second of one worker: 300 over 1,400. */
+    private static final double STARTS_A_WORKER = 300.0 / 1_400;
+    private static final double LOAD = 0.69;
+    private static final long MEAN_RUN_US = 30 * SECOND_US;
+    private static final long DEADLINE_US = 300 * SECOND_US;
+    private static final long WARM_UP_S = 90;
+    private static final long MEASURED_S = 60;
+    private static final double SKEW = 1.5;
+    private static final List<RequestClass> CLASSES = List.of(requestClass(10, 5_400_000, 1.3),
+        requestClass(2, 30 * SECOND_US, 2), requestClass(1, 60 * SECOND_US, 2.5));
+    private static final List<Demand> DEMANDS = List.of(new Demand(0.1, MEAN_RUN_US, MEAN_RUN_US, 0),
+        new Demand(0.6, MEAN_RUN_US, MEAN_RUN_US, 0), new Demand(0.3, MEAN_RUN_US, MEAN_RUN_US, 0));
+    private static final List<Kind> KINDS = List.of(new Kind(9, 1, 0.7), new Kind(10, 1, 0.3));
+
+    private CapacityModel() {}
+
+    private static RequestClass requestClass(double value, long aimUs, double stretch) {
+        return new RequestClass(value, aimUs, stretch, DEADLINE_US, Effect.SAFE, RepeatScope.ALL, 0,
+            Placement.ANYWHERE);
+    }
+
+    private static Settings settings(Point point) {
+        final double quotaPerS = 1.3 * STARTS_A_WORKER * point.workers() / TENANTS;
+        final List<Tenant> tenants =
+            IntStream.range(0, TENANTS).mapToObj(i -> new Tenant("tenant-" + i, quotaPerS)).toList();
+        return new Settings(point.dispatchers(), 0, ZONES, KINDS.size(), CLASSES, tenants, 0.3, false,
+            new Limits(5, 2 * SECOND_US, true), new ColdStart(0.3, 20 * SECOND_US, 3, SECOND_US),
+            new Goal(0.65, 0.15, 0.2, 0), false, 0, WeightSource.NOMINAL, true, true, SECOND_US, 0, true,
+            false, 0, false, Settings.UNLIMITED);
+    }
+
+    private static FleetModel fleet(Point point) {
+        final FleetModel[] built = new FleetModel[1];
+        final ModuleMaker maker = point.policy().equals(MODULE) ? Logic::new
+            : (settings, seed, actions) -> new BaselineModule(
+                BaselineModule.Policy.valueOf(point.policy().toUpperCase(Locale.ROOT)), seed,
+                actions, worker -> built[0].trueLoad(worker));
+        built[0] = new FleetModel(new Plan(settings(point), DEMANDS, KINDS, point.workers(), WORKERS_A_CELL,
+            LOAD, SKEW, point.seed()), maker);
+        return built[0];
+    }
+
+    /** Runs a fleet and tells what was measured, by name and unit; the same for the same seed. */
+    public static Map<String, Double> measure(Point point) {
+        final FleetModel fleet = fleet(point);
+        fleet.pass(WARM_UP_S * SECOND_US);
+        fleet.meters().forEach(DispatcherMeter::restart);
+        fleet.pass(MEASURED_S * SECOND_US);
+        final Map<String, Double> measures = new LinkedHashMap<>();
+        final double probes = fleet.meters().stream().mapToLong(DispatcherMeter::probes).sum();
+        measures.put("probes_per_second_per_worker", probes / MEASURED_S / point.workers());
+        measures.put("probes_per_second_per_dispatcher", probes / MEASURED_S / point.dispatchers());
+        final long[] agesUs = fleet.meters().stream()
+            .flatMapToLong(meter -> LongStream.of(meter.beliefAgesUs())).sorted().toArray();
+        measures.put("belief_age_p50_seconds", quantileS(agesUs, 0.5));
+        measures.put("belief_age_p99_seconds", quantileS(agesUs, 0.99));
+        fleet.drain();
+        measures.put("value_share", valueShare(fleet));
+        final long[] delaysUs = fleet.startDelaysUs(0, WARM_UP_S, WARM_UP_S + MEASURED_S);
+        measures.put("urgent_start_p50_seconds", quantileS(delaysUs, 0.5));
+        measures.put("urgent_start_p99_seconds", quantileS(delaysUs, 0.99));
+        measures.put("urgent_start_p999_seconds", quantileS(delaysUs, 0.999));
+        measures.put("urgent_starts", (double) delaysUs.length);
+        return measures;
+    }
+
+    private static double valueShare(FleetModel fleet) {
+        double inTime = 0;
+        double asked = 0;
+        for (int i = 0; i < CLASSES.size(); i++) {
+            final Tally tally = fleet.tally(i, WARM_UP_S, WARM_UP_S + MEASURED_S);
+            inTime += tally.inTime() * CLASSES.get(i).worth();
+            asked += tally.asked() * CLASSES.get(i).worth();
+        }
+        return inTime / asked;
+    }
+
+    /** The value that this share of them does not exceed; not a number where there is none. */
+    private static double quantileS(long[] sortedUs, double share) {
+        return sortedUs.length == 0 ? Double.NaN
+            : (double) sortedUs[Math.max(0, (int) Math.ceil(share * sortedUs.length) - 1)] / SECOND_US;
+    }
+
+    /** Tasks that run on average at this size. */
+    public static long running(int workers) {
+        return Math.round(workers * STARTS_A_WORKER * MEAN_RUN_US / SECOND_US);
+    }
+
+    /** Starts a second at this size. */
+    public static double startsPerSecond(int workers) {
+        return workers * STARTS_A_WORKER;
+    }
+
+    /** Tenants of every size. */
+    public static int tenants() {
+        return TENANTS;
+    }
+}
--- a/src/main/java/cresschute/lab/model/FleetModel.java
+++ b/src/main/java/cresschute/lab/model/FleetModel.java
@@ -169,6 +169,11 @@
         link.restore();
     }
 
+    /** Slots in use and jobs that wait at a worker now, over its slots: what no dispatcher sees. */
+    public double trueLoad(int worker) {
+        return workers.get(worker).trueLoad();
+    }
+
     /** Workers by number that are up. */
     public List<Integer> up() {
         return workers.values().stream().filter(ModelWorker::isUp).map(worker -> worker.id).toList();
--- a/src/main/java/cresschute/lab/model/ModelWorker.java
+++ b/src/main/java/cresschute/lab/model/ModelWorker.java
@@ -84,6 +84,10 @@
         agenda.after(REPORT_US, this::report);
     }
 
+    double trueLoad() {
+        return (double) (busy + queue.size()) / slots;
+    }
+
     boolean isUp() {
         return up;
     }
