--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -7,7 +7,7 @@
 import cresschute.logs.LogEvent;
 import cresschute.node.http.BackendConnections;
 import cresschute.node.http.ClientFront;
-import cresschute.node.http.DirectorClient;
+import cresschute.node.http.DiscoveryClient;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -23,6 +23,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -53,11 +54,13 @@
     private final Core core;
     private final ClientFront front;
     private final BackendConnections backends;
-    private final DirectorClient director;
+    private final DiscoveryClient director;
     /** The operator's place, or null where nobody can connect. */
     private final ControlDesk desk;
     /** The platform operators' place, or null where they do not call. */
     private final OperatorsDesk operators;
+    /** Workers' load as peers announce it, or null where the settings name no peers. */
+    private final PeerLoads peers;
     /** The platform's listener, or null. */
     private final ServerSocketChannel passed;
     private boolean stopping;
@@ -96,18 +99,45 @@
         final boolean hasManagement = desk == null && config.operators().management() != null;
         final DescriptorShares shares = DescriptorShares.of(config.sockets(), hasManagement);
         operators = hasManagement ? new OperatorsDesk(config, loop, shares.callers()) : null;
+        peers = config.peers() == null ? null : connectPeers(clock);
         core = new Core(config, loop, clock, troubles,
-            desk != null ? desk : operators != null ? operators : CoreWatcher.NONE, module);
+            desk != null ? desk : operators != null ? operators : CoreWatcher.NONE,
+            peers != null ? peers : LoadKnowledge.NONE, module);
         front = new ClientFront(loop, core, config, shares.clients());
         backends = new BackendConnections(loop, troubles, config.connectTimeoutUs(), config.connIdleUs(),
             shares.workers(), config.bodies() != null);
         director = config.director() == null ? null
-            : new DirectorClient(loop, config.director(), core, troubles);
+            : new DiscoveryClient(loop, config.director(), core, troubles,
+                new SplittableRandom(config.seed()));
+    }
+
+    private PeerLoads connectPeers(Clock clock) {
+        try {
+            return new PeerLoads(config, loop, clock);
+        } catch (IOException e) {
+            halt();
+            throw new IllegalStateException("the key in " + config.peers().keyFile() + " cannot be used: "
+                + e.getMessage(), e);
+        }
+    }
+
+    private void listenToPeers() {
+        final ChannelFuture bound = peers.listen(config.peers().listen()).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            halt();
+            closeDesk();
+            throw new IllegalStateException("cannot listen for peers on " + text(config.peers().listen())
+                + ": " + bound.cause().getMessage(), bound.cause());
+        }
     }
 
     /** Starts all of it; returns, with the address, once clients can connect. */
     public SocketAddress start() {
         openDesk();
+        if (peers != null) {
+            peers.onRefresh(core::loadsRefreshed);
+            listenToPeers();
+        }
         loop.execute(() -> core.start(backends, director == null ? () -> {} : director, config.known()));
         final ChannelFuture bound = front.listen(group, config.listen(), passed).awaitUninterruptibly();
         if (!bound.isSuccess()) {
@@ -307,7 +337,7 @@
                 + front.open() + " client connections open").with("count", core.owed())
                 .with("client_connections", front.open()).log(LOG, Level.INFO);
         }
-        if (front.open() == 0 && !stopped.isDone()) {
+        if (front.open() == 0 && !stopped.isDone() && (peers == null || peers.leave())) {
             logStatus();
             LogEvent.of("stopped", "stopped: everything taken is answered").log(LOG, Level.INFO);
             if (desk != null) {
@@ -354,6 +384,11 @@
         return core;
     }
 
+    /** The exchange with peers, or null where the settings name none. */
+    PeerLoads peers() {
+        return peers;
+    }
+
     /** Where operators call, once started; null where they do not. */
     SocketAddress managementAddress() {
         return operators == null ? null : operators.address();
--- a/src/test/java/cresschute/LayoutTest.java
+++ b/src/test/java/cresschute/LayoutTest.java
@@ -46,15 +46,18 @@
         mayUse(of("cresschute.settings"), "cresschute", "cresschute.settings.script");
         mayUse(of("cresschute.node", "cresschute.node.http"), "cresschute", "cresschute.benchlink",
             "cresschute.settings", "cresschute.logs", "cresschute.health", "cresschute.control..",
-            "cresschute.flow");
+            "cresschute.flow", "cresschute.peers..");
+        mayUse(of("cresschute.peers"));
+        mayUse(of("cresschute.peers.socket"), "cresschute.peers", "cresschute.logs");
         mayUse(of("cresschute.health"), "cresschute");
         mayUse(of("cresschute.flow"));
+        mayUse(of("cresschute.capacity"));
         mayUse(of("cresschute.control"), "cresschute");
         mayUse(of("cresschute.control.socket", "cresschute.control.files"), "cresschute.control",
             "cresschute.logs");
         mayUse(of("cresschute.console"), "cresschute.control");
         mayUse(of("cresschute.lab.."), "cresschute", "cresschute.node", "cresschute.settings",
-            "cresschute.logs");
+            "cresschute.logs", "cresschute.peers");
     }
 
     /** The core has no protocol's types; the class that puts a node together names its HTTP parts. */
@@ -84,7 +87,7 @@
     @Test
     void pureClassesDoNoInputOrOutput() {
         noClasses().that().resideInAnyPackage("cresschute.settings..", "cresschute.control",
-            "cresschute.health", "cresschute.flow")
+            "cresschute.health", "cresschute.flow", "cresschute.peers", "cresschute.capacity")
             .and().doNotHaveSimpleName("SettingsFile")
             .should().dependOnClassesThat().resideInAnyPackage("java.io", "java.nio.file", "io.netty..")
             .check(CLASSES);
@@ -93,6 +96,17 @@
             .check(CLASSES);
     }
 
+    /** The page's figures need the JDK and a library of statistics, and the node needs neither of them. */
+    @Test
+    void capacityUsesStatisticsAlone() {
+        noClasses().that().resideInAPackage("cresschute.capacity..").should().dependOnClassesThat()
+            .resideOutsideOfPackages("cresschute.capacity..", "java..", "org.apache.commons.math3..")
+            .check(CLASSES);
+        noClasses().that().resideOutsideOfPackages("cresschute.capacity..", "cresschute.cli..").should()
+            .dependOnClassesThat().resideInAnyPackage("cresschute.capacity..", "org.apache.commons.math3..")
+            .check(CLASSES);
+    }
+
     /** The screen's parts that decide what is drawn know neither the terminal nor the socket. */
     @Test
     void screenIsDrawnWithoutInputOrOutput() {
