--- a/src/main/java/cresschute/node/http/DiscoveryCallSchedule.java
+++ b/src/main/java/cresschute/node/http/DiscoveryCallSchedule.java
@@ -4,12 +4,12 @@
 import java.util.random.RandomGenerator;
 
 /**
- * How long a call to discovery may take, and when one without an answer is repeated. Pure: chance is passed in,
- * and time passes at the caller's.
+ * How long a call to discovery may take, and when one without an answer is repeated. Pure: chance is passed
+ * in, and the caller keeps the time.
  *
  * <p>A change counts as told 6 s after discovery had it and could be reached. The longest that it stays
- * unheard where it is made just after a call was, in ms, up to the start of the call that brings it; an answer
- * may then take up to {@value #ANSWER_MS} ms, of which all but the last row leave more than a second:
+ * unheard where it is made just after a call was, in ms, up to the start of the call that brings it. An
+ * answer may then take up to {@value #ANSWER_MS} ms, of which all but the last row leave more than a second:
  *
  * <table>
  * <caption>Orders of calls without an answer</caption>
--- a/src/test/java/cresschute/cli/CapacityProgramTest.java
+++ b/src/test/java/cresschute/cli/CapacityProgramTest.java
@@ -35,7 +35,7 @@
     /** Hollow workers, hollow clients and discovery. */
     private static final int PEERS = 3;
     private static final List<String> SMALL = List.of("lab", "capacity", "--json", "--workers", "40",
-        "--running", "60", "--starts", "30", "--dispatchers", Integer.toString(DISPATCHERS), "--gang", "8",
+        "--running", "60", "--starts", "60", "--dispatchers", Integer.toString(DISPATCHERS), "--gang", "8",
         "--list-changes", "2", "--changes-a-day", "86400");
 
     private static Process small(String... more) throws Exception {
