--- a/src/main/java/cresschute/capacity/StatedBound.java
+++ b/src/main/java/cresschute/capacity/StatedBound.java
@@ -28,8 +28,10 @@
     GANG_ON_A_CONNECTION("requests of a gang on one client connection", PlannedSize::gangSize, 120,
         "ClientConnection", "one more than 120 without an answer closes the connection"),
     /** A change of the worker list. */
-    LIST_CHANGE("ms until a change of the list is in force, one call having fallen silent", size -> 6_000,
-        PlannedSize.OPERATORS.configurationDelayMs(), "DiscoveryClient", "2.5 + 1.5 + 1.5 s, stated as 6 s"),
+    LIST_CHANGE("ms until a change of the list is in force, two calls in a row having fallen silent",
+        size -> 6_000,
+        PlannedSize.OPERATORS.configurationDelayMs(), "DiscoveryClient",
+        "2 + 1.25 + 1.25 + 0.2 s for what two calls miss, stated as 6 s"),
     /** The size of the worker list. */
     LIST_SIZE("workers in one list", PlannedSize::workers, 10_000, "DiscoveryClient",
         "4 MiB, about 10,000 workers"),
--- a/src/main/java/cresschute/cli/CapacityModelCommand.java
+++ b/src/main/java/cresschute/cli/CapacityModelCommand.java
@@ -1,7 +1,7 @@
 package cresschute.cli;
 
 import cresschute.lab.model.CapacityCsv;
-import cresschute.lab.model.CapacityModel;
+import cresschute.lab.model.FleetCapacity;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
@@ -41,7 +41,7 @@
     @Override
     public Integer call() throws IOException {
         try (PrintWriter out = new PrintWriter(Files.newBufferedWriter(csv, StandardCharsets.UTF_8))) {
-            new CapacityCsv(CapacityModel::measure, out, commit, date, seed).write(workers);
+            new CapacityCsv(FleetCapacity::measure, out, commit, date, seed).write(workers);
             return out.checkError() ? ExitCodes.FAILED : ExitCodes.DONE;
         }
     }
--- a/src/main/java/cresschute/lab/model/CapacityCsv.java
+++ b/src/main/java/cresschute/lab/model/CapacityCsv.java
@@ -1,12 +1,12 @@
 package cresschute.lab.model;
 
-import cresschute.lab.model.CapacityModel.Point;
+import cresschute.lab.model.FleetCapacity.Point;
 import java.io.PrintWriter;
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.Function;
 
-/** Writes what {@link CapacityModel} measures as lines of the capacity table, one for each measure. */
+/** Writes what {@link FleetCapacity} measures as lines of the capacity table, one for each measure. */
 public final class CapacityCsv {
 
     private static final int[] WORKERS = {140, 350, 700, 1_400};
@@ -50,8 +50,8 @@
     }
 
     private void writeAll(String axis, int workers, int dispatchers) {
-        write(axis, new Point(workers, dispatchers, CapacityModel.MODULE, seed));
-        CapacityModel.BASELINES
+        write(axis, new Point(workers, dispatchers, FleetCapacity.MODULE, seed));
+        FleetCapacity.BASELINES
             .forEach(policy -> write(axis, new Point(workers, dispatchers, policy, seed)));
         out.flush();
     }
@@ -59,8 +59,8 @@
     private void write(String axis, Point point) {
         model.apply(point).forEach((measure, value) -> out.print(String.format(Locale.ROOT,
             "model-%s,%s,%s,%d,%s,1,false,%d,%d,%.3f,%d,%d,0,0,model,%s,%s,false%n", point.policy(), commit,
-            date, seed, axis, point.workers(), CapacityModel.running(point.workers()),
-            CapacityModel.startsPerSecond(point.workers()), CapacityModel.tenants(), point.dispatchers(),
+            date, seed, axis, point.workers(), FleetCapacity.running(point.workers()),
+            FleetCapacity.startsPerSecond(point.workers()), FleetCapacity.tenants(), point.dispatchers(),
             measure, value.isNaN() ? "" : String.format(Locale.ROOT, "%.6f", value))));
     }
 }
--- a/src/main/java/cresschute/lab/model/CapacityModel.java
+++ b/src/main/java/cresschute/lab/model/FleetCapacity.java
@@ -27,7 +27,7 @@
  * The fleet of the planned size in virtual time, and parts of it at the same load a worker: value served,
  * urgent starts, probes and the age of belief, for the module and for simple policies to compare with.
  */
-public final class CapacityModel {
+public final class FleetCapacity {
 
     /** A fleet to measure: its numbers of workers and dispatchers, the policy, the chance. */
     public record Point(int workers, int dispatchers, String policy, long seed) {}
@@ -56,7 +56,7 @@
         new Demand(0.6, MEAN_RUN_US, MEAN_RUN_US, 0), new Demand(0.3, MEAN_RUN_US, MEAN_RUN_US, 0));
     private static final List<Kind> KINDS = List.of(new Kind(9, 1, 0.7), new Kind(10, 1, 0.3));
 
-    private CapacityModel() {}
+    private FleetCapacity() {}
 
     private static RequestClass requestClass(double value, long aimUs, double stretch) {
         return new RequestClass(value, aimUs, stretch, DEADLINE_US, Effect.SAFE, RepeatScope.ALL, 0,
--- a/src/test/java/cresschute/scale/CapacityModelTest.java
+++ b/src/test/java/cresschute/scale/FleetCapacityTest.java
@@ -3,8 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import cresschute.lab.model.CapacityCsv;
-import cresschute.lab.model.CapacityModel;
-import cresschute.lab.model.CapacityModel.Point;
+import cresschute.lab.model.FleetCapacity;
+import cresschute.lab.model.FleetCapacity.Point;
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.util.List;
@@ -13,19 +13,19 @@
 import org.junit.jupiter.api.Test;
 
 /** The model of capacity: one seed is one result, and the simple policies stand in their known order. */
-class CapacityModelTest {
+class FleetCapacityTest {
 
     private static final long SEED = 16;
 
     private static Map<String, Double> measured(String policy, long seed) {
-        return CapacityModel.measure(new Point(PlannedSize.TENTH_OF_WORKERS, 2, policy, seed));
+        return FleetCapacity.measure(new Point(PlannedSize.TENTH_OF_WORKERS, 2, policy, seed));
     }
 
     @Test
     void theSameSeedIsTheSameResultToTheLastDigit() {
-        final String first = measured(CapacityModel.MODULE, SEED).toString();
-        assertThat(measured(CapacityModel.MODULE, SEED).toString()).isEqualTo(first);
-        assertThat(measured(CapacityModel.MODULE, SEED + 1).toString()).isNotEqualTo(first);
+        final String first = measured(FleetCapacity.MODULE, SEED).toString();
+        assertThat(measured(FleetCapacity.MODULE, SEED).toString()).isEqualTo(first);
+        assertThat(measured(FleetCapacity.MODULE, SEED + 1).toString()).isNotEqualTo(first);
     }
 
     @Test
