Put the fleet model's figures on the capacity page

Need: the model's CSV lay among the measurements with a role that the page's reader did not know, so that capacity-page ended with 2.

The page's test that goes over all roles leaves out the model and holds its table's text instead.

--- a/src/main/java/cresschute/capacity/CapacityTables.java
+++ b/src/main/java/cresschute/capacity/CapacityTables.java
@@ -1,5 +1,6 @@
 package cresschute.capacity;
 
+import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,8 +15,10 @@
         final CapacityModel model = new CapacityModel(measurements);
         final Map<String, String> tables = new LinkedHashMap<>();
         tables.put("planned-size", PlannedSizeTable.text(PlannedSize.OPERATORS));
-        tables.put("runs", RunsTable.text(measurements));
-        for (final Role role : Role.values()) {
+        tables.put("runs", RunsTable.text(measurements.stream()
+            .filter(row -> row.role() != Role.MODEL).toList()));
+        tables.put("fleet-model", FleetModelTable.text(measurements));
+        for (final Role role : EnumSet.complementOf(EnumSet.of(Role.MODEL))) {
             tables.put(role.label() + "-needs", RoleTables.needs(model, role));
             tables.put(role.label() + "-slopes", RoleTables.slopes(model, role));
         }
--- a/src/main/java/cresschute/capacity/Role.java
+++ b/src/main/java/cresschute/capacity/Role.java
@@ -15,7 +15,9 @@
     /** The service that tells dispatchers of the workers. */
     DISCOVERY("discovery"),
     /** The operators' console and the management listener. */
-    CONSOLE("console");
+    CONSOLE("console"),
+    /** A whole fleet played in virtual time: no part of an installation, and in no fit. */
+    MODEL("model");
 
     private final String label;
 
--- a/src/test/java/cresschute/capacity/CapacityTablesTest.java
+++ b/src/test/java/cresschute/capacity/CapacityTablesTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashSet;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -32,7 +33,8 @@
         assertThat(tables.get("runs")).isEqualTo("No run has been measured yet.\n");
         assertThat(tables.get("held-out")).contains("**not measured**");
         assertThat(tables.get("fault-measurements")).contains("**not measured**");
-        for (final Role role : Role.values()) {
+        assertThat(tables.get("fleet-model")).isEqualTo("No fleet has been played in the model yet.\n");
+        for (final Role role : EnumSet.complementOf(EnumSet.of(Role.MODEL))) {
             assertThat(tables.get(role.label() + "-needs").lines().skip(2)).isNotEmpty()
                 .allMatch(line -> line.contains("**not measured**: "));
         }
