--- a/src/main/java/cresschute/capacity/CapacityModel.java
+++ b/src/main/java/cresschute/capacity/CapacityModel.java
@@ -45,7 +45,8 @@
         final Map<Axis, Double> base = new EnumMap<>(Axis.class);
         for (final Axis axis : Axis.values()) {
             LinearFit.of(rows.stream().filter(row -> row.axis().equals(Optional.of(axis)))
-                .map(row -> new LinearFit.Point(row.sizes().on(axis), row.value())).toList())
+                .map(row -> new LinearFit.Point(position(row.role(), axis, row.sizes()), row.value()))
+                .toList())
                 .ifPresent(fit -> fits.put(axis, fit));
             base.put(axis, base(rows, axis));
         }
@@ -56,8 +57,20 @@
     private static double base(List<Measurement> rows, Axis axis) {
         final List<Measurement> others =
             rows.stream().filter(row -> !row.axis().equals(Optional.of(axis))).toList();
-        return (others.isEmpty() ? rows : others).stream().mapToDouble(row -> row.sizes().on(axis)).average()
-            .orElse(0);
+        return (others.isEmpty() ? rows : others).stream()
+            .mapToDouble(row -> position(row.role(), axis, row.sizes())).average().orElse(0);
+    }
+
+    /**
+     * Whether a role's measures go by the reciprocal of the size along an axis: what one dispatcher does is
+     * its even part of what all of them do.
+     */
+    static boolean isReciprocal(Role role, Axis axis) {
+        return role == Role.DISPATCHER && axis == Axis.DISPATCHERS;
+    }
+
+    private static double position(Role role, Axis axis, Sizes sizes) {
+        return isReciprocal(role, axis) ? 1 / sizes.on(axis) : sizes.on(axis);
     }
 
     /** All measurements, in the order of their files. */
@@ -89,10 +102,11 @@
             .mapToDouble(fit -> Math.pow(fit.meanHalfWidth() / fits.size(), 2)).sum();
         boolean extrapolated = false;
         for (final Map.Entry<Axis, LinearFit> each : fits.entrySet()) {
-            final double distance = sizes.on(each.getKey()) - base.get(each.getKey());
+            final double position = position(key.role(), each.getKey(), sizes);
+            final double distance = position - base.get(each.getKey());
             value += each.getValue().slope() * distance;
             squares += Math.pow(each.getValue().slopeHalfWidth() * distance, 2);
-            extrapolated |= each.getValue().extrapolates(sizes.on(each.getKey()));
+            extrapolated |= each.getValue().extrapolates(position);
         }
         return Optional.of(new Estimate(value, Math.sqrt(squares), extrapolated));
     }
--- a/src/main/java/cresschute/capacity/RoleTables.java
+++ b/src/main/java/cresschute/capacity/RoleTables.java
@@ -33,7 +33,8 @@
             "intercept", "slope (95 %)", "R²", "commit, seeds");
         model.keys().stream().filter(key -> key.role() == role && isTracked(key))
             .forEach(key -> model.fits(key).forEach((axis, fit) -> table.row("`" + key.measure() + "`",
-                axis.unit(), Figures.number(fit.minSize()) + ", " + Figures.number(fit.maxSize()),
+                CapacityModel.isReciprocal(role, axis) ? "1 / " + axis.unit() : axis.unit(), Figures.number(
+                    fit.minSize()) + ", " + Figures.number(fit.maxSize()),
                 Figures.number(fit.points()), Figures.number(fit.intercept()), Figures.interval(fit),
                 Figures.number(fit.rSquared()), run(model, key, axis))));
         return table.textOr("No slope: **" + Figures.NOT_MEASURED + "**.");
--- a/src/test/java/cresschute/capacity/CapacityModelTest.java
+++ b/src/test/java/cresschute/capacity/CapacityModelTest.java
@@ -14,7 +14,7 @@
     private static final CapacityModel.Key CPU = new CapacityModel.Key(Role.DISPATCHER, "cpu_percent");
     private static final Sizes PLANNED = PlannedSize.OPERATORS.sizes();
     private static final Sweep.Function LINEAR = sizes -> 3 + 0.01 * sizes.get(Axis.WORKERS)
-        + 0.2 * sizes.get(Axis.STARTS) - 0.5 * sizes.get(Axis.DISPATCHERS);
+        + 0.2 * sizes.get(Axis.STARTS) - 24.5 / sizes.get(Axis.DISPATCHERS);
 
     private static Sweep linearSweep() {
         final Sweep sweep = new Sweep();
@@ -38,6 +38,17 @@
         assertThat(model.fits(CPU).get(Axis.STARTS).slope()).isCloseTo(0.2, within(1e-9));
     }
 
+    /** A dispatcher does its part of what all of them do; what reaches a worker comes from all. */
+    @Test
+    void whatAllDispatchersCostTogetherGoesByTheirNumber() throws CsvFormatException {
+        final Sweep sweep = new Sweep();
+        List.of(1.0, 3.0, 5.0).forEach(size -> sweep.along(Axis.DISPATCHERS, size, "worker",
+            "probes_per_second", sizes -> 0.1 + 0.05 * sizes.get(Axis.DISPATCHERS)));
+        final CapacityModel.Key probes = new CapacityModel.Key(Role.WORKER, "probes_per_second");
+        assertThat(new CapacityModel(sweep.measurements()).estimate(probes, PLANNED).orElseThrow().value())
+            .isCloseTo(0.45, within(1e-6));
+    }
+
     @Test
     void heldOutAndPartialValuesChangeNoFit() throws CsvFormatException {
         final Sweep sweep = linearSweep().full("dispatcher", "cpu_percent", sizes -> 1e6);
