Read a connection ahead of its turn only where a long body has room, in one place

Found on reading the change again: ClientConnection.hasLeft read the socket only where no long body waits for room, while readNow, used to make room among connections, read without that check, so that a long body at the bound of connections could take a read without room. Both are one now. Without long bodies, as on the platform, nothing changes.

Result: LongBodyRulesTest, CrossingRulesTest, DescriptorLimitTest, CapacityTablesTest, checkstyle and the formatter's check pass.

--- a/src/main/java/cresschute/node/http/ClientConnection.java
+++ b/src/main/java/cresschute/node/http/ClientConnection.java
@@ -546,9 +546,11 @@
         return isIdle() || !isProven() && isReading();
     }
 
-    /** Reads what has come until now. Not from within its own reading. */
+    /** Reads what has come until now, unless a long body has no room. Not from within its own reading. */
     void readNow() {
-        Reading.now(context.channel());
+        if (longBody == null || awaiting) {
+            Reading.now(context.channel());
+        }
     }
 
     /** A req that could be used has come here before. */
@@ -647,10 +649,8 @@
         @Override
         public boolean hasLeft() {
             // Guards against sending for nobody: what came since the loop last read, its end too, lies in the
-            // socket. Where a long body has no room, nothing may be read.
-            if (longBody == null || awaiting) {
-                Reading.now(context.channel());
-            }
+            // socket.
+            readNow();
             return !context.channel().isActive();
         }
 
