Review: after 21 changed configurations a stricter effect is never in use

Cause: each change of a class takes one of 64 numbers, which are never used again; beyond them the settings of a new file are dropped whole.

Done: review/3 with its script and claim.

--- a/review/3/ManyConfigurations.java
+++ b/review/3/ManyConfigurations.java
@@ -5,11 +5,20 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
+/**
+ * The configuration is replaced a number of times, then a class becomes one that must not run
+ * twice. Each job of it is lost by its worker after it has started.
+ */
 final class ManyConfigurations {
 
     private static final int CHANGES = 24;
     private static final int CHANGE_MS = 1500;
+
+    /** A file is in use 1.2 s after SIGHUP. */
+    private static final int LAST_CHANGE_MS = 3000;
+
     private static final int REQUESTS = 10;
+    private static final int RUN_MS = 200;
 
     private final Rig rig;
     private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
@@ -30,26 +39,25 @@
         final Config config = new Config(new Discovery(workers));
         final Rig.Node node = rig.startNode("n1", config::json);
         final String listen = "127.0.0.1:" + node.address().getPort();
-        Thread.sleep(1500);
+        Thread.sleep(CHANGE_MS);
         final List<Config.JobClass> day = List.copyOf(config.classes);
+        final List<Config.JobClass> night =
+                day.stream().map(each -> each.withDeadline(each.deadlineUs() * 4 / 5)).toList();
         for (int i = 0; Rig.TROUBLE && i < CHANGES; i++) {
-            for (int c = 0; c < day.size(); c++) {
-                config.classes.set(
-                        c, i % 2 == 0 ? day.get(c).withDeadline(day.get(c).deadlineUs() * 4 / 5) : day.get(c));
-            }
+            config.classes.clear();
+            config.classes.addAll(i % 2 == 0 ? night : day);
             Files.writeString(node.config(), config.json(listen));
             node.signal("HUP");
             rig.log("configuration " + (i + 1) + ": " + (i % 2 == 0 ? "night" : "day"));
             Thread.sleep(CHANGE_MS);
         }
-        for (int c = 0; c < day.size(); c++) {
-            config.classes.set(c, day.get(c).withDeadline(day.get(c).deadlineUs() * 4 / 5));
-        }
-        config.classes.set(1, config.classes.get(1).withEffect("side_effect"));
+        config.classes.clear();
+        config.classes.addAll(night);
+        config.classes.set(1, night.get(1).withEffect("side_effect"));
         Files.writeString(node.config(), config.json(listen));
         node.signal("HUP");
         rig.log("last configuration: balance-report must not run twice");
-        Thread.sleep(3000);
+        Thread.sleep(LAST_CHANGE_MS);
         int answered = 0;
         try (Client client = new Client(node.address())) {
             for (int i = 0; i < REQUESTS; i++) {
@@ -57,7 +65,7 @@
                 client.send(Client.request("balance-report", id, 5000, null, "{}"));
                 final Http.Message answer = client.read(6000);
                 answered++;
-                rig.log("client " + id + " answered " + answer.status() + " " + answer.body().strip());
+                rig.log("client " + id + " answered " + answer.status());
                 Thread.sleep(300);
             }
         }
@@ -74,12 +82,11 @@
         final int run = runs.computeIfAbsent(id, unseen -> new AtomicInteger()).incrementAndGet();
         rig.log(worker.id + " runs " + id + ", run " + run);
         connection.write(Worker.Connection.head() + connection.chunk(id, "started", ""));
-        Thread.sleep(200);
+        Thread.sleep(RUN_MS);
         if (run == 1) {
             connection.write(connection.chunk(id, "lost", "") + Worker.Connection.end());
             return;
         }
-        connection.write(
-                connection.chunk(id, "done", ",\"result\":\"" + id + "\"") + Worker.Connection.end());
+        connection.write(connection.done(id));
     }
 }
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-cd "$(dirname "$0")"
-exec java -cp ../classes ManyConfigurations "$(cd ../.. && pwd)" "$PWD"
+folder=$(cd "$(dirname "$0")" && pwd)
+exec "$folder/../run-case.sh" "$folder" ManyConfigurations
