--- a/review/1/HalfRequests.java
+++ b/review/1/HalfRequests.java
@@ -121,6 +121,7 @@
                 }
                 client.send(Client.request(jobClass, id, 10_000, null, "{\"job\":" + i + "}"));
                 sent = true;
+                rig.record("client " + id + " " + jobClass + " sent");
                 usualSent.incrementAndGet();
                 final int status = client.read(11_000).status();
                 usualAnswered.incrementAndGet();
@@ -157,10 +158,13 @@
                                 body);
                 client.send(whole);
                 badRequests.incrementAndGet();
+                rig.record(String.format("bad client b%03x%012x sent", number, i));
                 client.send(half.substring(0, half.length() - MISSING_BYTES));
                 badHalves.incrementAndGet();
+                rig.record(String.format("bad client h%03x%012x sent but for its end", number, i));
                 final long endMs = Rig.nowMs() + BAD_STAY_MS;
-                client.read(BAD_STAY_MS);
+                final int status = client.read(BAD_STAY_MS).status();
+                rig.record(String.format("bad client b%03x%012x answered %d", number, i, status));
                 badAnswered.incrementAndGet();
                 Thread.sleep(Math.max(0, endMs - Rig.nowMs()));
             } catch (IOException e) {
--- a/review/3/ManyConfigurations.java
+++ b/review/3/ManyConfigurations.java
@@ -62,6 +62,7 @@
         try (Client client = new Client(node.address())) {
             for (int i = 0; i < REQUESTS; i++) {
                 final String id = String.format("r%015x", i);
+                rig.record("client sends " + id);
                 client.send(Client.request("balance-report", id, 5000, null, "{}"));
                 final Http.Message answer = client.read(6000);
                 answered++;
@@ -85,6 +86,7 @@
         Thread.sleep(RUN_MS);
         if (run == 1) {
             connection.write(connection.chunk(id, "lost", "") + Worker.Connection.end());
+            rig.record(worker.id + " loses " + id);
             return;
         }
         connection.write(connection.done(id));
