Forget requests whose client has left, and bound what all requests take in memory

A request stays until its attempts have ended; it kept its body, and by its response listener the closed connection with the buffer of the half request. Apart from that nothing bounded what requests take: 200 clients with 8 requests each ended the node while its worker drained.

Change: a closed request keeps neither body nor listener, an attempt no body once it is encoded or aborted, a closed or idle connection no buffer. The status line has the bytes.

--- a/src/main/java/cresschute/node/ClientRequest.java
+++ b/src/main/java/cresschute/node/ClientRequest.java
@@ -11,8 +11,8 @@
 /**
  * A client's request. It is open until it is answered or its client leaves, and is kept until its
  * attempts have ended and the dispatcher has received all its events. Owns its attempts in flight,
- * the timer of its answer and the stream of its long result. {@link OpenRequests} creates and
- * removes it. Call from the event loop.
+ * the timer of its answer and the stream of its long result. It keeps its body while it is open.
+ * {@link OpenRequests} creates and removes it. Call from the event loop.
  */
 public final class ClientRequest {
 
@@ -20,12 +20,18 @@
 
     private final OpenRequests requests;
     private final int id;
-    private final RequestContent content;
+    private final String requestId;
     private final int requestClass;
     private final String className;
-    private final ResponseListener client;
     private final Times times;
     private final Set<Attempt> attempts = new LinkedHashSet<>();
+
+    /** The content to send to workers; null once the request is closed. */
+    private RequestContent content;
+
+    /** The receiver of the answer; null once the request is closed. */
+    private ResponseListener client;
+
     private Future<?> timer;
     private int attemptsStarted;
     private int firstWorker = NO_WORKER;
@@ -70,6 +76,7 @@
             Times times) {
         this.requests = requests;
         this.id = id;
+        this.requestId = content.requestId();
         this.content = content;
         this.requestClass = requestClass;
         this.className = className;
@@ -84,10 +91,10 @@
 
     /** The id that the client gave it. */
     String requestId() {
-        return content.requestId();
+        return requestId;
     }
 
-    /** The content to send to workers. */
+    /** The content to send to workers; null once the request is closed. */
     RequestContent content() {
         return content;
     }
@@ -102,7 +109,7 @@
         return className;
     }
 
-    /** The receiver of its answer. */
+    /** The receiver of its answer; null once the request is closed. */
     ResponseListener client() {
         return client;
     }
@@ -134,10 +141,15 @@
         answered = true;
     }
 
-    /** Marks the request as closed and cancels its timer. */
+    /**
+     * Marks the request as closed and cancels its timer. Its attempts may run on for long, so it
+     * keeps neither its body nor the client's connection from now on.
+     */
     void close() {
         closed = true;
         timer.cancel(false);
+        content = null;
+        client = null;
     }
 
     /** Sets the timer that limits the time to its answer, and cancels the previous one. */
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -351,6 +351,7 @@
                 clientListener.openConnections(),
                 workers.openConnections(),
                 clientListener.bodyBytes(),
+                clientListener.requestBytes(),
                 lifecycle.listVersion());
     }
 
--- a/src/main/java/cresschute/node/OpenRequests.java
+++ b/src/main/java/cresschute/node/OpenRequests.java
@@ -175,7 +175,7 @@
 
     /** Fails a request, which may have run. */
     void fail(ClientRequest request) {
-        answer(request, RequestListener.Answer.FAILED, 0, request.client()::failed);
+        answer(request, RequestListener.Answer.FAILED, 0, () -> request.client().failed());
     }
 
     /** Ends the long result that is the answer of an open request. */
--- a/src/main/java/cresschute/node/PeerFault.java
+++ b/src/main/java/cresschute/node/PeerFault.java
@@ -13,6 +13,8 @@
     WORKER_CONNECTION("worker connection"),
     /** A connection from a client failed with an error other than a reset. */
     CLIENT_CONNECTION("client connection"),
+    /** The requests of all clients took the memory that they may take. */
+    REQUEST_MEMORY_EXCEEDED("no memory for a request"),
     /** There was no capacity for a long body. */
     BODY_CAPACITY_EXCEEDED("no capacity for a long body"),
     /** The sender or the receiver of a long body was too slow. */
--- a/src/main/java/cresschute/node/StatusLog.java
+++ b/src/main/java/cresschute/node/StatusLog.java
@@ -24,6 +24,7 @@
      * @param clientConnections the number of connections from clients
      * @param workerConnections the number of connections to workers
      * @param bodyBytes the bytes of the buffer budget that long bodies hold
+     * @param requestBytes the bytes that other requests hold
      * @param listVersion version of the endpoint list, or -1
      */
     record Status(
@@ -31,6 +32,7 @@
             int clientConnections,
             int workerConnections,
             long bodyBytes,
+            long requestBytes,
             long listVersion) {}
 
     /** Creates a log of this status and of these invariants. */
@@ -53,11 +55,15 @@
                                 + " worker connections, "
                                 + now.bodyBytes()
                                 + " bytes of long bodies, list version "
-                                + now.listVersion())
+                                + now.listVersion()
+                                + ", "
+                                + now.requestBytes()
+                                + " bytes of other requests")
                 .with("requests", now.requests())
                 .with("client_connections", now.clientConnections())
                 .with("worker_connections", now.workerConnections())
                 .with("body_bytes", now.bodyBytes())
+                .with("request_bytes", now.requestBytes())
                 .with("list_version", now.listVersion())
                 .log(LOG, Level.INFO);
         if (invariant.total() > violationsLogged) {
--- a/src/main/java/cresschute/node/http/ClientListener.java
+++ b/src/main/java/cresschute/node/http/ClientListener.java
@@ -3,6 +3,7 @@
 import cresschute.dispatch.RequestClass;
 import cresschute.dispatch.Tenant;
 import cresschute.node.NodeConfig;
+import cresschute.node.PeerFault;
 import cresschute.node.ReadinessSwitch;
 import cresschute.node.RequestLifecycle;
 import io.netty.bootstrap.ServerBootstrap;
@@ -57,6 +58,8 @@
     /** Null if no class streams bodies. */
     private final StreamedBodies bodies;
 
+    private final RequestMemory requestMemory =
+            RequestMemory.ofHeap(Runtime.getRuntime().maxMemory());
     private RequestHeadParser parser;
     private Channel serverChannel;
 
@@ -351,6 +354,23 @@
         queuedBytes -= bytes;
     }
 
+    /** The memory of the requests of all connections. */
+    RequestMemory requestMemory() {
+        return requestMemory;
+    }
+
+    /** The bytes that the requests of all connections take; excludes streamed bodies. */
+    public long requestBytes() {
+        return requestMemory.inUseBytes();
+    }
+
+    /** Logs that a request is rejected because there is no memory for it. */
+    void reportMemoryExceeded() {
+        lifecycle
+                .faults()
+                .fault(PeerFault.REQUEST_MEMORY_EXCEEDED, null, "rejecting a client's request");
+    }
+
     /** The bytes of the buffer budget that streamed bodies use or have reserved. */
     public long bodyBytes() {
         return bodies == null ? 0 : bodies.inUseBytes();
--- a/src/main/java/cresschute/node/http/HttpAttempt.java
+++ b/src/main/java/cresschute/node/http/HttpAttempt.java
@@ -45,7 +45,11 @@
     private static final String JOB_STATE_DONE = "done";
 
     private final String host;
-    private final RequestContent content;
+    private final String requestId;
+
+    /** The request until it is encoded; then null, so that its body is not kept in memory. */
+    private RequestContent content;
+
     private final AttemptListener listener;
     private final RateLimitedLog faults;
 
@@ -77,6 +81,7 @@
     HttpAttempt(
             String host, RequestContent content, AttemptListener listener, RateLimitedLog faults) {
         this.host = host;
+        this.requestId = content.requestId();
         this.content = content;
         this.listener = listener;
         this.faults = faults;
@@ -101,7 +106,7 @@
                                 Unpooled.wrappedBuffer(content.body()));
         request.headers()
                 .set(HttpHeaderNames.HOST, host)
-                .set(HeaderNames.REQUEST_ID, content.requestId())
+                .set(HeaderNames.REQUEST_ID, requestId)
                 .set(HeaderNames.DEADLINE, DeadlineHeader.format(listener.remainingUs()));
         final long length = bodyLength();
         if (length == StreamedRequestBody.UNKNOWN_LENGTH) {
@@ -112,6 +117,7 @@
         if (content.idempotencyKey() != null) {
             request.headers().set(HeaderNames.IDEMPOTENCY_KEY, content.idempotencyKey());
         }
+        content = null;
         return request;
     }
 
@@ -242,7 +248,7 @@
 
     private void lineReceived(String text) {
         try {
-            final ProgressLine line = ProgressLine.parse(text, content.requestId());
+            final ProgressLine line = ProgressLine.parse(text, requestId);
             final LoadReport load = latestLoad(line);
             switch (line.kind()) {
                 case PROGRESS -> listener.progressed(line.fractionDone());
@@ -402,6 +408,8 @@
     @Override
     public Outcome abort() {
         cancel();
+        // A connection that is still being established keeps this attempt until it times out.
+        content = null;
         stopTransfer();
         if (isWritten()) {
             return Outcome.TIMED_OUT;
--- a/src/main/java/cresschute/node/http/PendingResponse.java
+++ b/src/main/java/cresschute/node/http/PendingResponse.java
@@ -23,8 +23,8 @@
  * <p>Life cycle: created when a request's head or malformed input arrives. A valid request is
  * submitted to the {@link cresschute.node.RequestLifecycle}. Then the response either becomes
  * complete, and is written as a whole in its turn, or it streams: its head is written, then its
- * body as the worker produces it. Owns the request's streamed body and the streamed result, and
- * closes both in {@link #release}.
+ * body as the worker produces it. Owns the request's streamed body, the streamed result and the
+ * request's reservation of memory, and releases all of them in {@link #release}.
  *
  * <p>Call from the channel's event loop.
  */
@@ -60,6 +60,9 @@
     /** The whole response; null until it is complete, and if the result is streamed. */
     private FullHttpResponse response;
 
+    /** The bytes that the request has reserved in the {@link RequestMemory}. */
+    private int reservedBytes;
+
     private PendingResponse(ClientConnection connection, boolean keepAlive, boolean isHttp10) {
         this.connection = connection;
         this.keepAlive = keepAlive;
@@ -96,6 +99,19 @@
         request = taken;
     }
 
+    /**
+     * Reserves memory for the whole request, until it needs no response any more.
+     *
+     * @return false if there is not enough memory
+     */
+    boolean reserveMemory(int bytes) {
+        if (!connection.listener().requestMemory().reserveRequest(bytes)) {
+            return false;
+        }
+        reservedBytes = bytes;
+        return true;
+    }
+
     /** Whether the request lifecycle has taken the request and must answer it. */
     boolean isSubmitted() {
         return request != null;
@@ -127,8 +143,10 @@
         release();
     }
 
-    /** Closes the request's body and the result, which are not needed any more. */
+    /** Releases the request's memory, its body and the result, which are not needed any more. */
     private void release() {
+        connection.listener().requestMemory().releaseRequest(reservedBytes);
+        reservedBytes = 0;
         if (transfer != null) {
             transfer.stop();
         }
--- a/src/main/java/cresschute/node/http/RequestAssembler.java
+++ b/src/main/java/cresschute/node/http/RequestAssembler.java
@@ -36,7 +36,7 @@
     private final ClientListener listener;
     private final ResponseQueue responses;
     private final RequestSubmitter submitter;
-    private final RequestBodyBuffer buffer = new RequestBodyBuffer();
+    private final RequestBodyBuffer buffer;
 
     /** The response to the request that is being read, or null between requests. */
     private PendingResponse current;
@@ -60,6 +60,7 @@
         this.listener = connection.listener();
         this.responses = responses;
         this.submitter = submitter;
+        this.buffer = new RequestBodyBuffer(listener.requestMemory());
     }
 
     /** Handles the next message of the codec. Must not be called once input is discarded. */
@@ -155,6 +156,7 @@
     }
 
     private void startBody(HttpRequest next, long length) {
+        buffer.start(length);
         if (length > listener.maxBodyBytes()) {
             rejectTooLarge(listener.maxBodyBytes());
             return;
@@ -210,7 +212,7 @@
     private void collect(ByteBuf content) {
         if (!isReceivingStreamedBody()) {
             if (buffer.fits(content.readableBytes())) {
-                buffer.add(content);
+                collectBuffered(content);
                 return;
             }
             if (!streamBufferedBody()) {
@@ -222,6 +224,17 @@
         }
     }
 
+    private void collectBuffered(ByteBuf content) {
+        if (head == null || current.isComplete()) {
+            // The request is answered already, so its body is not needed.
+            buffer.skip(content.readableBytes());
+        } else if (!buffer.add(content)) {
+            buffer.clear();
+            listener.reportMemoryExceeded();
+            current.rejectAndClose(listener.lifecycle().retryAfterUs());
+        }
+    }
+
     /**
      * Switches a chunked body that outgrows the buffer to streaming. If its class does not allow
      * that, rejects the request and returns false.
@@ -241,6 +254,7 @@
     }
 
     private void rejectTooLarge(long maxBytes) {
+        buffer.clear();
         current.failAndClose(
                 HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, tooLargeMessage(maxBytes));
     }
@@ -309,13 +323,22 @@
             }
             receiver = null;
             endCurrent();
+            forgetRequest();
             return;
         }
         final PendingResponse response = endCurrent();
         if (head != null && !response.isComplete() && reparseIfSettingsChanged(response)) {
             submitter.submitOrQueue(response, head, buffer.take(), responses.size());
         }
+        forgetRequest();
+    }
+
+    /** Releases what was read of a request, and the parser, which may be of earlier settings. */
+    private void forgetRequest() {
         request = null;
+        head = null;
+        parser = null;
+        buffer.clear();
     }
 
     private PendingResponse endCurrent() {
@@ -385,5 +408,6 @@
         if (receiver != null) {
             receiver.channelClosed();
         }
+        forgetRequest();
     }
 }
--- a/src/main/java/cresschute/node/http/RequestSubmitter.java
+++ b/src/main/java/cresschute/node/http/RequestSubmitter.java
@@ -43,13 +43,18 @@
     }
 
     /**
-     * Submits a complete request, or queues it if too many are in flight. Rejects it if the queues
-     * of all connections together are full.
+     * Submits a complete request, or queues it if too many are in flight. Rejects it if there is no
+     * memory for it, or if the queues of all connections together are full.
      *
      * @param unanswered the number of requests of this connection without a response, including
      *     this one and queued ones
      */
     void submitOrQueue(PendingResponse response, RequestHead head, byte[] body, int unanswered) {
+        if (!response.reserveMemory(RequestMemory.bytesOf(head, body.length))) {
+            listener.reportMemoryExceeded();
+            response.reject(listener.lifecycle().retryAfterUs());
+            return;
+        }
         if (queued.isEmpty() && unanswered <= MAX_IN_FLIGHT) {
             submit(response, head, body, null);
             return;
--- a/src/test/java/cresschute/ProgramProcess.java
+++ b/src/test/java/cresschute/ProgramProcess.java
@@ -65,6 +65,24 @@
         return withDefaultSignals(java(options, needed, arguments));
     }
 
+    /** All flags of the deploy file's run line that limit memory. */
+    public static List<String> deployedMemoryFlags() throws IOException {
+        final String run =
+                Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                        .filter(line -> line.startsWith("run = "))
+                        .findFirst()
+                        .orElseThrow();
+        final List<String> flags =
+                Arrays.stream(run.split(" "))
+                        .filter(
+                                word ->
+                                        word.matches(
+                                                "-X.*(SerialGC|TieredStopAtLevel=1|[0-9][mk])"))
+                        .toList();
+        assertThat(flags).anyMatch(flag -> flag.startsWith("-Xmx"));
+        return flags;
+    }
+
     /** The command line of the program without a change of the inherited signal actions. */
     public static List<String> commandInheritingSignals(String... arguments) {
         return java(List.of(), System.getProperty("java.class.path"), arguments);
--- a/src/test/java/cresschute/node/FleetSizeTest.java
+++ b/src/test/java/cresschute/node/FleetSizeTest.java
@@ -7,8 +7,6 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Arrays;
-import java.util.List;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -27,24 +25,6 @@
     /** The smallest memory limit of a dispatcher, KiB. */
     private static final long MIN_MEMORY_KIB = 144 * 1024;
 
-    /** All flags of the run line that limit memory. */
-    private static List<String> memoryFlags() throws Exception {
-        final String run =
-                Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
-                        .filter(line -> line.startsWith("run = "))
-                        .findFirst()
-                        .orElseThrow();
-        final List<String> flags =
-                Arrays.stream(run.split(" "))
-                        .filter(
-                                word ->
-                                        word.matches(
-                                                "-X.*(SerialGC|TieredStopAtLevel=1|[0-9][mk])"))
-                        .toList();
-        assertThat(flags).anyMatch(flag -> flag.startsWith("-Xmx"));
-        return flags;
-    }
-
     private static String entries(ServerSocket workerServer, int first, String state) {
         return IntStream.range(first, first + FLEET_SIZE)
                 .mapToObj(
@@ -73,7 +53,8 @@
                                                     1, true, entries(workerServer, 0, "SERVING"))))
                             .replace("\"balancers\":1", "\"balancers\":" + FLEET_SIZE));
             final ProcessBuilder builder =
-                    new ProcessBuilder(ProgramProcess.command(memoryFlags(), "serve"));
+                    new ProcessBuilder(
+                            ProgramProcess.command(ProgramProcess.deployedMemoryFlags(), "serve"));
             builder.environment().put("BALANCER_CONFIG", config.toString());
             try (ProgramProcess node = ProgramProcess.start(builder)) {
                 final int port = ProgramProcess.portIn(node.awaitLine("listens on"));
