Bound what the unfinished lines of all workers take in memory

Cause: each connection to a worker may hold an unfinished line of 256 KiB, 440 of them 110 MB of a heap of 64 MB.

Change: LineMemory bounds them to an eighth of the heap together; a line beyond it ends its attempt as a bad answer. An exchange that is over releases its lines. MemoryLimitTest was ClientMemoryTest.

--- a/src/main/java/cresschute/node/http/HttpAttempt.java
+++ b/src/main/java/cresschute/node/http/HttpAttempt.java
@@ -56,7 +56,8 @@
     /** Writes a streamed body; null if the request is sent whole. */
     private final BodyTransfer transfer;
 
-    private ProgressLineReader lineReader = new ProgressLineReader();
+    private final LineMemory lineMemory;
+    private ProgressLineReader lineReader;
 
     /** The load report in the response's header, or {@link LoadReport#NONE}. */
     private LoadReport headerLoad = LoadReport.NONE;
@@ -77,14 +78,21 @@
      * Creates an attempt that has not begun.
      *
      * @param host the worker's address, as in the Host header
+     * @param lineMemory limits the memory of the lines of all attempts
      */
     HttpAttempt(
-            String host, RequestContent content, AttemptListener listener, RateLimitedLog faults) {
+            String host,
+            RequestContent content,
+            AttemptListener listener,
+            RateLimitedLog faults,
+            LineMemory lineMemory) {
         this.host = host;
         this.requestId = content.requestId();
         this.content = content;
         this.listener = listener;
         this.faults = faults;
+        this.lineMemory = lineMemory;
+        this.lineReader = new ProgressLineReader(lineMemory);
         this.transfer =
                 content.longBody() instanceof StreamedRequestBody body
                         ? body.newTransfer(this)
@@ -223,7 +231,9 @@
         } else if (lineReader.add(chunk)) {
             readLines();
         } else {
-            endWithBadResponse(new JsonParseException("a line is longer than 256 KiB"));
+            endWithBadResponse(
+                    new JsonParseException(
+                            "a line is longer than 256 KiB, or there is no memory for it"));
         }
     }
 
@@ -280,7 +290,8 @@
     void staleResponseEnded() {
         staleResponse = false;
         headerLoad = LoadReport.NONE;
-        lineReader = new ProgressLineReader();
+        lineReader.close();
+        lineReader = new ProgressLineReader(lineMemory);
     }
 
     @Override
@@ -399,6 +410,13 @@
         }
     }
 
+    /** A connection that is still being established keeps this attempt until it times out. */
+    @Override
+    void releaseMemory() {
+        content = null;
+        lineReader.close();
+    }
+
     private void stopTransfer() {
         if (transfer != null) {
             transfer.stop();
@@ -408,8 +426,6 @@
     @Override
     public Outcome abort() {
         cancel();
-        // A connection that is still being established keeps this attempt until it times out.
-        content = null;
         stopTransfer();
         if (isWritten()) {
             return Outcome.TIMED_OUT;
--- a/src/main/java/cresschute/node/http/HttpExchange.java
+++ b/src/main/java/cresschute/node/http/HttpExchange.java
@@ -106,9 +106,15 @@
 
     /** Marks the outcome as reported: nothing more is reported afterwards. */
     final void markOver() {
-        over = true;
+        if (!over) {
+            over = true;
+            releaseMemory();
+        }
     }
 
+    /** Called once the exchange is over, to release memory that it does not need any more. */
+    void releaseMemory() {}
+
     /**
      * Whether the exchange is over: it is cancelled, or its outcome is reported and a streamed
      * result, if there is one, has ended.
@@ -124,7 +130,7 @@
 
     /** Ends the exchange without reporting an outcome, and closes its connection. */
     final void cancel() {
-        over = true;
+        markOver();
         if (connection != null) {
             connection.close();
         }
--- a/src/main/java/cresschute/node/http/ProgressLineReader.java
+++ b/src/main/java/cresschute/node/http/ProgressLineReader.java
@@ -6,16 +6,24 @@
 
 /**
  * Splits a response into lines, independent of its chunk boundaries. The buffer grows as needed and
- * is compacted in place. One per response; used by one thread.
+ * is compacted in place.
+ *
+ * <p>Owns the buffer and its reservation in the {@link LineMemory}; {@link #close} releases both.
+ * One per response; used by one thread.
  */
 final class ProgressLineReader {
 
     /** Limit for an unread line together with the data received after it, bytes. */
     static final int MAX_BYTES = 256 * 1024;
 
-    private static final int INITIAL_BYTES = 512;
+    /** The size of a buffer that no memory is reserved for, bytes. */
+    static final int INITIAL_BYTES = 512;
 
+    private static final byte[] CLOSED = new byte[0];
+
+    private final LineMemory memory;
     private byte[] bytes = new byte[INITIAL_BYTES];
+    private int reservedBytes;
 
     /** Index of the first unread byte. */
     private int start;
@@ -26,30 +34,60 @@
     /** Index after the last received byte. */
     private int end;
 
-    /** Adds a chunk. Returns false, and adds nothing, if that would exceed the limit. */
+    /** Creates a reader that reserves its buffer in this memory. */
+    ProgressLineReader(LineMemory memory) {
+        this.memory = memory;
+    }
+
+    /**
+     * Adds a chunk. Returns false, and adds nothing, if that would exceed the limit of a line or of
+     * the memory. Must not be called once the reader is closed.
+     */
     boolean add(ByteBuf chunk) {
         final int count = chunk.readableBytes();
         if (end - start + count > MAX_BYTES) {
             return false;
         }
-        if (end + count > bytes.length) {
-            compact(count);
+        if (end + count > bytes.length && !compact(count)) {
+            return false;
         }
         chunk.readBytes(bytes, end, count);
         end += count;
         return true;
     }
 
-    /** Moves the unread bytes to the front, of a larger array if {@code count} more do not fit. */
-    private void compact(int count) {
+    /**
+     * Moves the unread bytes to the front, of a larger array if {@code count} more do not fit.
+     *
+     * @return false if there is no memory for a larger array
+     */
+    private boolean compact(int count) {
         final int needed = end - start + count;
-        final byte[] target =
-                needed > bytes.length ? new byte[Math.max(bytes.length * 2, needed)] : bytes;
+        byte[] target = bytes;
+        if (needed > bytes.length) {
+            final int length = Math.max(bytes.length * 2, needed);
+            if (!memory.reserve(length - bytes.length)) {
+                return false;
+            }
+            reservedBytes += length - bytes.length;
+            target = new byte[length];
+        }
         System.arraycopy(bytes, start, target, 0, end - start);
         bytes = target;
         end -= start;
         scanned -= start;
         start = 0;
+        return true;
+    }
+
+    /** Discards the unread bytes and the buffer. Further calls have no effect. */
+    void close() {
+        memory.release(reservedBytes);
+        reservedBytes = 0;
+        bytes = CLOSED;
+        start = 0;
+        scanned = 0;
+        end = 0;
     }
 
     /** Removes and returns the next complete line that is not blank, stripped; null if none. */
--- a/src/main/java/cresschute/node/http/WorkerConnectionPool.java
+++ b/src/main/java/cresschute/node/http/WorkerConnectionPool.java
@@ -50,6 +50,7 @@
     private final RateLimitedLog faults;
     private final int maxConnections;
     private final Bootstrap bootstrap;
+    private final LineMemory lineMemory = LineMemory.ofHeap(Runtime.getRuntime().maxMemory());
     private final Map<InetSocketAddress, Deque<WorkerConnection>> idle = new HashMap<>();
 
     /** Idle timeout of connections, us. */
@@ -114,7 +115,8 @@
     @Override
     public AttemptCall attempt(
             InetSocketAddress address, RequestContent content, AttemptListener listener) {
-        final HttpAttempt attempt = new HttpAttempt(host(address), content, listener, faults);
+        final HttpAttempt attempt =
+                new HttpAttempt(host(address), content, listener, faults, lineMemory);
         start(address, attempt);
         return attempt;
     }
--- a/src/test/java/cresschute/node/AnsweringWorker.java
+++ b/src/test/java/cresschute/node/AnsweringWorker.java
@@ -7,12 +7,13 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
- * A worker that serves each job at once, or withholds the responses to all of them. Uses one thread
- * for each connection.
+ * A worker that serves each job at once, withholds the responses to all of them, or answers each
+ * with a text that the test states. Uses one thread for each connection.
  */
 final class AnsweringWorker implements Closeable {
 
@@ -20,13 +21,23 @@
     private static final Pattern ID = Pattern.compile("(?i)\r\nx-request-id: *(\\S+)");
 
     final ServerSocket server;
-    private final boolean withholdingResponses;
+    private static final String WITHHELD = "";
+    private final UnaryOperator<String> responseToId;
     private final List<Peer> connections = new CopyOnWriteArrayList<>();
     private final AtomicInteger jobs = new AtomicInteger();
 
     /** Listens on a free port, on all addresses. */
     AnsweringWorker(boolean withholdingResponses) throws IOException {
-        this.withholdingResponses = withholdingResponses;
+        this(withholdingResponses ? id -> WITHHELD : AnsweringWorker::served);
+    }
+
+    /**
+     * Same, with other responses.
+     *
+     * @param responseToId makes the response to the job with a request id; empty for none
+     */
+    AnsweringWorker(UnaryOperator<String> responseToId) throws IOException {
+        this.responseToId = responseToId;
         server = new ServerSocket(0, BACKLOG, InetAddress.getByName("0.0.0.0"));
         start(this::accept);
     }
@@ -58,22 +69,19 @@
                     continue;
                 }
                 jobs.incrementAndGet();
-                if (!withholdingResponses) {
-                    final Matcher id = ID.matcher(request);
-                    peer.write(
-                            TestNode.answer(
-                                    "200 OK",
-                                    "",
-                                    "{\"id\":\""
-                                            + (id.find() ? id.group(1) : "")
-                                            + "\",\"state\":\"done\",\"result\":\"yes\"}\n"));
-                }
+                final Matcher id = ID.matcher(request);
+                peer.write(responseToId.apply(id.find() ? id.group(1) : ""));
             }
         } catch (IOException | AssertionError e) {
             // The connection was closed, or a read has timed out.
         }
     }
 
+    private static String served(String id) {
+        return TestNode.answer(
+                "200 OK", "", "{\"id\":\"" + id + "\",\"state\":\"done\",\"result\":\"yes\"}\n");
+    }
+
     /** The number of jobs received so far. */
     int jobs() {
         return jobs.get();
--- a/src/test/java/cresschute/node/ClientMemoryTest.java
+++ b/src/test/java/cresschute/node/MemoryLimitTest.java
@@ -13,17 +13,16 @@
 import java.util.List;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
 /**
- * Runs a node with the memory limits of the deploy file in front of a worker that answers no job,
- * while clients send more than its heap holds. The node must neither end nor stop answering.
+ * Runs a node with the memory limits of the deploy file, while clients or a worker send more than
+ * its memory holds. The node must neither end nor stop answering.
  */
 @Timeout(120)
-class ClientMemoryTest {
+class MemoryLimitTest {
 
     /** Just under the longest body that is buffered whole, bytes. */
     private static final int BODY_BYTES = 65_000;
@@ -45,10 +44,9 @@
     private InetSocketAddress address;
     private int requestCount;
 
-    @BeforeEach
-    void start() throws Exception {
+    private void start(AnsweringWorker newWorker) throws Exception {
         discovery = Peer.listen();
-        worker = new AnsweringWorker(true);
+        worker = newWorker;
         final String list = TestNode.list(1, true, TestNode.entry("s-1", worker.server, "SERVING"));
         final Path config = folder.resolve("config.json");
         Files.writeString(
@@ -129,6 +127,7 @@
      */
     @Test
     void forgetsRequestsOfClientsThatHaveLeft() throws Exception {
+        start(new AnsweringWorker(true));
         final int clientsAtOnce = 60;
         final int rounds = 7;
         for (int round = 1; round <= rounds; round++) {
@@ -151,6 +150,7 @@
      */
     @Test
     void rejectsRequestsThatDoNotFitIntoMemory() throws Exception {
+        start(new AnsweringWorker(true));
         final int connections = 200;
         final int wholeRequestsOfEach = 8;
         drainWorker();
@@ -160,4 +160,22 @@
         node.awaitLine("no memory for a request");
         assertNodeAnswers();
     }
+
+    /**
+     * Guards against a worker that sends lines without an end filling the memory: a line that does
+     * not fit ends its attempt.
+     */
+    @Test
+    void linesWithoutEndLeaveMemory() throws Exception {
+        final int connections = 340;
+        final String endlessLine =
+                "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + "z".repeat(250_000);
+        start(new AnsweringWorker(id -> endlessLine));
+        for (int i = 0; i < connections; i++) {
+            requestCount++;
+            connect().write(TestNode.request("r" + requestCount, "", ""));
+        }
+        node.awaitLine("there is no memory for it");
+        assertNodeAnswers();
+    }
 }
--- a/src/test/java/cresschute/node/http/HttpAttemptTest.java
+++ b/src/test/java/cresschute/node/http/HttpAttemptTest.java
@@ -21,7 +21,8 @@
                     "127.0.0.1:9",
                     content,
                     recorded,
-                    new RateLimitedLog(System.getLogger("test"), () -> 0));
+                    new RateLimitedLog(System.getLogger("test"), () -> 0),
+                    new LineMemory(ProgressLineReader.MAX_BYTES));
 
     private void markWrittenIf(boolean written) {
         if (written) {
--- a/src/test/java/cresschute/node/http/ParsersTest.java
+++ b/src/test/java/cresschute/node/http/ParsersTest.java
@@ -84,12 +84,14 @@
                 .isInstanceOf(JsonParseException.class);
     }
 
+    private final LineMemory lineMemory = new LineMemory(2 * ProgressLineReader.MAX_BYTES);
+
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 3, 5, 7, 100})
     void splitsLinesWhereverChunksEnd(int size) {
         final String text = "one\n\n  two\u00e9\r\n" + "long".repeat(400) + "\nrest";
         final byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-        final ProgressLineReader lines = new ProgressLineReader();
+        final ProgressLineReader lines = new ProgressLineReader(lineMemory);
         final List<String> cut = new ArrayList<>();
         for (int at = 0; at < bytes.length; at += size) {
             final int count = Math.min(size, bytes.length - at);
@@ -105,10 +107,25 @@
     @Test
     void rejectsLineOverLimit() {
         assertThat(
-                        new ProgressLineReader()
+                        new ProgressLineReader(lineMemory)
                                 .add(
                                         Unpooled.wrappedBuffer(
                                                 new byte[ProgressLineReader.MAX_BYTES + 1])))
                 .isFalse();
     }
+
+    /** A worker may send a line that never ends, on many connections at a time. */
+    @Test
+    void rejectsLineWithoutMemoryAndReleasesItWhenClosed() {
+        final int line = 8 * 1024;
+        final LineMemory memory = new LineMemory(line);
+        final ProgressLineReader first = new ProgressLineReader(memory);
+        final ProgressLineReader second = new ProgressLineReader(memory);
+        assertThat(first.add(Unpooled.wrappedBuffer(new byte[line]))).isTrue();
+        assertThat(second.add(Unpooled.wrappedBuffer(new byte[line]))).isFalse();
+        first.close();
+        first.close();
+        assertThat(memory.reservedBytes()).isZero();
+        assertThat(second.add(Unpooled.wrappedBuffer(new byte[line]))).isTrue();
+    }
 }
--- a/src/test/java/cresschute/node/http/WorkerConnectionTest.java
+++ b/src/test/java/cresschute/node/http/WorkerConnectionTest.java
@@ -42,7 +42,8 @@
                         "127.0.0.1:9",
                         new RequestContent("r1", "/check", null, new byte[0]),
                         recorded,
-                        faults));
+                        faults,
+                        new LineMemory(ProgressLineReader.MAX_BYTES)));
         channel.writeInbound(
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK),
                 new DefaultHttpContent(
