Keep read buffers short, so that half heads leave direct memory to other clients

The decoder keeps the buffer that an incomplete head was read into; it had grown to 64 KiB with the body before. The pool's chunk of 4 MB did not fit into the last quarter of the limit.

--- a/src/main/java/cresschute/node/http/SocketReads.java
+++ b/src/main/java/cresschute/node/http/SocketReads.java
@@ -8,11 +8,19 @@
 /** Ways to read sockets that differ from Netty's default. Call from the channel's event loop. */
 final class SocketReads {
 
+    private static final int MIN_READ_BYTES = 64;
+    private static final int FIRST_READ_BYTES = 2 * 1024;
+
     /**
-     * The maximum number of reads of one connection per pass of the event loop; Netty's default for
-     * sockets.
+     * The largest read buffer, bytes. A connection keeps its last one while a head is incomplete,
+     * so the connections that the descriptors allow must not exhaust the direct memory by that.
      */
-    private static final int MAX_READS_PER_PASS = 16;
+    private static final int MAX_READ_BYTES = 8 * 1024;
+
+    /** The maximum number of bytes read from one connection per pass of the event loop. */
+    private static final int MAX_BYTES_PER_PASS = 1024 * 1024;
+
+    private static final int MAX_READS_PER_PASS = MAX_BYTES_PER_PASS / MAX_READ_BYTES;
 
     private SocketReads() {}
 
@@ -23,7 +31,8 @@
      * closed, or keep a connection that has ended.
      */
     static RecvByteBufAllocator untilEndOfStream() {
-        final AdaptiveRecvByteBufAllocator reads = new AdaptiveRecvByteBufAllocator();
+        final AdaptiveRecvByteBufAllocator reads =
+                new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES);
         reads.respectMaybeMoreData(false);
         return reads.maxMessagesPerRead(MAX_READS_PER_PASS);
     }
--- a/src/test/java/cresschute/ProgramProcess.java
+++ b/src/test/java/cresschute/ProgramProcess.java
@@ -77,7 +77,8 @@
                         .filter(
                                 word ->
                                         word.matches(
-                                                "-X.*(SerialGC|TieredStopAtLevel=1|[0-9][mk])"))
+                                                "-X.*(SerialGC|TieredStopAtLevel=1|[0-9][mk])"
+                                                        + "|-Dio\\.netty\\.allocator.*"))
                         .toList();
         assertThat(flags).anyMatch(flag -> flag.startsWith("-Xmx"));
         return flags;
--- a/src/test/java/cresschute/node/MemoryLimitTest.java
+++ b/src/test/java/cresschute/node/MemoryLimitTest.java
@@ -161,6 +161,21 @@
         assertNodeAnswers();
     }
 
+    /**
+     * Guards against clients that stop in the middle of a head after a long body holding a long
+     * read buffer each, so that no direct memory is left to read other clients.
+     */
+    @Test
+    void halfHeadsLeaveMemoryToReadOtherClients() throws Exception {
+        final int connections = 340;
+        start(new AnsweringWorker(false));
+        final String head = "POST /check HTTP/1.1\r\nX-Other: " + "y".repeat(1_000);
+        for (int i = 0; i < connections; i++) {
+            connect().write(nextRequest() + nextRequest() + head);
+        }
+        assertNodeAnswers();
+    }
+
     /**
      * Guards against a worker that sends lines without an end filling the memory: a line that does
      * not fit ends its attempt.
