Use class numbers again, so that settings apply however many reloads came

Cause, by the log of: "reloaded: ...; changed, but applied only after a restart: classes (more than 64 classes since the start; ...)". ClassTable gave every changed class a new number for good, and beyond 64 the whole file was dropped.

Change: a number is used again once no open or queued request has it; there is no limit. The dispatcher hears which numbers name another class (ClassChanges) and forgets what it learned under them, and which are retired: those do not tighten the budget, the check interval or the time of a stop any more. Groups of placements that no class has are removed.

Tests: SettingsReloadRulesTest.appliesChangedClassesHoweverManyConfigurationsCame stops at reload 32 on ("settings changed" does not come) and passes now. ClassTableTest expected the limit of 64 and now expects a small table over 2,000 changes; SettingsReloadRaceTest keeps all numbers in use, so that the number still tells the old settings from the new ones.

--- a/src/main/java/cresschute/capacity/StatedBound.java
+++ b/src/main/java/cresschute/capacity/StatedBound.java
@@ -16,13 +16,6 @@
             "QuotaMeter",
             "a burst of 2 s of 1.5 times an even part, at least 3; quotas taken as even, the peak"
                     + " in all"),
-    /** Class numbers used over all settings reloads. */
-    CLASS_NUMBERS(
-            "class numbers used in a day, if every change of configuration changes one class",
-            PlannedSize::configurationChangesPerDay,
-            64,
-            "ClassTable",
-            "64 numbers from a start to the next"),
     /** Connections to workers, one for each request in flight. */
     WORKER_CONNECTIONS(
             "connections of one dispatcher to workers",
--- a/src/main/java/cresschute/dispatch/AdmissionController.java
+++ b/src/main/java/cresschute/dispatch/AdmissionController.java
@@ -82,17 +82,20 @@
         final int before = buckets.classCount();
         final int count = current.classes().size();
         for (int index = before; index < count; index++) {
-            final RequestClass requestClass = current.classes().get(index);
-            final ClassState classState =
-                    new ClassState(index, requestClass, workers, current.zone());
+            final ClassState classState = newClassState(index);
             if (before == 0) {
                 serviceTimes.addInitialRunningTime(classState.runningTimeUs() / count);
-                meanPriorityWeight += requestClass.priorityWeight() / count;
+                meanPriorityWeight += classState.requestClass().priorityWeight() / count;
             }
             buckets.add(classState, current.overQuotaWeightFactor());
         }
     }
 
+    private ClassState newClassState(int index) {
+        final DispatchSettings current = settings.get();
+        return new ClassState(index, current.classes().get(index), workers, current.zone());
+    }
+
     private void resetQuotas() {
         final DispatchSettings current = settings.get();
         quotaMeters =
@@ -105,9 +108,14 @@
      * Applies new settings. The quota meters keep their tokens unless the tenants or the number of
      * dispatchers changed.
      */
-    void settingsChanged(DispatchSettings before) {
+    void settingsChanged(DispatchSettings before, ClassChanges classChanges) {
         final DispatchSettings current = settings.get();
+        for (final int number : classChanges.replaced()) {
+            buckets.replace(newClassState(number), current.overQuotaWeightFactor());
+        }
         addClasses();
+        buckets.setRetired(classChanges.retired());
+        buckets.classes().forEach(each -> each.placementsChanged(workers));
         if (!current.tenants().equals(before.tenants())
                 || current.dispatchers() != before.dispatchers()) {
             resetQuotas();
--- a/src/main/java/cresschute/dispatch/ClassState.java
+++ b/src/main/java/cresschute/dispatch/ClassState.java
@@ -13,7 +13,7 @@
 
     private final int index;
     private final RequestClass requestClass;
-    private final List<CapacityEstimator> capacities;
+    private List<CapacityEstimator> capacities;
     private final WorkerGroup allWorkers;
     private final WorkerGroup zoneWorkers;
     private double runningTimeUs;
@@ -29,12 +29,17 @@
     ClassState(int index, RequestClass requestClass, WorkerIndex workers, int zone) {
         this.index = index;
         this.requestClass = requestClass;
-        this.capacities = workers.capacitiesFor(requestClass.placement());
+        placementsChanged(workers);
         this.allWorkers = workers.group(requestClass.placement(), WorkerGroup.Scope.ALL, 0);
         this.zoneWorkers = workers.group(requestClass.placement(), WorkerGroup.Scope.ZONE, zone);
         this.runningTimeUs = INITIAL_RUNNING_TIME_OBJECTIVES * requestClass.latencyObjectiveUs();
     }
 
+    /** Finds the capacities that the class uses; called when the placements have changed. */
+    void placementsChanged(WorkerIndex workers) {
+        capacities = workers.capacitiesFor(requestClass.placement());
+    }
+
     int index() {
         return index;
     }
--- a/src/main/java/cresschute/dispatch/CurrentSettings.java
+++ b/src/main/java/cresschute/dispatch/CurrentSettings.java
@@ -21,8 +21,8 @@
      *
      * @throws IllegalArgumentException if {@link DispatchSettings#canReplace} returns false
      */
-    void replace(DispatchSettings next) {
-        if (!next.canReplace(settings)) {
+    void replace(DispatchSettings next, ClassChanges classChanges) {
+        if (!next.canReplace(settings, classChanges)) {
             throw new IllegalArgumentException(
                     "new settings must keep the current classes in order, the zone, and the numbers"
                             + " of zones and kinds");
--- a/src/main/java/cresschute/dispatch/DeadlinePolicy.java
+++ b/src/main/java/cresschute/dispatch/DeadlinePolicy.java
@@ -1,5 +1,8 @@
 package cresschute.dispatch;
 
+import java.util.List;
+import java.util.Set;
+
 /**
  * Decides when a request is given up, and whether it is then rejected or failed.
  *
@@ -61,14 +64,21 @@
 
     DeadlinePolicy(CurrentSettings settings) {
         this.settings = settings;
-        settingsChanged();
+        settingsChanged(Set.of());
     }
 
-    /** Sets the check interval to half the tightest latency objective, within bounds. */
-    void settingsChanged() {
+    /**
+     * Sets the check interval to half the tightest latency objective, within bounds.
+     *
+     * @param retired the numbers of the classes that do not count
+     */
+    void settingsChanged(Set<Integer> retired) {
+        final List<RequestClass> classes = settings.get().classes();
         long tightestUs = 2 * MAX_CHECK_INTERVAL_US;
-        for (final RequestClass requestClass : settings.get().classes()) {
-            tightestUs = Math.min(tightestUs, requestClass.latencyObjectiveUs());
+        for (int number = 0; number < classes.size(); number++) {
+            if (!retired.contains(number)) {
+                tightestUs = Math.min(tightestUs, classes.get(number).latencyObjectiveUs());
+            }
         }
         checkIntervalUs = Math.max(MIN_CHECK_INTERVAL_US, tightestUs / 2);
     }
--- a/src/main/java/cresschute/dispatch/DemandBuckets.java
+++ b/src/main/java/cresschute/dispatch/DemandBuckets.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 /**
  * The demand buckets of all classes: for each class and job size, one within and one beyond the
@@ -14,14 +15,41 @@
 
     private final List<ClassState> classes = new ArrayList<>();
     private final List<DemandBucket> buckets = new ArrayList<>();
+    private Set<Integer> retired = Set.of();
 
     /** Adds the buckets of the next class. */
     void add(ClassState classState, double overQuotaWeightFactor) {
         classes.add(classState);
+        buckets.addAll(bucketsOf(classState, overQuotaWeightFactor));
+    }
+
+    /** Replaces the buckets of the class with this one's number. */
+    void replace(ClassState classState, double overQuotaWeightFactor) {
+        classes.set(classState.index(), classState);
+        final List<DemandBucket> next = bucketsOf(classState, overQuotaWeightFactor);
+        for (int i = 0; i < next.size(); i++) {
+            buckets.set(classState.index() * next.size() + i, next.get(i));
+        }
+    }
+
+    private static List<DemandBucket> bucketsOf(
+            ClassState classState, double overQuotaWeightFactor) {
+        final List<DemandBucket> added = new ArrayList<>();
         for (int size = 0; size < SIZES; size++) {
-            buckets.add(new DemandBucket(classState, 1 << size, 1));
-            buckets.add(new DemandBucket(classState, 1 << size, overQuotaWeightFactor));
+            added.add(new DemandBucket(classState, 1 << size, 1));
+            added.add(new DemandBucket(classState, 1 << size, overQuotaWeightFactor));
         }
+        return added;
+    }
+
+    /** Sets the numbers of the classes that no request has that arrives from now on. */
+    void setRetired(Set<Integer> numbers) {
+        retired = numbers;
+    }
+
+    /** The classes, in the order of their numbers. */
+    List<ClassState> classes() {
+        return classes;
     }
 
     /** Number of classes. */
@@ -29,9 +57,13 @@
         return classes.size();
     }
 
-    /** Shortest time that a job of any class may wait and still be in time, us. */
+    /** Shortest time that a job of any class in force may wait and still be in time, us. */
     double tightestSlackUs() {
-        return classes.stream().mapToDouble(ClassState::slackUs).min().orElse(0);
+        return classes.stream()
+                .filter(each -> !retired.contains(each.index()))
+                .mapToDouble(ClassState::slackUs)
+                .min()
+                .orElse(0);
     }
 
     /**
--- a/src/main/java/cresschute/dispatch/DispatchSettings.java
+++ b/src/main/java/cresschute/dispatch/DispatchSettings.java
@@ -98,14 +98,26 @@
 
     /**
      * Returns whether these settings may replace others while a dispatcher runs: they must list the
-     * classes of the others first, unchanged and in order, and keep the zone and the numbers of
-     * zones and kinds.
+     * classes of the others first and in order, unchanged but for those with replaced numbers, and
+     * keep the zone and the numbers of zones and kinds.
      */
-    public boolean canReplace(DispatchSettings before) {
-        return classes.size() >= before.classes.size()
-                && classes.subList(0, before.classes.size()).equals(before.classes)
+    public boolean canReplace(DispatchSettings before, ClassChanges classChanges) {
+        return keepsClassesOf(before, classChanges)
                 && zone == before.zone
                 && zones == before.zones
                 && kinds == before.kinds;
     }
+
+    private boolean keepsClassesOf(DispatchSettings before, ClassChanges classChanges) {
+        if (classes.size() < before.classes.size()) {
+            return false;
+        }
+        for (int number = 0; number < before.classes.size(); number++) {
+            if (!classChanges.replaced().contains(number)
+                    && !classes.get(number).equals(before.classes.get(number))) {
+                return false;
+            }
+        }
+        return true;
+    }
 }
--- a/src/main/java/cresschute/dispatch/Dispatcher.java
+++ b/src/main/java/cresschute/dispatch/Dispatcher.java
@@ -75,12 +75,13 @@
     }
 
     @Override
-    public void settingsChanged(long nowUs, DispatchSettings next) {
+    public void settingsChanged(long nowUs, DispatchSettings next, ClassChanges classChanges) {
         final DispatchSettings before = settings.get();
-        settings.replace(next);
-        workers.addPlacements(placements(next));
-        admission.settingsChanged(before);
-        deadlines.settingsChanged();
+        settings.replace(next, classChanges);
+        workers.setPlacements(placements(next));
+        outliers.forgetClasses(workers.workers(), classChanges.replaced());
+        admission.settingsChanged(before, classChanges);
+        deadlines.settingsChanged(classChanges.retired());
     }
 
     @Override
--- a/src/main/java/cresschute/dispatch/DispatcherEvents.java
+++ b/src/main/java/cresschute/dispatch/DispatcherEvents.java
@@ -75,12 +75,18 @@
 
     /**
      * Replaces the settings while the dispatcher runs. The new settings must list the current
-     * classes first, unchanged and in order; new classes may follow. A withdrawn class stays in the
-     * list and gets no more requests, so that a pending request keeps its class. A lower attempt
-     * limit also applies to pending requests, a higher one only to requests that arrive later. All
-     * estimates are kept.
+     * classes first and in order, unchanged but for replaced numbers; new classes may follow. A
+     * retired class stays in the list and gets no more requests, so that a pending request keeps
+     * its class. A lower attempt limit also applies to pending requests, a higher one only to
+     * requests that arrive later. All estimates are kept, except those of replaced classes.
      *
+     * @param classChanges the class numbers whose meaning changes
      * @throws IllegalArgumentException if {@link DispatchSettings#canReplace} returns false
      */
-    void settingsChanged(long nowUs, DispatchSettings settings);
+    void settingsChanged(long nowUs, DispatchSettings settings, ClassChanges classChanges);
+
+    /** Same, if no class is replaced or retired. */
+    default void settingsChanged(long nowUs, DispatchSettings settings) {
+        settingsChanged(nowUs, settings, ClassChanges.NONE);
+    }
 }
--- a/src/main/java/cresschute/dispatch/OutlierDetector.java
+++ b/src/main/java/cresschute/dispatch/OutlierDetector.java
@@ -1,5 +1,8 @@
 package cresschute.dispatch;
 
+import java.util.Collection;
+import java.util.Set;
+
 /**
  * Decides which workers are ejected: they get no new attempts for a while.
  *
@@ -88,6 +91,15 @@
         return worker.isEjected(requestClass, nowUs);
     }
 
+    /** Forgets that workers are unresponsive for classes whose numbers name other ones now. */
+    void forgetClasses(Collection<WorkerInstance> workers, Set<Integer> replaced) {
+        for (final WorkerInstance worker : workers) {
+            for (final int requestClass : replaced) {
+                worker.unresponsiveUntil(requestClass, 0);
+            }
+        }
+    }
+
     /** Ejects a worker for jobs of one class, because they do not start there. */
     void ejectUnresponsive(WorkerInstance worker, int requestClass, long nowUs) {
         worker.unresponsiveUntil(requestClass, nowUs + UNRESPONSIVE_EJECTION_US);
--- a/src/main/java/cresschute/dispatch/WorkerGroup.java
+++ b/src/main/java/cresschute/dispatch/WorkerGroup.java
@@ -55,6 +55,11 @@
                 groupIndex % Scope.count() == Scope.ALL.ordinal() ? new CapacityEstimator() : null;
     }
 
+    /** The number of its placement, from which its group index was made. */
+    int placementNumber() {
+        return groupIndex / Scope.count();
+    }
+
     /** Returns whether this is the group of a whole placement, which has a capacity estimate. */
     boolean hasCapacity() {
         return capacity != null;
--- a/src/main/java/cresschute/dispatch/WorkerIndex.java
+++ b/src/main/java/cresschute/dispatch/WorkerIndex.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.stream.Stream;
 
@@ -16,7 +17,10 @@
 
     private final Map<Integer, WorkerInstance> workers = new LinkedHashMap<>();
     private int classes;
+
+    /** By the number of the placement; null for a number without a placement. */
     private final List<Placement> placements;
+
     private final Map<Long, WorkerGroup> groups = new LinkedHashMap<>();
     private final Map<Integer, WorkerKind> kinds = new LinkedHashMap<>();
 
@@ -115,6 +119,7 @@
      */
     List<CapacityEstimator> capacitiesFor(Placement placement) {
         return placements.stream()
+                .filter(Objects::nonNull)
                 .filter(wider -> wider.contains(placement))
                 .map(wider -> group(wider, WorkerGroup.Scope.ALL, 0).capacity())
                 .toList();
@@ -130,7 +135,7 @@
 
     private List<WorkerGroup> memberships(Worker entry) {
         return placements.stream()
-                .filter(placement -> placement.allows(entry))
+                .filter(placement -> placement != null && placement.allows(entry))
                 .flatMap(
                         placement ->
                                 Stream.of(WorkerGroup.Scope.values())
@@ -139,17 +144,19 @@
     }
 
     /**
-     * Adds the placements of classes that were added after the start. Each worker joins the groups
-     * of the placements that allow it.
+     * Replaces the placements while the dispatcher runs. Each worker joins the groups of the
+     * placements that allow it. The groups of placements that no class has any more are removed,
+     * with what was learned of their capacity.
      *
      * @param classPlacements the placement of every request class, in class order
      */
-    void addPlacements(List<Placement> classPlacements) {
+    void setPlacements(List<Placement> classPlacements) {
         classes = classPlacements.size();
+        removePlacementsExcept(classPlacements);
         classPlacements.stream()
                 .filter(placement -> !placements.contains(placement))
                 .distinct()
-                .forEach(placements::add);
+                .forEach(this::addPlacement);
         for (final WorkerInstance worker : workers.values()) {
             final boolean dispatchable = worker.isDispatchable();
             worker.leaveGroups();
@@ -162,4 +169,27 @@
             }
         }
     }
+
+    private void removePlacementsExcept(List<Placement> classPlacements) {
+        for (int number = 0; number < placements.size(); number++) {
+            final Placement placement = placements.get(number);
+            if (placement != null
+                    && !placement.equals(Placement.ANYWHERE)
+                    && !classPlacements.contains(placement)) {
+                placements.set(number, null);
+                final int removed = number;
+                groups.values().removeIf(group -> group.placementNumber() == removed);
+            }
+        }
+    }
+
+    /** Adds a placement under the first number that is free. */
+    private void addPlacement(Placement placement) {
+        final int free = placements.indexOf(null);
+        if (free < 0) {
+            placements.add(placement);
+        } else {
+            placements.set(free, placement);
+        }
+    }
 }
--- a/src/main/java/cresschute/node/ActiveSettings.java
+++ b/src/main/java/cresschute/node/ActiveSettings.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Set;
 
 /**
  * The request settings in force: the request classes, indexed by their dispatcher numbers and
@@ -21,6 +22,7 @@
 
     private List<String> classNames;
     private List<RequestClass> classes;
+    private Set<Integer> retired;
     private boolean fullMayHaveRun;
     private long retryAfterUs;
 
@@ -35,7 +37,7 @@
                         : config.bodies().classes().stream()
                                 .map(ClassBodies::deadlineToFirstByte)
                                 .toList();
-        apply(config.classes(), config.settings());
+        apply(config.classes(), config.settings(), Set.of());
     }
 
     /**
@@ -43,8 +45,9 @@
      *
      * @param names the classes' names by number, with the earlier classes first
      * @param settings the settings passed to the dispatcher
+     * @param retiredClasses the numbers of the classes that no new request has
      */
-    void replace(List<String> names, DispatchSettings settings) {
+    void replace(List<String> names, DispatchSettings settings, Set<Integer> retiredClasses) {
         final int added = names.size() - deadlineIsToFirstByte.size();
         if (added > 0) {
             // Classes cannot change if long results are allowed, so added classes have no long
@@ -53,12 +56,13 @@
             grown.addAll(Collections.nCopies(added, false));
             deadlineIsToFirstByte = List.copyOf(grown);
         }
-        apply(names, settings);
+        apply(names, settings, retiredClasses);
     }
 
-    private void apply(List<String> names, DispatchSettings settings) {
+    private void apply(List<String> names, DispatchSettings settings, Set<Integer> retiredClasses) {
         classNames = names;
         classes = settings.classes();
+        retired = retiredClasses;
         fullMayHaveRun = settings.fullMayHaveRun();
         retryAfterUs = Math.min(LOCAL_RETRY_AFTER_US, settings.limits().maxRetryAfterUs());
     }
@@ -83,9 +87,15 @@
         return deadlineIsToFirstByte.get(requestClass);
     }
 
-    /** The longest deadline of any class, microseconds; 0 without classes. */
+    /** The longest deadline of any class that new requests may have, microseconds. */
     long longestDeadlineUs() {
-        return classes.stream().mapToLong(RequestClass::deadlineUs).max().orElse(0);
+        long longestUs = 0;
+        for (int number = 0; number < classes.size(); number++) {
+            if (!retired.contains(number)) {
+                longestUs = Math.max(longestUs, classes.get(number).deadlineUs());
+            }
+        }
+        return longestUs;
     }
 
     /**
--- a/src/main/java/cresschute/node/ClassTable.java
+++ b/src/main/java/cresschute/node/ClassTable.java
@@ -1,26 +1,24 @@
 package cresschute.node;
 
+import cresschute.dispatch.ClassChanges;
 import cresschute.dispatch.DispatchSettings;
 import cresschute.dispatch.RequestClass;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
- * All request classes of a node since its start, by the numbers that the dispatcher uses. A class
- * keeps its number for the life of the process. A class that a new configuration omits or changes
- * is retired: requests in flight keep it, and new requests cannot use it. A changed class gets a
- * new number. Immutable.
+ * The request classes of a node by the numbers that the dispatcher uses. An unchanged class keeps
+ * its number. A class that a new configuration omits or changes is retired: requests in flight keep
+ * it, and new requests cannot use it. A new or changed class gets the lowest number that no class
+ * in force and no request has, so that the table stays as small as the requests in flight allow,
+ * however many configurations follow each other. Immutable.
  */
 final class ClassTable {
 
-    /**
-     * Maximum number of class numbers of a node, counted from its start; each change of a class
-     * uses one.
-     */
-    static final int MAX_CLASSES = 64;
-
     /**
      * A class; its number is its index.
      *
@@ -31,10 +29,15 @@
     record Entry(String name, RequestClass requestClass, boolean live) {}
 
     private final List<Entry> entries;
+
+    /** The numbers that named another class in the table before this one. */
+    private final Set<Integer> replaced;
+
     private final Map<String, Integer> live;
 
-    private ClassTable(List<Entry> entries) {
+    private ClassTable(List<Entry> entries, Set<Integer> replaced) {
         this.entries = List.copyOf(entries);
+        this.replaced = Set.copyOf(replaced);
         final Map<String, Integer> numbers = new HashMap<>();
         for (int i = 0; i < entries.size(); i++) {
             if (entries.get(i).live()) {
@@ -50,48 +53,74 @@
         for (int i = 0; i < names.size(); i++) {
             entries.add(new Entry(names.get(i), classes.get(i), true));
         }
-        return new ClassTable(entries);
+        return new ClassTable(entries, Set.of());
     }
 
     /**
      * Returns the table for the classes of a new configuration: an unchanged class keeps its
-     * number, a new or changed one is added, and one that is no longer named is retired.
+     * number, a new or changed one gets a free number, and one that is no longer named is retired.
      *
      * @param names the names of the new classes
      * @param classes the new classes, in the same order
-     * @throws IllegalArgumentException if more than {@value #MAX_CLASSES} numbers would be assigned
-     *     since the start, or a name is duplicated
+     * @param inUse the numbers that requests have
+     * @throws IllegalArgumentException if a name is duplicated
      */
-    ClassTable updatedWith(List<String> names, List<RequestClass> classes) {
+    ClassTable updatedWith(List<String> names, List<RequestClass> classes, Set<Integer> inUse) {
         if (names.stream().distinct().count() != names.size()) {
             throw new IllegalArgumentException("a class is named twice");
         }
+        final Set<Integer> kept = unchanged(names, classes);
         final List<Entry> next = new ArrayList<>();
-        final List<Integer> kept = new ArrayList<>();
-        for (int i = 0; i < names.size(); i++) {
-            final Integer number = live.get(names.get(i));
-            if (number != null && entries.get(number).requestClass().equals(classes.get(i))) {
-                kept.add(number);
-            }
-        }
         for (int number = 0; number < entries.size(); number++) {
             final Entry entry = entries.get(number);
             next.add(new Entry(entry.name(), entry.requestClass(), kept.contains(number)));
         }
+        final Set<Integer> replacedNumbers = new HashSet<>();
+        for (int i = 0; i < names.size(); i++) {
+            if (!kept.contains(live.get(names.get(i)))) {
+                final Entry added = new Entry(names.get(i), classes.get(i), true);
+                final int number = freeNumber(next, inUse);
+                if (number < next.size()) {
+                    next.set(number, added);
+                    replacedNumbers.add(number);
+                } else {
+                    next.add(added);
+                }
+            }
+        }
+        return new ClassTable(next, replacedNumbers);
+    }
+
+    /** The numbers of the classes that are live and stay as they are. */
+    private Set<Integer> unchanged(List<String> names, List<RequestClass> classes) {
+        final Set<Integer> kept = new HashSet<>();
         for (int i = 0; i < names.size(); i++) {
             final Integer number = live.get(names.get(i));
-            if (number == null || !kept.contains(number)) {
-                next.add(new Entry(names.get(i), classes.get(i), true));
+            if (number != null && entries.get(number).requestClass().equals(classes.get(i))) {
+                kept.add(number);
             }
         }
-        if (next.size() > MAX_CLASSES) {
-            throw new IllegalArgumentException(
-                    "more than "
-                            + MAX_CLASSES
-                            + " classes since the start; restart the node "
-                            + "to apply this configuration");
+        return kept;
+    }
+
+    /** The lowest number of a retired class that no request has, or the next new number. */
+    private static int freeNumber(List<Entry> entries, Set<Integer> inUse) {
+        int number = 0;
+        while (number < entries.size() && (entries.get(number).live() || inUse.contains(number))) {
+            number++;
         }
-        return new ClassTable(next);
+        return number;
+    }
+
+    /** The changes from the table before this one, for the dispatcher. */
+    ClassChanges changes() {
+        final Set<Integer> retired = new HashSet<>();
+        for (int number = 0; number < entries.size(); number++) {
+            if (!entries.get(number).live()) {
+                retired.add(number);
+            }
+        }
+        return new ClassChanges(replaced, retired);
     }
 
     /**
@@ -143,20 +172,20 @@
         return live;
     }
 
-    /** The count of assigned numbers. */
+    /** The count of numbers, those of retired classes included. */
     int size() {
         return entries.size();
     }
 
-    /** Returns true if another table has the same entries. */
-    boolean isSameAs(ClassTable other) {
-        return entries.equals(other.entries);
+    /** Returns true if this table means the same as the one before it. */
+    boolean isSameAs(ClassTable before) {
+        return replaced.isEmpty() && entries.equals(before.entries);
     }
 
     /**
-     * Describes the classes that are new, changed or retired compared with an earlier table.
+     * Describes the classes that are new, changed or retired compared with the table before.
      *
-     * @param before an earlier table of this node
+     * @param before the table that this one was made from
      * @return their names, for the log; empty if there is no difference
      */
     String changesFrom(ClassTable before) {
@@ -164,10 +193,14 @@
         final List<String> retired = new ArrayList<>();
         for (int number = 0; number < entries.size(); number++) {
             final Entry entry = entries.get(number);
-            if (number >= before.size()) {
+            final boolean isReplaced = replaced.contains(number);
+            if (isReplaced || number >= before.size()) {
                 added.add(entry.name());
-            } else if (before.entries.get(number).live() && !entry.live()) {
-                retired.add(entry.name());
+            }
+            if (number < before.size()
+                    && before.entries.get(number).live()
+                    && (isReplaced || !entry.live())) {
+                retired.add(before.entries.get(number).name());
             }
         }
         final List<String> changed = added.stream().filter(retired::contains).toList();
--- a/src/main/java/cresschute/node/ConfigReloader.java
+++ b/src/main/java/cresschute/node/ConfigReloader.java
@@ -7,14 +7,15 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.Executor;
 
 /**
  * Reloads the configuration on SIGHUP and applies the parts that can change at run time: the
  * discovery address, connection timeouts, request classes and dispatcher settings. An invalid
- * configuration changes nothing. Owns the table of all classes since the start and the settings
- * last passed to the dispatcher; both are used on the event loop only.
+ * configuration changes nothing. Owns the table of the classes in use and the settings last passed
+ * to the dispatcher; both are used on the event loop only.
  */
 final class ConfigReloader {
 
@@ -38,6 +39,9 @@
          */
         boolean requiresInitialClasses();
 
+        /** The numbers of the classes that open or queued requests have. */
+        Set<Integer> classesInUse();
+
         /** Switches the watch of the endpoint list to the discovery service at this address. */
         void setDiscoveryAddress(InetSocketAddress address);
 
@@ -147,7 +151,9 @@
         }
         final ClassTable updated;
         try {
-            updated = classes.updatedWith(next.classes(), next.settings().classes());
+            updated =
+                    classes.updatedWith(
+                            next.classes(), next.settings().classes(), target.classesInUse());
         } catch (IllegalArgumentException e) {
             pendingRestart.add("classes (" + e.getMessage() + ")");
             return "";
@@ -161,7 +167,7 @@
         final DispatchSettings updatedSettings =
                 updated.settingsFor(next.settings(), previousSettings);
         if ((!classesChange && updatedSettings.equals(previousSettings))
-                || !updatedSettings.canReplace(previousSettings)) {
+                || !updatedSettings.canReplace(previousSettings, updated.changes())) {
             return "";
         }
         final String classChanges = updated.changesFrom(classes);
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -20,7 +20,9 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.util.HashSet;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
@@ -233,6 +235,13 @@
             return operators.hasControlService() || config.bodies() != null;
         }
 
+        @Override
+        public Set<Integer> classesInUse() {
+            final Set<Integer> inUse = new HashSet<>(lifecycle.classesInUse());
+            inUse.addAll(clientListener.queuedClasses());
+            return inUse;
+        }
+
         @Override
         public void setDiscoveryAddress(InetSocketAddress address) {
             discovery.changeAddress(address);
@@ -245,7 +254,7 @@
 
         @Override
         public void applySettings(ClassTable classes, DispatchSettings settings) {
-            lifecycle.applySettings(classes.names(), settings);
+            lifecycle.applySettings(classes, settings);
             clientListener.applySettings(classes.live(), classes.classes(), settings.tenants());
         }
     }
--- a/src/main/java/cresschute/node/OpenRequests.java
+++ b/src/main/java/cresschute/node/OpenRequests.java
@@ -57,6 +57,13 @@
         return openIds.contains(requestId);
     }
 
+    /** The numbers of the classes of these requests. */
+    Set<Integer> classesInUse() {
+        final Set<Integer> numbers = new HashSet<>();
+        open.values().forEach(each -> numbers.add(each.requestClass()));
+        return numbers;
+    }
+
     /** The number of unanswered requests. */
     int unanswered() {
         return unanswered;
--- a/src/main/java/cresschute/node/RequestLifecycle.java
+++ b/src/main/java/cresschute/node/RequestLifecycle.java
@@ -1,5 +1,6 @@
 package cresschute.node;
 
+import cresschute.dispatch.ClassChanges;
 import cresschute.dispatch.DispatchSettings;
 import cresschute.dispatch.DispatcherActions;
 import cresschute.dispatch.DispatcherEvents;
@@ -7,7 +8,6 @@
 import cresschute.dispatch.Job;
 import java.net.InetSocketAddress;
 import java.util.Collection;
-import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Function;
@@ -136,12 +136,18 @@
      * Replaces the settings. Requests in flight keep their class; the dispatcher is notified before
      * any request that is submitted later.
      *
-     * @param classNames the classes by their numbers, retired ones included
+     * @param classes the classes by their numbers, retired ones included
      * @param next the dispatcher's settings
      */
-    void applySettings(List<String> classNames, DispatchSettings next) {
-        settings.replace(classNames, next);
-        context.turn().enqueue(now -> context.dispatcher().settingsChanged(now, next));
+    void applySettings(ClassTable classes, DispatchSettings next) {
+        final ClassChanges changes = classes.changes();
+        settings.replace(classes.names(), next, changes.retired());
+        context.turn().enqueue(now -> context.dispatcher().settingsChanged(now, next, changes));
+    }
+
+    /** The numbers of the classes of all open requests, and of those with attempts in flight. */
+    Set<Integer> classesInUse() {
+        return requests.classesInUse();
     }
 
     // ---- Requests ----
--- a/src/main/java/cresschute/node/http/ClientConnection.java
+++ b/src/main/java/cresschute/node/http/ClientConnection.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Set;
 
 /**
  * The channel handler of one client connection. It handles the channel's events and answers the
@@ -170,6 +171,11 @@
                 && written.isEmpty();
     }
 
+    /** Adds the numbers of the classes of the requests that are queued here. */
+    void addQueuedClassesTo(Set<Integer> numbers) {
+        submitter.addQueuedClassesTo(numbers);
+    }
+
     /** Whether this connection has submitted a request to the request lifecycle. */
     boolean hasSubmittedRequest() {
         return submittedRequest;
--- a/src/main/java/cresschute/node/http/ClientConnectionRegistry.java
+++ b/src/main/java/cresschute/node/http/ClientConnectionRegistry.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -61,6 +62,13 @@
         return connections.size();
     }
 
+    /** The numbers of the classes of the requests that are queued on these connections. */
+    Set<Integer> queuedClasses() {
+        final Set<Integer> numbers = new HashSet<>();
+        connections.forEach(each -> each.addQueuedClassesTo(numbers));
+        return numbers;
+    }
+
     // ---- The limit ----
 
     /** Called when a connection was accepted. */
--- a/src/main/java/cresschute/node/http/ClientListener.java
+++ b/src/main/java/cresschute/node/http/ClientListener.java
@@ -20,6 +20,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -309,6 +310,11 @@
         return lifecycle;
     }
 
+    /** The numbers of the classes of requests that are read and not submitted yet. */
+    public Set<Integer> queuedClasses() {
+        return connections.queuedClasses();
+    }
+
     /** The parser for the current settings. */
     RequestHeadParser parser() {
         return parser;
--- a/src/main/java/cresschute/node/http/RequestSubmitter.java
+++ b/src/main/java/cresschute/node/http/RequestSubmitter.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Set;
 
 /**
  * Submits the complete requests of one client connection to the {@link RequestLifecycle} in the
@@ -114,6 +115,11 @@
         }
     }
 
+    /** Adds the numbers of the classes of the queued requests. */
+    void addQueuedClassesTo(Set<Integer> numbers) {
+        queued.forEach(each -> numbers.add(each.head().job().requestClass()));
+    }
+
     /** Drops all queued requests; the caller completes or drops their responses. */
     void clear() {
         queued.forEach(each -> listener.releaseQueued(each.costBytes()));
--- a/src/main/java/cresschute/testbed/model/BaselineModule.java
+++ b/src/main/java/cresschute/testbed/model/BaselineModule.java
@@ -1,5 +1,6 @@
 package cresschute.testbed.model;
 
+import cresschute.dispatch.ClassChanges;
 import cresschute.dispatch.DispatchSettings;
 import cresschute.dispatch.DispatcherActions;
 import cresschute.dispatch.DispatcherEvents;
@@ -168,7 +169,7 @@
     }
 
     @Override
-    public void settingsChanged(long nowUs, DispatchSettings settings) {
+    public void settingsChanged(long nowUs, DispatchSettings settings, ClassChanges classChanges) {
         // The policies have no settings.
     }
 }
--- a/src/main/java/cresschute/testbed/model/ExchangingModules.java
+++ b/src/main/java/cresschute/testbed/model/ExchangingModules.java
@@ -1,5 +1,6 @@
 package cresschute.testbed.model;
 
+import cresschute.dispatch.ClassChanges;
 import cresschute.dispatch.DispatchSettings;
 import cresschute.dispatch.DispatcherActions;
 import cresschute.dispatch.DispatcherEvents;
@@ -224,9 +225,10 @@
         }
 
         @Override
-        public void settingsChanged(long atUs, DispatchSettings settings) {
+        public void settingsChanged(
+                long atUs, DispatchSettings settings, ClassChanges classChanges) {
             nowUs = atUs;
-            module.settingsChanged(atUs, settings);
+            module.settingsChanged(atUs, settings, classChanges);
         }
 
         @Override
--- a/src/test/java/cresschute/dispatch/RetryPolicyTest.java
+++ b/src/test/java/cresschute/dispatch/RetryPolicyTest.java
@@ -92,9 +92,9 @@
         final PendingRequest request = fixture.request(1, NOW);
         final WorkerInstance worker = fixture.ready(1, 0, 0);
         request.startAttempt(worker, NOW);
-        fixture.settings.replace(limited(classes, 1));
+        fixture.settings.replace(limited(classes, 1), ClassChanges.NONE);
         assertThat(fixture.retries.allowsAttempt(request, NOW)).isFalse();
-        fixture.settings.replace(limited(classes, 9));
+        fixture.settings.replace(limited(classes, 9), ClassChanges.NONE);
         request.startAttempt(worker, NOW);
         assertThat(fixture.retries.allowsAttempt(request, NOW)).isTrue();
         request.startAttempt(worker, NOW);
--- a/src/test/java/cresschute/dispatch/SettingsChangeTest.java
+++ b/src/test/java/cresschute/dispatch/SettingsChangeTest.java
@@ -9,6 +9,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -127,4 +128,64 @@
                                         host.nowUs, with(List.of(changed), 4)))
                 .isInstanceOf(IllegalArgumentException.class);
     }
+
+    private static ClassChanges replaced(int number) {
+        return new ClassChanges(Set.of(number), Set.of());
+    }
+
+    /** Guards against a stricter class under a number that was used before being repeated. */
+    @Test
+    void requestOfReplacedClassGoesByItsNewDefinition() {
+        final RequestClass strict = requestClass(1, Idempotency.UNSAFE, DeduplicationScope.ALL);
+        final RecordingHost host =
+                new RecordingHost(with(List.of(SAFE), 4))
+                        .list(EndpointListForm.CACHED, at(1, 0), at(2, 0));
+        host.request(1, 0);
+        host.end(1, 0, host.lastSend().worker(), Outcome.SERVED);
+        host.dispatcher.settingsChanged(host.nowUs, with(List.of(strict), 4), replaced(0));
+        host.request(2, 0);
+        host.end(2, 0, host.lastSend().worker(), Outcome.BROKEN);
+        host.advanceTime(SECOND);
+        assertThat(host.sends.stream().filter(send -> send.request() == 2)).hasSize(1);
+        assertThat(host.failed).containsExactly(2);
+    }
+
+    /**
+     * Guards against state that grows with each change of a placement: a class that moves between
+     * zones gets workers of its present zone, and workers listed later join its group.
+     */
+    @Test
+    void followsPlacementOfClassThatIsReplacedManyTimes() {
+        final int changes = 500;
+        final RecordingHost host =
+                new RecordingHost(settings(List.of(SAFE)))
+                        .list(EndpointListForm.CACHED, at(1, 0), at(2, 1), at(3, 1));
+        for (int i = 0; i < changes; i++) {
+            final int zone = i % 2;
+            final RequestClass placed =
+                    placedClass(
+                            Idempotency.SAFE,
+                            DeduplicationScope.ALL,
+                            new Placement(List.of(zone), null));
+            host.dispatcher.settingsChanged(host.nowUs, with(List.of(placed), 4), replaced(0));
+            host.list(EndpointListForm.CHANGES, at(10 + i, zone));
+            host.request(i, 0);
+            final int worker = host.lastSend().worker();
+            assertThat(worker < 10 ? (worker == 1 ? 0 : 1) : (worker - 10) % 2).isEqualTo(zone);
+            host.end(i, 0, worker, Outcome.SERVED);
+        }
+    }
+
+    @Test
+    void rejectsChangeOfClassThatIsNotReplaced() {
+        final RequestClass changed = requestClass(2, Idempotency.SAFE, DeduplicationScope.ALL);
+        final RecordingHost host = new RecordingHost(settings(List.of(SAFE, SAFE)));
+        assertThatThrownBy(
+                        () ->
+                                host.dispatcher.settingsChanged(
+                                        host.nowUs,
+                                        with(List.of(changed, changed), 4),
+                                        replaced(0)))
+                .isInstanceOf(IllegalArgumentException.class);
+    }
 }
--- a/src/test/java/cresschute/node/SettingsReloadRaceTest.java
+++ b/src/test/java/cresschute/node/SettingsReloadRaceTest.java
@@ -24,12 +24,15 @@
             textBlock =
                     """
                     gone    | "name":"file"       | "name":"other"      | 404
-                    shorter | "deadlineUs":5000000 | "deadlineUs":4000000 | requested 1 class 3
+                    shorter | "deadlineUs":5000000 | "deadlineUs":4000000 | requested 3 class 3
                     """)
     void appliesSettingsInForceAtLastByteOfRequest(
             String scenario, String from, String to, String expected) throws Exception {
-        try (TestNode node = new TestNode();
+        try (TestNode node = new TestNode(SEND_NOTHING);
+                Peer first = node.client();
+                Peer second = node.client();
                 Peer client = node.client()) {
+            openRequestOfEachClass(node, first, second);
             client.write(
                     "POST /file HTTP/1.1\r\nX-Request-Id: r1\r\nIdempotency-Key: k\r\n"
                             + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n");
@@ -46,6 +49,17 @@
         }
     }
 
+    /** Keeps both numbers in use, so that a changed class gets another one. */
+    private static void openRequestOfEachClass(TestNode node, Peer first, Peer second)
+            throws Exception {
+        first.write("POST /check HTTP/1.1\r\nX-Request-Id: c1\r\nContent-Length: 0\r\n\r\n");
+        assertThat(node.event()).isEqualTo("requested 1 class 0 key 0");
+        second.write(
+                "POST /file HTTP/1.1\r\nX-Request-Id: f1\r\nIdempotency-Key: f\r\n"
+                        + "Content-Length: 0\r\n\r\n");
+        assertThat(node.event()).isEqualTo("requested 2 class 1 key 0");
+    }
+
     /**
      * Two requests on one connection each use the settings in force when they were accepted; the
      * second one inherits no key or deadline from the first.
@@ -53,19 +67,22 @@
     @Test
     void usesNoFieldOfPreviousRequestOnConnection() throws Exception {
         try (TestNode node = new TestNode(SEND_NOTHING);
+                Peer first = node.client();
+                Peer second = node.client();
                 Peer client = node.client()) {
+            openRequestOfEachClass(node, first, second);
             client.write(
                     "POST /file?obj=2a HTTP/1.1\r\nX-Request-Id: r1\r\nIdempotency-Key: k\r\n"
                             + "X-Deadline: 900m\r\nContent-Length: 4\r\n\r\nbody");
-            assertThat(node.event()).isEqualTo("requested 1 class 1 key 42");
+            assertThat(node.event()).isEqualTo("requested 3 class 1 key 42");
             final String text =
                     node.configText()
                             .replace("\"idempotency\":\"pure\"", "\"idempotency\":\"side_effect\"");
             node.server.reload(() -> NodeConfigParser.parse(text, java.util.Map.of()));
             assertThat(node.event()).startsWith("settings changed");
             client.write("POST /check HTTP/1.1\r\nX-Request-Id: r2\r\nContent-Length: 0\r\n\r\n");
-            assertThat(node.event()).isEqualTo("requested 2 class 2 key 0");
-            node.act(actions -> actions.send(2, 0, Long.MAX_VALUE));
+            assertThat(node.event()).isEqualTo("requested 4 class 2 key 0");
+            node.act(actions -> actions.send(4, 0, Long.MAX_VALUE));
             assertThat(node.worker().read())
                     .doesNotContainIgnoringCase("Idempotency-Key")
                     .endsWith("\r\n\r\n")
--- a/src/test/java/cresschute/node/SettingsReloadRulesTest.java
+++ b/src/test/java/cresschute/node/SettingsReloadRulesTest.java
@@ -102,4 +102,62 @@
             assertThat(node.event()).as(scenario).isEqualTo("requested 1 class 1 key 42");
         }
     }
+
+    private static String withDeadline(String text, int deadlineMs) {
+        return text.replace("\"deadlineUs\":5000000", "\"deadlineUs\":" + deadlineMs + "000");
+    }
+
+    /**
+     * Guards against a node that applies no settings any more after many changed ones: class
+     * numbers ran out after 64 changes. Open requests keep their class all along.
+     */
+    @Test
+    void appliesChangedClassesHoweverManyConfigurationsCame() throws Exception {
+        final int reloads = 150;
+        try (TestNode node = new TestNode();
+                Peer early = node.client();
+                Peer late = node.client()) {
+            early.write(post("file", "r1"));
+            assertThat(node.event()).isEqualTo("requested 1 class 1 key 42");
+            final Peer worker = node.worker();
+            assertThat(worker.read()).contains("POST /file");
+            final String text = node.configText();
+            for (int i = 1; i <= reloads; i++) {
+                reload(node, withDeadline(text, 4_000 + i % 2));
+                assertThat(node.event()).as("reload " + i).startsWith("settings changed");
+            }
+            reload(node, text.replace(FILE_CLASS.strip(), REPORT_CLASS.strip()));
+            assertThat(node.event()).isEqualTo("settings changed: 3 classes, attempts 1");
+            late.write(post("report", "r2"));
+            assertThat(node.event()).isEqualTo("requested 2 class 2 key 42");
+            worker.write(answer("200 OK", "", done("r1")));
+            assertThat(early.read()).startsWith("HTTP/1.1 200").endsWith("yes");
+        }
+    }
+
+    /** A request that waits behind others of its connection keeps its class as well. */
+    @Test
+    void queuedRequestKeepsItsClass() throws Exception {
+        final int maxInFlight = 16;
+        try (TestNode node = new TestNode((actions, request) -> {});
+                Peer client = node.client()) {
+            for (int i = 1; i <= maxInFlight; i++) {
+                client.write(post("check", "r" + i));
+                assertThat(node.event()).isEqualTo("requested " + i + " class 0 key 42");
+            }
+            client.write(post("file", "queued"));
+            // The queued request is read before a request that comes later on another connection.
+            try (Peer other = node.client()) {
+                other.write(post("check", "other"));
+                assertThat(node.event()).isEqualTo("requested 17 class 0 key 42");
+            }
+            assertThat(node.event()).isEqualTo("left 17");
+            reload(node, node.configText().replace(FILE_CLASS.strip(), REPORT_CLASS.strip()));
+            assertThat(node.event()).isEqualTo("settings changed: 3 classes, attempts 1");
+            node.act(actions -> actions.reject(1, 0));
+            assertThat(client.read()).startsWith("HTTP/1.1 503");
+            assertThat(node.event()).startsWith("listed FAILED");
+            assertThat(node.event()).isEqualTo("requested 18 class 1 key 42");
+        }
+    }
 }
--- a/src/test/java/cresschute/node/TestNode.java
+++ b/src/test/java/cresschute/node/TestNode.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import cresschute.dispatch.ClassChanges;
 import cresschute.dispatch.DispatchSettings;
 import cresschute.dispatch.DispatcherActions;
 import cresschute.dispatch.DispatcherEvents;
@@ -367,7 +368,8 @@
         }
 
         @Override
-        public void settingsChanged(long nowUs, DispatchSettings settings) {
+        public void settingsChanged(
+                long nowUs, DispatchSettings settings, ClassChanges classChanges) {
             events.add(
                     "settings changed: "
                             + settings.classes().size()
