Go on after an error on the event loop, in a turn and in repeated tasks

Callers saw: after the first OutOfMemoryError the process exits with code 0, and all that it had taken is cut off.

Netty's handler of sockets passes errors on, its loop has no handler for them, and the node's only thread ends.

Change: ErrorTolerantIoHandler logs an error and goes on.

--- a/src/main/java/cresschute/control/files/SharedOperatorState.java
+++ b/src/main/java/cresschute/control/files/SharedOperatorState.java
@@ -3,6 +3,7 @@
 import cresschute.control.DamagedFileException;
 import cresschute.control.OperatorState;
 import cresschute.logs.LogEvent;
+import cresschute.logs.RepeatedTask;
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
@@ -127,7 +128,10 @@
             throw e.getCause() instanceof IOException io ? io : new IOException(e.getCause());
         }
         shared.fileThread.scheduleWithFixedDelay(
-                shared::poll, POLL_INTERVAL_MS, POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
+                new RepeatedTask("operators' state", shared::poll),
+                POLL_INTERVAL_MS,
+                POLL_INTERVAL_MS,
+                TimeUnit.MILLISECONDS);
         return new Opened(shared, found.orElse(OperatorState.NONE));
     }
 
--- a/src/main/java/cresschute/node/ControlService.java
+++ b/src/main/java/cresschute/node/ControlService.java
@@ -6,6 +6,7 @@
 import cresschute.dispatch.LoadReport;
 import cresschute.dispatch.Worker;
 import cresschute.dispatch.WorkerState;
+import cresschute.logs.RepeatedTask;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -89,7 +90,10 @@
             server.get().listen();
         }
         loop.scheduleWithFixedDelay(
-                this::update, UPDATE_INTERVAL_MS, UPDATE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+                new RepeatedTask("consoles", this::update),
+                UPDATE_INTERVAL_MS,
+                UPDATE_INTERVAL_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     /** Shows consoles that the node's shutdown has begun. Call on the event loop. */
--- a/src/main/java/cresschute/node/DispatcherTurn.java
+++ b/src/main/java/cresschute/node/DispatcherTurn.java
@@ -11,8 +11,9 @@
 /**
  * Queues the events of one pass of the event loop and runs the turn that follows: reports all
  * events to the dispatcher in order and with one clock reading, then runs the actions that the
- * dispatcher asked for in order. Owns the pending events and actions. Lives as long as the node;
- * call from the event loop.
+ * dispatcher asked for in order. A failure of one of them, errors included, does not keep the
+ * others from running. Owns the pending events and actions. Lives as long as the node; call from
+ * the event loop.
  */
 final class DispatcherTurn {
 
@@ -111,7 +112,7 @@
         for (final Event event : due) {
             try {
                 event.report().accept(nowUs);
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 LogEvent.of(
                                 "module_failed",
                                 "the dispatcher failed on an event; failing the request of the"
@@ -130,7 +131,7 @@
         for (final Runnable action : due) {
             try {
                 action.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 LogEvent.of(
                                 "action_failed",
                                 "an action of the dispatcher failed; continuing with the next"
--- a/src/main/java/cresschute/node/GracefulShutdown.java
+++ b/src/main/java/cresschute/node/GracefulShutdown.java
@@ -1,6 +1,7 @@
 package cresschute.node;
 
 import cresschute.logs.LogEvent;
+import cresschute.logs.RepeatedTask;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.OptionalLong;
@@ -133,7 +134,11 @@
                         "no longer accepting: " + steps.unanswered() + " requests are unanswered")
                 .with("count", steps.unanswered())
                 .log(LOG, Level.INFO);
-        loop.scheduleWithFixedDelay(this::closeIfDone, 0, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(
+                new RepeatedTask("shutdown", this::closeIfDone),
+                0,
+                CHECK_INTERVAL_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     /**
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -5,6 +5,7 @@
 import cresschute.dispatch.DispatcherActions;
 import cresschute.dispatch.DispatcherEvents;
 import cresschute.logs.LogEvent;
+import cresschute.logs.RepeatedTask;
 import cresschute.node.http.ClientListener;
 import cresschute.node.http.DiscoveryClient;
 import cresschute.node.http.WorkerConnectionPool;
@@ -43,7 +44,8 @@
     private static final Logger LOG = System.getLogger("cresschute.node");
 
     private final EventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+            new MultiThreadIoEventLoopGroup(
+                    1, ErrorTolerantIoHandler.factory(NioIoHandler.newFactory()));
     private final EventLoop loop = group.next();
     private final NodeConfig config;
     private final OperatorServices operators;
@@ -188,7 +190,10 @@
         requireBound(bound, "", config.listen());
         operators.listen();
         loop.scheduleWithFixedDelay(
-                statusLog::log, STATUS_INTERVAL_S, STATUS_INTERVAL_S, TimeUnit.SECONDS);
+                new RepeatedTask("status log", statusLog::log),
+                STATUS_INTERVAL_S,
+                STATUS_INTERVAL_S,
+                TimeUnit.SECONDS);
         final SocketAddress address = bound.channel().localAddress();
         LogEvent.of("listening", "node " + config.name() + " listens on " + address)
                 .with("node", config.name())
--- a/src/main/java/cresschute/node/http/ClientListener.java
+++ b/src/main/java/cresschute/node/http/ClientListener.java
@@ -2,6 +2,7 @@
 
 import cresschute.dispatch.RequestClass;
 import cresschute.dispatch.Tenant;
+import cresschute.logs.RepeatedTask;
 import cresschute.node.NodeConfig;
 import cresschute.node.PeerFault;
 import cresschute.node.ReadinessSwitch;
@@ -132,7 +133,11 @@
      */
     public ChannelFuture listen(
             EventLoopGroup group, InetSocketAddress addr, ServerSocketChannel passedSocket) {
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(
+                new RepeatedTask("client connections", this::sweep),
+                SWEEP_MS,
+                SWEEP_MS,
+                TimeUnit.MILLISECONDS);
         hasPassedSocket = passedSocket != null;
         final ServerBootstrap bootstrap = new ServerBootstrap().group(group);
         if (hasPassedSocket) {
--- a/src/main/java/cresschute/node/http/ResponseQueue.java
+++ b/src/main/java/cresschute/node/http/ResponseQueue.java
@@ -63,10 +63,13 @@
             return;
         }
         flushing = true;
-        do {
-            writeComplete();
-        } while (submitter.submitNext(pending.size()));
-        flushing = false;
+        try {
+            do {
+                writeComplete();
+            } while (submitter.submitNext(pending.size()));
+        } finally {
+            flushing = false;
+        }
         if (!pending.isEmpty()) {
             pending.peek().startStreaming();
         }
--- a/src/main/java/cresschute/peers/socket/PeerSocket.java
+++ b/src/main/java/cresschute/peers/socket/PeerSocket.java
@@ -1,5 +1,6 @@
 package cresschute.peers.socket;
 
+import cresschute.logs.RepeatedTask;
 import cresschute.peers.LoadExchange;
 import cresschute.peers.LoadGossiper;
 import cresschute.peers.LoadMessage;
@@ -96,7 +97,8 @@
     /** Starts to send to these peers. Must be called after the socket is bound. */
     public void sendTo(List<InetSocketAddress> addresses) {
         peers = List.copyOf(addresses);
-        loop.scheduleWithFixedDelay(this::poll, 0, POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(
+                new RepeatedTask("peers", this::poll), 0, POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
     /** The address to which the socket is bound. */
--- a/src/test/java/cresschute/node/RequestLifecycleTest.java
+++ b/src/test/java/cresschute/node/RequestLifecycleTest.java
@@ -18,6 +18,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the request life cycle alone, on an event loop that the test advances. */
 class RequestLifecycleTest implements ResponseListener {
@@ -31,7 +33,7 @@
     private final List<AttemptListener> attempts = new ArrayList<>();
     private final List<Integer> aborted = new ArrayList<>();
     private long nowUs = 1_000_000;
-    private boolean dispatcherThrows;
+    private Throwable dispatcherFailure;
     private int sendsPerRequest = 1;
     private boolean connectionsThrow;
     private long readPausedUs;
@@ -104,9 +106,8 @@
                         getClass().getClassLoader(),
                         new Class<?>[] {DispatcherEvents.class},
                         (proxy, method, args) -> {
-                            if (dispatcherThrows) {
-                                throw new IllegalStateException(
-                                        "dispatcher failure injected by the test");
+                            if (dispatcherFailure != null) {
+                                throw dispatcherFailure;
                             }
                             final boolean end = method.getName().equals("attemptEnded");
                             events.add(
@@ -272,9 +273,11 @@
         assertThat(lifecycle.invariant().total()).isPositive();
     }
 
-    @Test
-    void failsRequestIfDispatcherThrows() {
-        dispatcherThrows = true;
+    /** An error ends neither the turn nor the event loop, any more than an exception does. */
+    @ParameterizedTest
+    @ValueSource(classes = {IllegalStateException.class, StackOverflowError.class})
+    void failsRequestIfDispatcherThrows(Class<? extends Throwable> failure) throws Exception {
+        dispatcherFailure = failure.getConstructor(String.class).newInstance("failure of the test");
         assertThatThrownBy(this::submit).hasMessageContaining("module failed");
         assertThat(events).containsExactly("failed");
         assertThat(lifecycle.unanswered()).isZero();
