One quota class for three limits; encoding, framing and binding in classes of their own

Change: MemoryQuota counts for all three; AttemptRequestEncoder, RequestFraming and ListenerBinding hold what moved. Behaviour is the same.

--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -177,7 +177,7 @@
         operators.open(lifecycle, clientListener);
         if (peers != null) {
             peers.onRefresh(lifecycle::loadsRefreshed);
-            requireBound(
+            ListenerBinding.requireBound(
                     peers.listen(config.peers().listen()), "for peers ", config.peers().listen());
         }
         loop.execute(
@@ -187,7 +187,7 @@
                                 discovery == null ? () -> {} : discovery,
                                 config.initialEndpoints()));
         final ChannelFuture bound = clientListener.listen(group, config.listen(), passedListener);
-        requireBound(bound, "", config.listen());
+        ListenerBinding.requireBound(bound, "", config.listen());
         operators.listen();
         loop.scheduleWithFixedDelay(
                 new RepeatedTask("status log", statusLog::log),
@@ -202,20 +202,6 @@
         return address;
     }
 
-    private static void requireBound(
-            ChannelFuture bound, String purpose, InetSocketAddress address) {
-        if (!bound.awaitUninterruptibly().isSuccess()) {
-            throw new NodeStartException(
-                    "cannot listen "
-                            + purpose
-                            + "on "
-                            + Addresses.format(address)
-                            + ": "
-                            + bound.cause().getMessage(),
-                    bound.cause());
-        }
-    }
-
     // ---- Reload ----
 
     /**
--- a/src/main/java/cresschute/node/http/ClientListener.java
+++ b/src/main/java/cresschute/node/http/ClientListener.java
@@ -60,8 +60,8 @@
     /** Null if no class streams bodies. */
     private final StreamedBodies bodies;
 
-    private final RequestMemory requestMemory =
-            RequestMemory.ofHeap(Runtime.getRuntime().maxMemory());
+    private final RequestMemory requestMemory = RequestMemory.ofHeap();
+    private final MemoryQuota queuedMemory = new MemoryQuota(MAX_QUEUED_BYTES);
     private RequestHeadParser parser;
     private Channel serverChannel;
 
@@ -72,7 +72,6 @@
 
     private boolean notReady;
     private boolean stoppedListening;
-    private int queuedBytes;
     private boolean draining;
 
     /** The number of drains so far, so that a timer acts only for the drain that started it. */
@@ -347,22 +346,9 @@
         return bodies != null && bodies.limits(requestClass).streamsResults();
     }
 
-    /**
-     * Reserves memory for a queued request.
-     *
-     * @return false if the queues of all connections would exceed their common limit
-     */
-    boolean reserveQueued(int bytes) {
-        if (queuedBytes + bytes > MAX_QUEUED_BYTES) {
-            return false;
-        }
-        queuedBytes += bytes;
-        return true;
-    }
-
-    /** Releases memory that {@link #reserveQueued} reserved. */
-    void releaseQueued(int bytes) {
-        queuedBytes -= bytes;
+    /** The memory of the queued requests of all connections. */
+    MemoryQuota queuedMemory() {
+        return queuedMemory;
     }
 
     /** The memory of the requests of all connections. */
--- a/src/main/java/cresschute/node/http/HttpAttempt.java
+++ b/src/main/java/cresschute/node/http/HttpAttempt.java
@@ -10,17 +10,10 @@
 import cresschute.node.RequestContent;
 import cresschute.node.ResultStream;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpVersion;
 
 /**
  * An attempt of a request at one worker. It sends the request as received from the client and reads
@@ -56,7 +49,7 @@
     /** Writes a streamed body; null if the request is sent whole. */
     private final BodyTransfer transfer;
 
-    private final LineMemory lineMemory;
+    private final MemoryQuota lineMemory;
     private ProgressLineReader lineReader;
 
     /** The load report in the response's header, or {@link LoadReport#NONE}. */
@@ -85,7 +78,7 @@
             RequestContent content,
             AttemptListener listener,
             RateLimitedLog faults,
-            LineMemory lineMemory) {
+            MemoryQuota lineMemory) {
         this.host = host;
         this.requestId = content.requestId();
         this.content = content;
@@ -104,37 +97,11 @@
     @Override
     HttpRequest request() {
         final HttpRequest request =
-                transfer != null
-                        ? new DefaultHttpRequest(
-                                HttpVersion.HTTP_1_1, HttpMethod.POST, content.target())
-                        : new DefaultFullHttpRequest(
-                                HttpVersion.HTTP_1_1,
-                                HttpMethod.POST,
-                                content.target(),
-                                Unpooled.wrappedBuffer(content.body()));
-        request.headers()
-                .set(HttpHeaderNames.HOST, host)
-                .set(HeaderNames.REQUEST_ID, requestId)
-                .set(HeaderNames.DEADLINE, DeadlineHeader.format(listener.remainingUs()));
-        final long length = bodyLength();
-        if (length == StreamedRequestBody.UNKNOWN_LENGTH) {
-            request.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-        } else {
-            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
-        }
-        if (content.idempotencyKey() != null) {
-            request.headers().set(HeaderNames.IDEMPOTENCY_KEY, content.idempotencyKey());
-        }
+                AttemptRequestEncoder.encode(host, content, listener.remainingUs());
         content = null;
         return request;
     }
 
-    private long bodyLength() {
-        return content.longBody() instanceof StreamedRequestBody body
-                ? body.length()
-                : content.body().length;
-    }
-
     @Override
     BodyTransfer bodyTransfer() {
         return transfer;
--- a/src/main/java/cresschute/node/http/ProgressLineReader.java
+++ b/src/main/java/cresschute/node/http/ProgressLineReader.java
@@ -8,7 +8,7 @@
  * Splits a response into lines, independent of its chunk boundaries. The buffer grows as needed and
  * is compacted in place.
  *
- * <p>Owns the buffer and its reservation in the {@link LineMemory}; {@link #close} releases both.
+ * <p>Owns the buffer and its reservation in the {@link MemoryQuota}; {@link #close} releases both.
  * One per response; used by one thread.
  */
 final class ProgressLineReader {
@@ -21,7 +21,7 @@
 
     private static final byte[] CLOSED = new byte[0];
 
-    private final LineMemory memory;
+    private final MemoryQuota memory;
     private byte[] bytes = new byte[INITIAL_BYTES];
     private int reservedBytes;
 
@@ -35,7 +35,7 @@
     private int end;
 
     /** Creates a reader that reserves its buffer in this memory. */
-    ProgressLineReader(LineMemory memory) {
+    ProgressLineReader(MemoryQuota memory) {
         this.memory = memory;
     }
 
--- a/src/main/java/cresschute/node/http/RequestAssembler.java
+++ b/src/main/java/cresschute/node/http/RequestAssembler.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -127,34 +126,16 @@
         responses.add(current);
         head = null;
         buffer.clear();
-        if (!isSupported(next.protocolVersion())) {
+        if (!RequestFraming.isSupported(next.protocolVersion())) {
             current.failAndClose(
                     HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "HTTP/1.1 and HTTP/1.0 alone");
-        } else if (isLengthAmbiguous(next)) {
+        } else if (RequestFraming.isLengthAmbiguous(next)) {
             rejectMalformed();
         } else {
             startBody(next, HttpUtil.getContentLength(next, 0L));
         }
     }
 
-    private static boolean isSupported(HttpVersion version) {
-        return version.equals(HttpVersion.HTTP_1_1) || version.equals(HttpVersion.HTTP_1_0);
-    }
-
-    /**
-     * Whether servers may disagree about the end of the body, so that it could hide a second
-     * request: its length is given twice, or by an unknown transfer coding. The codec accepts some
-     * of these.
-     */
-    private static boolean isLengthAmbiguous(HttpRequest next) {
-        final String coding =
-                String.join(",", next.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING));
-        return !coding.isEmpty()
-                && (next.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-                        || !coding.strip().equalsIgnoreCase("chunked")
-                        || !next.protocolVersion().equals(HttpVersion.HTTP_1_1));
-    }
-
     private void startBody(HttpRequest next, long length) {
         buffer.start(length);
         if (length > listener.maxBodyBytes()) {
--- a/src/main/java/cresschute/node/http/RequestMemory.java
+++ b/src/main/java/cresschute/node/http/RequestMemory.java
@@ -5,9 +5,9 @@
  * requests can exhaust it. Incomplete bodies may take only a part of it, because a client may stop
  * in the middle of a body: the rest is always left for requests that have arrived whole.
  *
- * <p>Owns the counts of reserved bytes. Whoever reserves bytes releases them: {@link
- * RequestBodyBuffer} those of an incomplete body, {@link PendingResponse} those of a whole request.
- * Lives as long as the listener; call from the event loop.
+ * <p>Owns the quotas. Whoever reserves bytes releases them: {@link RequestBodyBuffer} those of an
+ * incomplete body, {@link PendingResponse} those of a whole request. Lives as long as the listener;
+ * call from the event loop.
  */
 final class RequestMemory {
 
@@ -20,24 +20,22 @@
     /** The fraction of that memory that incomplete bodies may take. */
     private static final double INCOMPLETE_FRACTION = 0.5;
 
-    private final long maxBytes;
-    private final long maxIncompleteBytes;
-    private long requestBytes;
-    private long incompleteBytes;
+    private final MemoryQuota total;
+    private final MemoryQuota incomplete;
 
     /**
      * Creates a memory of which nothing is reserved.
      *
-     * @param maxBytes the limit of all reservations together, bytes
+     * @param total the quota of all reservations together
      */
-    RequestMemory(long maxBytes) {
-        this.maxBytes = maxBytes;
-        this.maxIncompleteBytes = (long) (maxBytes * INCOMPLETE_FRACTION);
+    RequestMemory(MemoryQuota total) {
+        this.total = total;
+        this.incomplete = new MemoryQuota((long) (total.maxBytes() * INCOMPLETE_FRACTION));
     }
 
-    /** Creates the memory of a process whose heap may grow to {@code heapBytes}. */
-    static RequestMemory ofHeap(long heapBytes) {
-        return new RequestMemory((long) (heapBytes * HEAP_FRACTION));
+    /** Creates the memory of this process. */
+    static RequestMemory ofHeap() {
+        return new RequestMemory(MemoryQuota.ofHeap(HEAP_FRACTION));
     }
 
     /** The bytes that a whole request takes, including its body of {@code bodyBytes}. */
@@ -48,34 +46,34 @@
 
     /** Reserves bytes for a whole request; returns false if they exceed the limit. */
     boolean reserveRequest(int bytes) {
-        if (inUseBytes() + bytes > maxBytes) {
-            return false;
-        }
-        requestBytes += bytes;
-        return true;
+        return total.reserve(bytes);
     }
 
     /** Releases bytes that {@link #reserveRequest} reserved. */
     void releaseRequest(int bytes) {
-        requestBytes -= bytes;
+        total.release(bytes);
     }
 
     /** Reserves bytes for an incomplete body; returns false if they exceed a limit. */
     boolean reserveIncomplete(int bytes) {
-        if (incompleteBytes + bytes > maxIncompleteBytes || inUseBytes() + bytes > maxBytes) {
+        if (!incomplete.reserve(bytes)) {
+            return false;
+        }
+        if (!total.reserve(bytes)) {
+            incomplete.release(bytes);
             return false;
         }
-        incompleteBytes += bytes;
         return true;
     }
 
     /** Releases bytes that {@link #reserveIncomplete} reserved. */
     void releaseIncomplete(int bytes) {
-        incompleteBytes -= bytes;
+        incomplete.release(bytes);
+        total.release(bytes);
     }
 
     /** The bytes that are reserved now. */
     long inUseBytes() {
-        return requestBytes + incompleteBytes;
+        return total.reservedBytes();
     }
 }
--- a/src/main/java/cresschute/node/http/RequestSubmitter.java
+++ b/src/main/java/cresschute/node/http/RequestSubmitter.java
@@ -13,8 +13,8 @@
  *
  * <p>Queued requests are read from the socket rather than left there, because the node would not
  * notice a client's close while reading is paused. Their memory counts against a limit for all
- * connections together ({@link ClientListener#reserveQueued}); a request beyond it is rejected.
- * This class owns the reservations and releases each of them once.
+ * connections together ({@link ClientListener#queuedMemory}); a request beyond it is rejected. This
+ * class owns the reservations and releases each of them once.
  *
  * <p>One per connection; call from the channel's event loop.
  */
@@ -61,7 +61,7 @@
             return;
         }
         final QueuedRequest next = new QueuedRequest(response, head, body, System.nanoTime());
-        if (listener.reserveQueued(next.costBytes())) {
+        if (listener.queuedMemory().reserve(next.costBytes())) {
             queued.add(next);
         } else {
             response.reject(listener.lifecycle().retryAfterUs());
@@ -85,7 +85,7 @@
             return false;
         }
         final QueuedRequest next = queued.poll();
-        listener.releaseQueued(next.costBytes());
+        listener.queuedMemory().release(next.costBytes());
         submit(next.response(), next.headAt(System.nanoTime()), next.body(), null);
         return true;
     }
@@ -122,7 +122,7 @@
 
     /** Drops all queued requests; the caller completes or drops their responses. */
     void clear() {
-        queued.forEach(each -> listener.releaseQueued(each.costBytes()));
+        queued.forEach(each -> listener.queuedMemory().release(each.costBytes()));
         queued.clear();
     }
 }
--- a/src/main/java/cresschute/node/http/WorkerConnectionPool.java
+++ b/src/main/java/cresschute/node/http/WorkerConnectionPool.java
@@ -46,11 +46,17 @@
 
     private static final long US_PER_MS = 1_000;
 
+    /**
+     * The fraction of the heap that the unfinished lines of all workers may take, because a worker
+     * may send a line that never ends.
+     */
+    private static final double LINE_HEAP_FRACTION = 0.125;
+
     private final EventLoop loop;
     private final RateLimitedLog faults;
     private final int maxConnections;
     private final Bootstrap bootstrap;
-    private final LineMemory lineMemory = LineMemory.ofHeap(Runtime.getRuntime().maxMemory());
+    private final MemoryQuota lineMemory = MemoryQuota.ofHeap(LINE_HEAP_FRACTION);
     private final Map<InetSocketAddress, Deque<WorkerConnection>> idle = new HashMap<>();
 
     /** Idle timeout of connections, us. */
--- a/src/test/java/cresschute/node/http/ParsersTest.java
+++ b/src/test/java/cresschute/node/http/ParsersTest.java
@@ -84,7 +84,7 @@
                 .isInstanceOf(JsonParseException.class);
     }
 
-    private final LineMemory lineMemory = new LineMemory(2 * ProgressLineReader.MAX_BYTES);
+    private final MemoryQuota lineMemory = new MemoryQuota(2 * ProgressLineReader.MAX_BYTES);
 
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 3, 5, 7, 100})
@@ -118,7 +118,7 @@
     @Test
     void rejectsLineWithoutMemoryAndReleasesItWhenClosed() {
         final int line = 8 * 1024;
-        final LineMemory memory = new LineMemory(line);
+        final MemoryQuota memory = new MemoryQuota(line);
         final ProgressLineReader first = new ProgressLineReader(memory);
         final ProgressLineReader second = new ProgressLineReader(memory);
         assertThat(first.add(Unpooled.wrappedBuffer(new byte[line]))).isTrue();
--- a/src/test/java/cresschute/node/http/RequestBodyBufferTest.java
+++ b/src/test/java/cresschute/node/http/RequestBodyBufferTest.java
@@ -12,7 +12,7 @@
 
     private static final int MEMORY_BYTES = 4 * RequestBodyBuffer.MAX_BYTES;
 
-    private final RequestMemory memory = new RequestMemory(MEMORY_BYTES);
+    private final RequestMemory memory = new RequestMemory(new MemoryQuota(MEMORY_BYTES));
     private final RequestBodyBuffer buffer = new RequestBodyBuffer(memory);
 
     private void add(String text) {
--- a/src/test/java/cresschute/node/http/RequestMemoryTest.java
+++ b/src/test/java/cresschute/node/http/RequestMemoryTest.java
@@ -10,7 +10,7 @@
 
     private static final int MAX_BYTES = 1_000;
 
-    private final RequestMemory memory = new RequestMemory(MAX_BYTES);
+    private final RequestMemory memory = new RequestMemory(new MemoryQuota(MAX_BYTES));
 
     @Test
     void reservesUpToLimitAndAgainAfterRelease() {
--- a/src/test/java/cresschute/node/http/WorkerConnectionTest.java
+++ b/src/test/java/cresschute/node/http/WorkerConnectionTest.java
@@ -43,7 +43,7 @@
                         new RequestContent("r1", "/check", null, new byte[0]),
                         recorded,
                         faults,
-                        new LineMemory(ProgressLineReader.MAX_BYTES)));
+                        new MemoryQuota(ProgressLineReader.MAX_BYTES)));
         channel.writeInbound(
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK),
                 new DefaultHttpContent(
