Bound the memory of results that wait for earlier responses of their connection

Callers saw, in a test: 100 clients send a job that is not answered and 15 more behind it, with results of 65,000 bytes; the node ends for lack of heap.

Cause: a finished request's result waits in ResponseQueue until the earlier responses are written, and nothing bounded how many do.

Change: a result over 1 KiB that waits takes its bytes from the memory of requests; one that does not fit is answered 500, since its job has run.

--- a/src/main/java/cresschute/node/http/ClientListener.java
+++ b/src/main/java/cresschute/node/http/ClientListener.java
@@ -361,11 +361,9 @@
         return requestMemory.inUseBytes();
     }
 
-    /** Logs that a request is rejected because there is no memory for it. */
-    void reportMemoryExceeded() {
-        lifecycle
-                .faults()
-                .fault(PeerFault.REQUEST_MEMORY_EXCEEDED, null, "rejecting a client's request");
+    /** Logs that the memory for requests does not suffice, and what follows from that. */
+    void reportMemoryExceeded(String consequence) {
+        lifecycle.faults().fault(PeerFault.REQUEST_MEMORY_EXCEEDED, null, consequence);
     }
 
     /** The bytes of the buffer budget that streamed bodies use or have reserved. */
--- a/src/main/java/cresschute/node/http/PendingResponse.java
+++ b/src/main/java/cresschute/node/http/PendingResponse.java
@@ -6,7 +6,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -15,7 +14,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import java.nio.charset.StandardCharsets;
 
 /**
  * The response to one request, in the order of its connection's requests ({@link ResponseQueue}).
@@ -30,8 +28,11 @@
  */
 final class PendingResponse implements ResponseListener, BodyTransferListener {
 
-    private static final String ALLOWED_METHODS = "GET, POST";
     private static final String REJECTED = "refused";
+    private static final String FAILED = "failed\n";
+
+    /** The longest body of a response that may wait without a reservation of memory, bytes. */
+    private static final int MAX_UNRESERVED_BYTES = 1024;
 
     private final ClientConnection connection;
     private final boolean isHttp10;
@@ -60,7 +61,7 @@
     /** The whole response; null until it is complete, and if the result is streamed. */
     private FullHttpResponse response;
 
-    /** The bytes that the request has reserved in the {@link RequestMemory}. */
+    /** The bytes that the request, later its response, has reserved in the request memory. */
     private int reservedBytes;
 
     private PendingResponse(ClientConnection connection, boolean keepAlive, boolean isHttp10) {
@@ -143,8 +144,8 @@
         release();
     }
 
-    /** Releases the request's memory, its body and the result, which are not needed any more. */
-    private void release() {
+    /** Releases the reserved memory, the body and the result, which are not needed any more. */
+    void release() {
         connection.listener().requestMemory().releaseRequest(reservedBytes);
         reservedBytes = 0;
         if (transfer != null) {
@@ -193,7 +194,7 @@
             result.finish(false);
             return;
         }
-        complete(HttpResponseStatus.INTERNAL_SERVER_ERROR, "failed\n", 0);
+        complete(HttpResponseStatus.INTERNAL_SERVER_ERROR, FAILED, 0);
     }
 
     /** Completes with a status and an empty body, for a readiness check. */
@@ -243,19 +244,7 @@
     }
 
     private void complete(HttpResponseStatus status, String text, long retryAfterUs) {
-        response =
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        status,
-                        Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8)));
-        HttpUtil.setContentLength(response, response.content().readableBytes());
-        if (status.equals(HttpResponseStatus.METHOD_NOT_ALLOWED)) {
-            response.headers().set(HttpHeaderNames.ALLOW, ALLOWED_METHODS);
-        }
-        if (retryAfterUs > 0) {
-            response.headers()
-                    .set(HttpHeaderNames.RETRY_AFTER, RetryAfterHeader.format(retryAfterUs));
-        }
+        response = WholeResponse.of(status, text, retryAfterUs);
         if (isReceivingBody()) {
             // The request is answered before its last byte was read; the rest is discarded for a
             // while.
@@ -267,9 +256,23 @@
             }
         }
         release();
+        if (!reserveMemoryWhileWaiting()) {
+            connection
+                    .listener()
+                    .reportMemoryExceeded("a result waits for earlier responses; it is failed");
+            response = WholeResponse.of(HttpResponseStatus.INTERNAL_SERVER_ERROR, FAILED, 0);
+        }
         connection.responses().flush();
     }
 
+    /** Reserves memory for a long response that cannot be written yet; false if there is none. */
+    private boolean reserveMemoryWhileWaiting() {
+        final int bytes = response.content().readableBytes();
+        return bytes <= MAX_UNRESERVED_BYTES
+                || connection.responses().isNext(this)
+                || reserveMemory(bytes);
+    }
+
     // ---- A streamed result ----
 
     /**
--- a/src/main/java/cresschute/node/http/RequestAssembler.java
+++ b/src/main/java/cresschute/node/http/RequestAssembler.java
@@ -211,7 +211,7 @@
             buffer.skip(content.readableBytes());
         } else if (!buffer.add(content)) {
             buffer.clear();
-            listener.reportMemoryExceeded();
+            listener.reportMemoryExceeded("rejecting a client's request");
             current.rejectAndClose(listener.lifecycle().retryAfterUs());
         }
     }
--- a/src/main/java/cresschute/node/http/RequestSubmitter.java
+++ b/src/main/java/cresschute/node/http/RequestSubmitter.java
@@ -52,7 +52,7 @@
      */
     void submitOrQueue(PendingResponse response, RequestHead head, byte[] body, int unanswered) {
         if (!response.reserveMemory(RequestMemory.bytesOf(head, body.length))) {
-            listener.reportMemoryExceeded();
+            listener.reportMemoryExceeded("rejecting a client's request");
             response.reject(listener.lifecycle().retryAfterUs());
             return;
         }
--- a/src/main/java/cresschute/node/http/ResponseQueue.java
+++ b/src/main/java/cresschute/node/http/ResponseQueue.java
@@ -49,6 +49,11 @@
         return pending.isEmpty();
     }
 
+    /** Whether no earlier response is due. */
+    boolean isNext(PendingResponse response) {
+        return pending.peek() == response;
+    }
+
     /** Whether a streamed result is being written. */
     boolean isStreaming() {
         return !pending.isEmpty() && pending.peek().isStreaming();
@@ -87,6 +92,7 @@
             if (!keepAlive) {
                 next.response().headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
+            next.release();
             written(connection.context().writeAndFlush(next.response()), keepAlive);
         }
     }
--- a/src/test/java/cresschute/node/MemoryLimitTest.java
+++ b/src/test/java/cresschute/node/MemoryLimitTest.java
@@ -193,4 +193,37 @@
         node.awaitLine("there is no memory for it");
         assertNodeAnswers();
     }
+
+    /**
+     * Guards against results that wait behind an earlier response of their connection filling the
+     * memory.
+     */
+    @Test
+    void waitingResultsLeaveMemory() throws Exception {
+        final int connections = 100;
+        final int resultsOfEach = 15;
+        final String result = "z".repeat(BODY_BYTES);
+        start(
+                new AnsweringWorker(
+                        id ->
+                                id.startsWith("slow")
+                                        ? ""
+                                        : TestNode.answer(
+                                                "200 OK",
+                                                "",
+                                                "{\"id\":\""
+                                                        + id
+                                                        + "\",\"state\":\"done\",\"result\":\""
+                                                        + result
+                                                        + "\"}\n")));
+        for (int i = 0; i < connections; i++) {
+            final Peer client = connect().write(TestNode.request("slow" + i, "", ""));
+            for (int j = 0; j < resultsOfEach; j++) {
+                requestCount++;
+                client.write(TestNode.request("r" + requestCount, "", ""));
+            }
+        }
+        node.awaitLine("a result waits for earlier responses");
+        assertNodeAnswers();
+    }
 }
