Release the memory of a waiting result alone when it is written

Cause: the queue called release(), which also retires bodies and results once more. Change: releaseMemory() gives back the reservation and nothing else.

--- a/src/main/java/cresschute/node/http/PendingResponse.java
+++ b/src/main/java/cresschute/node/http/PendingResponse.java
@@ -145,9 +145,8 @@
     }
 
     /** Releases the reserved memory, the body and the result, which are not needed any more. */
-    void release() {
-        connection.listener().requestMemory().releaseRequest(reservedBytes);
-        reservedBytes = 0;
+    private void release() {
+        releaseMemory();
         if (transfer != null) {
             transfer.stop();
         }
@@ -159,6 +158,12 @@
         }
     }
 
+    /** Releases the reserved memory; called when the response is written, too. */
+    void releaseMemory() {
+        connection.listener().requestMemory().releaseRequest(reservedBytes);
+        reservedBytes = 0;
+    }
+
     // ---- A whole response ----
 
     /** Whether the whole response is ready to be written. */
--- a/src/main/java/cresschute/node/http/ResponseQueue.java
+++ b/src/main/java/cresschute/node/http/ResponseQueue.java
@@ -92,7 +92,7 @@
             if (!keepAlive) {
                 next.response().headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
-            next.release();
+            next.releaseMemory();
             written(connection.context().writeAndFlush(next.response()), keepAlive);
         }
     }
