Review case 10: a target with bytes outside ASCII reaches workers altered

It takes the place of the case of the upgrade, which shares its trouble, a slow discovery, with case 9.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,5 +1,4 @@
 #!/usr/bin/env bash
 # run.sh [seed N]; TROUBLE=0 runs the same without the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
-export LAUNCH="perl $here/../standins-2/pass-socket.pl"
-exec "$here/../standins-2/run-case.sh" "$here" UpgradeCase "$@"
+exec "$here/../standins-2/run-case.sh" "$here" TargetCase "$@"
--- a/review/standins-2/run-case.sh
+++ b/review/standins-2/run-case.sh
@@ -11,8 +11,7 @@
     echo "build first: the deploy file's build, then review/build-2.sh"
     exit 2
 fi
-# LAUNCH starts the Java program; a case may put a program of its own before it.
-timeout -k 3 116 ${LAUNCH:-java} -cp "$classes" "review2.$class" "$root" "$folder" "$seed"
+timeout -k 3 116 java -cp "$classes" "review2.$class" "$root" "$folder" "$seed"
 case $? in
     0) exit 0 ;;
     3) exit 1 ;;
--- a/review/standins-2/src/review2/Node.java
+++ b/review/standins-2/src/review2/Node.java
@@ -21,9 +21,6 @@
                 .replaceFirst("^run = \"", "").replaceFirst("\"\\s*$", "");
         final ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run);
         builder.directory(root.toFile()).redirectErrorStream(true);
-        if (environment.containsKey("BALANCER_PASSED_SOCKET")) {
-            builder.redirectInput(ProcessBuilder.Redirect.INHERIT);
-        }
         builder.environment().keySet().removeIf(name -> name.startsWith("BALANCER_"));
         builder.environment().put("BALANCER_CONFIG", config.toString());
         builder.environment().put("TMPDIR", tmp.toString());
@@ -40,19 +37,6 @@
         Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
     }
 
-    long pid() {
-        return process.pid();
-    }
-
-    boolean isAlive() {
-        return process.isAlive();
-    }
-
-    /** Sends SIGTERM. */
-    void terminate() {
-        process.destroy();
-    }
-
     /** Sends SIGKILL and waits for the end. */
     void kill() {
         process.destroyForcibly();
@@ -63,11 +47,6 @@
         }
     }
 
-    /** Sends another signal by its name. */
-    void signal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
-    }
-
     @Override
     public void close() {
         kill();
--- a/review/standins-2/src/review2/Site.java
+++ b/review/standins-2/src/review2/Site.java
@@ -41,11 +41,7 @@
     final Path config;
     final Discovery discovery;
     final List<Worker> workers = new ArrayList<>();
-
-    /** Where clients connect; {@code -Dlisten} names the port of a socket that is descriptor 0. */
-    final String listen =
-            "127.0.0.1:" + (Integer.getInteger("listen") == null ? freePort() : Integer.getInteger("listen"));
-
+    final String listen = "127.0.0.1:" + freePort();
     final String management = "127.0.0.1:" + freePort();
     Client client;
     Node node;
