--- a/review/standins-2/src/review2/Node.java
+++ b/review/standins-2/src/review2/Node.java
@@ -47,6 +47,11 @@
         }
     }
 
+    /** Sends a signal by its name. */
+    void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    }
+
     @Override
     public void close() {
         kill();
--- a/review/standins-2/src/review2/Traffic.java
+++ b/review/standins-2/src/review2/Traffic.java
@@ -6,6 +6,9 @@
 
 /** The clients' jobs: arrivals at random times, classes and running times as in the brief. */
 final class Traffic {
+    /** The mean running time of its jobs. */
+    static final double MEAN_MS = 0.49 * 830 + 0.27 * 3_250 + 0.24 * 4_950;
+
     private final Site site;
     private final Random random;
     private volatile boolean stopped;
--- a/review/standins-2/src/review2/Worker.java
+++ b/review/standins-2/src/review2/Worker.java
@@ -116,6 +116,11 @@
     /** Called after a job was turned away on this connection. */
     void turnedAway(String job, Output out) {}
 
+    /** Whether a job that has started is killed at once and told as {@code lost}. */
+    boolean isLost(Http.Message request) {
+        return false;
+    }
+
     /** How long a job runs here. */
     long runningMs(Http.Message request) {
         return Long.parseLong(request.text().replaceAll("ms=([0-9]+).*", "$1"));
@@ -136,6 +141,13 @@
             starts(job);
             out.head();
             line(out, job, "\"state\":\"started\"");
+            if (isLost(request)) {
+                Thread.sleep(100);
+                record.add("worker %s loses %s", id, job);
+                line(out, job, "\"state\":\"lost\"");
+                out.end();
+                return;
+            }
             final long ms = runningMs(request);
             long done = 0;
             while (done < ms) {
