Pushed lists: the node keeps a watch open instead of never calling discovery

On sockets changes arrive in answers to a watch, and DiscoveryClient opened one only when the dispatcher polled. Evidence: the record has 0 calls at discovery, the log no discovery_call_failed, and status the list version of the start throughout; so no answer was lost, refused or ignored.

Change: the host keeps its promise. A reload may change the mode both ways.

--- a/src/main/java/cresschute/node/NodeConfig.java
+++ b/src/main/java/cresschute/node/NodeConfig.java
@@ -191,6 +191,11 @@
         return fileKeys != ConfigKeys.NONE;
     }
 
+    /** Whether discovery pushes the changes of the endpoint list. */
+    boolean endpointListIsPushed() {
+        return discovery != null && !settings.endpointListIsPolled();
+    }
+
     /** Whether the node accepts consoles or stores drains. */
     boolean hasControlService() {
         return controlSocket != null || stateFolder != null;
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -30,7 +30,9 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Function;
 
 /**
@@ -44,6 +46,10 @@
     /** The interval at which the status is logged, seconds. */
     private static final long STATUS_INTERVAL_S = 10;
 
+    /** How long clients may not connect because the initial endpoint list is not published, ms. */
+    private static final long INITIAL_LIST_WAIT_MS =
+            TimeUnit.MICROSECONDS.toMillis(InitialEndpointList.MAX_HOLD_US) + 1_000;
+
     private static final Logger LOG = System.getLogger("cresschute.node");
 
     private final HeapReserve heapReserve = new HeapReserve();
@@ -228,6 +234,7 @@
                                 workers,
                                 discovery == null ? () -> {} : discovery,
                                 config.initialEndpoints()));
+        awaitInitialList();
         final ChannelFuture bound = clientListener.listen(group, config.listen(), passedListener);
         ListenerBinding.requireBound(bound, "", config.listen());
         operators.listen();
@@ -249,6 +256,18 @@
         return address;
     }
 
+    /** Waits until clients may connect: their requests need the initial endpoint list. */
+    private void awaitInitialList() {
+        try {
+            lifecycle.initialListPublished().get(INITIAL_LIST_WAIT_MS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            // Listen all the same: requests wait for a list.
+            return;
+        }
+    }
+
     /** Makes the process end with an error if its event loop ends although nobody stopped it. */
     public void exitIfLoopEnds() {
         exitIfLoopEnds = true;
@@ -350,6 +369,7 @@
         public void becomeNotReady() {
             clientListener.markNotReady();
             operators.notifyStopping();
+            lifecycle.publishInitialList();
             if (clientListener.usesPassedSocket()) {
                 // The other process of an upgrade accepts on the same listener. It is ready,
                 // because the platform stops this process only then. Open connections are served
--- a/src/main/java/cresschute/node/RequestLifecycle.java
+++ b/src/main/java/cresschute/node/RequestLifecycle.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Function;
 
@@ -51,6 +52,8 @@
     private final OpenRequests requests;
     private final AttemptController attempts;
     private final EndpointListPublisher endpoints;
+    private final InitialEndpointList initialList;
+    private final boolean initialListIsPushed;
     private final LoadQueries loadQueries;
     private final ShutdownResponder shutdownResponder;
     private WorkerClient workers;
@@ -124,13 +127,16 @@
         requests = new OpenRequests(context, settings, endedIds);
         attempts = new AttemptController(context, settings, requests, registry, faults);
         endpoints = new EndpointListPublisher(context, registry, attempts);
+        initialList = new InitialEndpointList(context, endpoints);
+        initialListIsPushed = config.endpointListIsPushed();
         loadQueries = new LoadQueries(context, registry);
         shutdownResponder = new ShutdownResponder(context, settings, requests);
     }
 
     /**
      * Starts the life cycle: publishes the last known list, after which the dispatcher begins to
-     * poll discovery.
+     * poll discovery. If the list is pushed, the last known list is published only with the first
+     * answer of discovery, or some time later without it; see {@link #initialListPublished}.
      *
      * @param workerClient sends to the workers
      * @param newDiscovery watches the endpoint list
@@ -141,7 +147,22 @@
         attempts.start(workerClient);
         loadQueries.start(workerClient);
         discovery = newDiscovery;
-        endpoints.publish(EndpointListForm.CACHED, known);
+        if (initialListIsPushed) {
+            initialList.hold(known);
+            discovery.setPushed(true);
+        } else {
+            initialList.publish(known);
+        }
+    }
+
+    /** Completed once the last known list is published. Any thread. */
+    CompletableFuture<Void> initialListPublished() {
+        return initialList.published();
+    }
+
+    /** Publishes the last known list without waiting any longer for discovery. */
+    void publishInitialList() {
+        initialList.release();
     }
 
     /**
@@ -154,6 +175,7 @@
     void applySettings(ClassTable classes, DispatchSettings next) {
         final ClassChanges changes = classes.changes();
         settings.replace(classes.names(), next, changes.retired());
+        discovery.setPushed(!next.endpointListIsPolled());
         context.turn().enqueue(now -> context.dispatcher().settingsChanged(now, next, changes));
     }
 
@@ -231,6 +253,7 @@
 
     /** Publishes discovery's answer to a watch. */
     public void endpointListReceived(EndpointList list) {
+        initialList.release();
         endpoints.publish(list.full() ? EndpointListForm.FULL : EndpointListForm.CHANGES, list);
     }
 
@@ -241,7 +264,7 @@
 
     /** Version of the current list, or -1 if unknown. */
     public long listVersion() {
-        return registry.version();
+        return initialList.heldVersion(registry.version());
     }
 
     /** Returns true if requests can be served: a published list has contained a ready worker. */
--- a/src/main/java/cresschute/node/http/DiscoveryCallSchedule.java
+++ b/src/main/java/cresschute/node/http/DiscoveryCallSchedule.java
@@ -70,6 +70,9 @@
     private final RandomGenerator random;
     private int retries;
 
+    /** Whether the next call needs its response at once although it is no retry. */
+    private boolean confirming;
+
     /** Creates a schedule whose next call is not a retry. */
     DiscoveryCallSchedule(RandomGenerator random) {
         this.random = random;
@@ -77,7 +80,7 @@
 
     /** Timeout of the next call, including the time to establish its connection, ms. */
     long timeoutMs(boolean fullList) {
-        if (retries > 0) {
+        if (retries > 0 || (confirming && !fullList)) {
             return RESPONSE_TIMEOUT_MS;
         }
         return fullList ? FULL_LIST_TIMEOUT_MS : LONG_POLL_WAIT_MS + RESPONSE_TIMEOUT_MS;
@@ -85,7 +88,15 @@
 
     /** How long discovery may hold the next call while there is no change, ms. */
     long longPollWaitMs() {
-        return retries > 0 ? MIN_LONG_POLL_WAIT_MS : LONG_POLL_WAIT_MS;
+        return retries > 0 || confirming ? MIN_LONG_POLL_WAIT_MS : LONG_POLL_WAIT_MS;
+    }
+
+    /**
+     * Starts a watch whose first call needs its response at once, to confirm that the list held is
+     * the current one.
+     */
+    void startConfirming() {
+        confirming = true;
     }
 
     /**
@@ -105,5 +116,6 @@
     /** Resets the retries after a response or at the end of the watch. */
     void reset() {
         retries = 0;
+        confirming = false;
     }
 }
--- a/src/main/java/cresschute/node/http/DiscoveryClient.java
+++ b/src/main/java/cresschute/node/http/DiscoveryClient.java
@@ -47,6 +47,11 @@
  * after the last retry, any other failure at once. {@link #watch} is then called again after 0.5 to
  * 1.5 s.
  *
+ * <p>If the list is pushed, the client opens the watch itself, and again after each failure: {@link
+ * ReopenBackoff} sets the pauses, and failures are logged but not reported. The first call of such
+ * a watch asks for an immediate response, so that a stale list is not used any longer than
+ * necessary.
+ *
  * <p>A list with a lower version than the current one is accepted only from a service at a new
  * address, or if the service returns an older version again when asked for its full list. This
  * keeps a stale response from bringing a drained worker back, and still accepts a service that
@@ -66,14 +71,21 @@
     private final RateLimitedLog faults;
     private final Bootstrap bootstrap;
     private final DiscoveryCallSchedule schedule;
+    private final ReopenBackoff reopenBackoff;
     private InetSocketAddress address;
 
     /** The connection in use, or being established; null while there is none. */
     private Channel channel;
 
-    /** Times out the current call, or starts the next retry; null before the first call. */
+    /**
+     * Times out the current call, or starts the next retry or the next watch of a pushed list; null
+     * before the first call.
+     */
     private Future<?> timer;
 
+    /** Whether the list is pushed, so that this client keeps a watch open by itself. */
+    private boolean pushed;
+
     /** Whether a watch is active: calls follow one another until one fails. */
     private boolean watching;
 
@@ -100,6 +112,7 @@
             RandomGenerator random) {
         this.loop = loop;
         this.schedule = new DiscoveryCallSchedule(random);
+        this.reopenBackoff = new ReopenBackoff(random);
         this.address = address;
         this.lifecycle = lifecycle;
         this.faults = faults;
@@ -127,11 +140,34 @@
     public void watch() {
         watchRequested = true;
         if (!watching) {
-            watching = true;
-            call();
+            openWatch();
+        }
+    }
+
+    @Override
+    public void setPushed(boolean next) {
+        if (next == pushed) {
+            return;
+        }
+        pushed = next;
+        if (pushed) {
+            watch();
+        } else if (!watching) {
+            // Between two watches: from now on the dispatcher decides when to call again.
+            cancelTimer();
+            lifecycle.discoveryFailed();
         }
     }
 
+    private void openWatch() {
+        cancelTimer();
+        watching = true;
+        if (pushed) {
+            schedule.startConfirming();
+        }
+        call();
+    }
+
     /**
      * Changes the address of the service. The current call is cancelled, which is not reported as a
      * failure. If a watch was ever requested, the full list is requested from the new address at
@@ -144,9 +180,9 @@
         address = next;
         addressChanged = true;
         endWatch();
+        reopenBackoff.reset();
         if (watchRequested) {
-            watching = true;
-            call();
+            openWatch();
         }
     }
 
@@ -248,6 +284,7 @@
         addressChanged = false;
         olderListRejected = false;
         schedule.reset();
+        reopenBackoff.reset();
         // The call's timer still runs: if the lifecycle throws on the list, it starts a new call.
         lifecycle.endpointListReceived(list);
         timer.cancel(false);
@@ -268,14 +305,20 @@
 
     // ---- The end ----
 
-    /** Ends the watch and reports its failure, once. */
+    /** Ends the watch and reports its failure, once; the watch of a pushed list is opened again. */
     private void fail(String reason) {
         if (!watching) {
             return;
         }
         endWatch();
         faults.fault(PeerFault.DISCOVERY_CALL_FAILED, null, reason);
-        lifecycle.discoveryFailed();
+        if (pushed) {
+            timer =
+                    loop.schedule(
+                            this::openWatch, reopenBackoff.nextPauseMs(), TimeUnit.MILLISECONDS);
+        } else {
+            lifecycle.discoveryFailed();
+        }
     }
 
     private void endWatch() {
@@ -284,10 +327,14 @@
         closeConnection();
     }
 
-    private void closeConnection() {
+    private void cancelTimer() {
         if (timer != null) {
             timer.cancel(false);
         }
+    }
+
+    private void closeConnection() {
+        cancelTimer();
         final Channel last = channel;
         channel = null;
         if (last != null) {
--- a/src/test/java/cresschute/node/http/DiscoveryCallScheduleTest.java
+++ b/src/test/java/cresschute/node/http/DiscoveryCallScheduleTest.java
@@ -109,6 +109,19 @@
                                 + DiscoveryCallSchedule.RESPONSE_TIMEOUT_MS);
     }
 
+    /** A list that may be stale must not be used for as long as a long poll waits. */
+    @Test
+    void confirmingCallNeedsResponseAtOnce() {
+        final DiscoveryCallSchedule schedule = new DiscoveryCallSchedule(LONGEST);
+        schedule.startConfirming();
+        assertThat(schedule.longPollWaitMs())
+                .isEqualTo(DiscoveryCallSchedule.MIN_LONG_POLL_WAIT_MS);
+        assertThat(schedule.timeoutMs(false)).isEqualTo(DiscoveryCallSchedule.RESPONSE_TIMEOUT_MS);
+        assertThat(schedule.timeoutMs(true)).isEqualTo(DiscoveryCallSchedule.FULL_LIST_TIMEOUT_MS);
+        schedule.reset();
+        assertThat(schedule.longPollWaitMs()).isEqualTo(DiscoveryCallSchedule.LONG_POLL_WAIT_MS);
+    }
+
     /** The calls of many dispatchers time out at the same time if discovery stops responding. */
     @Test
     void jitterSpreadsSecondRetriesOfManyDispatchers() {
