--- a/src/test/java/cresschute/dispatch/EndpointListPollerTest.java
+++ b/src/test/java/cresschute/dispatch/EndpointListPollerTest.java
@@ -11,9 +11,15 @@
 class EndpointListPollerTest {
 
     private static EndpointListPoller poller(long seed) {
+        return poller(seed, 10 * SECOND);
+    }
+
+    private static EndpointListPoller poller(long seed, long pollWithinUs) {
         final List<RequestClass> classes =
                 List.of(TestSettings.requestClass(1, Idempotency.SAFE, DeduplicationScope.ALL));
-        return new PolicyFixture(new TestSettings(classes).polled().build(), seed).poller;
+        return new PolicyFixture(
+                        new TestSettings(classes).polled().pollWithinUs(pollWithinUs).build(), seed)
+                .poller;
     }
 
     @Test
@@ -42,6 +48,27 @@
         }
     }
 
+    /** Guards against a list that counts as notified before the poller polls it. */
+    @Test
+    void keepsToShortTimeWithoutPoll() {
+        final long pollWithinUs = SECOND / 2;
+        for (long seed = 0; seed < 50; seed++) {
+            final EndpointListPoller poller = poller(seed, pollWithinUs);
+            poller.started(SECOND);
+            assertThat(poller.takeDuePoll(SECOND + pollWithinUs)).isTrue();
+            poller.pollFailed(5 * SECOND);
+            assertThat(poller.takeDuePoll(5 * SECOND + pollWithinUs)).isTrue();
+        }
+    }
+
+    /** A configuration need not state the time. */
+    @Test
+    void pollsWithinOneBackoffIfTimeIsNotStated() {
+        final EndpointListPoller poller = poller(PolicyFixture.SEED, 0);
+        poller.started(SECOND);
+        assertThat(poller.takeDuePoll(2 * SECOND)).isTrue();
+    }
+
     @Test
     void spreadsPollsOfManyDispatchers() {
         final long early =
--- a/src/test/java/cresschute/dispatch/TestSettings.java
+++ b/src/test/java/cresschute/dispatch/TestSettings.java
@@ -13,6 +13,7 @@
     private boolean priorityWeightPerWork;
     private AttemptLimits limits = new AttemptLimits(4, 0, false);
     private boolean endpointListIsPolled;
+    private long pollWithinUs = 10 * SECOND;
     private long progressUs;
     private boolean allowsLoadQueries;
     private boolean fullMayHaveRun;
@@ -113,6 +114,11 @@
         return this;
     }
 
+    TestSettings pollWithinUs(long us) {
+        pollWithinUs = us;
+        return this;
+    }
+
     TestSettings fullMayHaveRun() {
         fullMayHaveRun = true;
         return this;
@@ -137,7 +143,7 @@
                 new SlowStartSettings(0.2, 20 * SECOND, 3, SECOND),
                 new ObjectiveWeights(0.6, 0.2, 0.2, 0),
                 endpointListIsPolled,
-                10 * SECOND,
+                pollWithinUs,
                 WeightSource.NOMINAL,
                 true,
                 true,
