--- a/src/main/java/cresschute/node/http/DiscoveryClient.java
+++ b/src/main/java/cresschute/node/http/DiscoveryClient.java
@@ -44,8 +44,8 @@
  * discarded. If a call gets no complete response in time, or its connection is not established in
  * time, it is retried on a new connection and asks for an immediate response. {@link
  * DiscoveryCallSchedule} sets the timeouts and delays. A timeout is reported as a failure only
- * after the last retry, any other failure at once. {@link #watch} is then called again after 0.5 to
- * 1.5 s.
+ * after the last retry, any other failure at once. {@link #watch} is then called again after the
+ * dispatcher's backoff.
  *
  * <p>If the list is pushed, the client opens the watch itself, and again after each failure: {@link
  * ReopenBackoff} sets the pauses, and failures are logged but not reported. The first call of such
