--- a/src/test/java/cresschute/node/PushedListTest.java
+++ b/src/test/java/cresschute/node/PushedListTest.java
@@ -29,6 +29,9 @@
     /** The grace of a drain, ms. */
     private static final long GRACE_MS = 400;
 
+    /** How long a change may take if a watch has fallen silent, ms. */
+    private static final long MAX_PROPAGATION_MS = 6_000;
+
     /** How long a node may take to start if discovery does not answer, ms. */
     private static final long SILENT_START_MS = 6_000;
 
@@ -45,10 +48,11 @@
     }
 
     private UnaryOperator<String> withAgent(String mode) {
+        final int port = agent.getLocalPort();
         return text ->
                 text.replaceFirst(
                                 "\"discovery\":\"127.0.0.1:[0-9]+\"",
-                                "\"discovery\":\"127.0.0.1:" + agent.getLocalPort() + "\"")
+                                "\"discovery\":\"127.0.0.1:" + port + "\"")
                         .replace(
                                 "\"membershipMode\":\"ask\"",
                                 "\"membershipMode\":\"" + mode + "\"");
@@ -201,6 +205,50 @@
         assertThat(millisSince(startNs)).isLessThan(GRACE_MS);
     }
 
+    /** Guards against workers that are never used, or used for ever, although discovery knows. */
+    @Test
+    void followsWorkersThatJoinAndLeave() throws Exception {
+        final CompletableFuture<TestNode> starting = startNode();
+        final Peer discovery = openWatch(starting);
+        try (TestNode node = starting.get()) {
+            final String joined = entry("s-2", node.worker, "SERVING");
+            discovery.write(answer("200 OK", "", list(2, false, joined)));
+            assertThat(node.event()).isEqualTo("listed CHANGES 1READY7000");
+            assertThat(discovery.read()).contains("?since=2&");
+            final String left = entry("s-1", node.worker, "DELETED");
+            discovery.write(answer("200 OK", "", list(3, false, left)));
+            assertThat(node.event()).isEqualTo("listed CHANGES 0GONE7000");
+        }
+    }
+
+    /** Guards against a node that never starts, or never calls again, if discovery is down. */
+    @Test
+    void startsWithLastKnownListIfDiscoveryIsDown() throws Exception {
+        final int port = agent.getLocalPort();
+        final UnaryOperator<String> config = withAgent("push");
+        agent.close();
+        final CompletableFuture<TestNode> starting =
+                async(() -> TestNode.configured(config, SEND_NOTHING));
+        try (TestNode node = starting.get(SILENT_START_MS, TimeUnit.MILLISECONDS)) {
+            assertThat(node.events.poll()).startsWith("listed CACHED 0READY");
+            agent = Peer.listen(port);
+            assertDrainArrivesWithinGrace(node, System.nanoTime());
+        }
+    }
+
+    /** Guards against a watch that stays silent for longer than a change may take. */
+    @Test
+    void reopensWatchThatFallsSilent() throws Exception {
+        final CompletableFuture<TestNode> starting = startNode();
+        openWatch(starting);
+        try (TestNode node = starting.get()) {
+            final long startNs = System.nanoTime();
+            acceptWatch(1, list(2, false, entry("s-1", node.worker, "DRAINING")));
+            assertThat(node.event()).isEqualTo("listed CHANGES 0DRAINING7000");
+            assertThat(millisSince(startNs)).isLessThan(MAX_PROPAGATION_MS);
+        }
+    }
+
     /** Guards against a reload that leaves the list as the first configuration had it. */
     @Test
     void opensWatchWhenListBecomesPushed() throws Exception {
