Loop monitor counts from the start of the loop, not from the node's creation

A node whose discovery is silent at the start waits for it for 2 s before clients may connect, since pushed lists are watched. The monitor's first tick counted that as lag, and logged a loop held up for 2,002 ms and nothing done. It begins with the loop now, and so sees the start itself too.

--- a/src/main/java/cresschute/node/LoopMonitor.java
+++ b/src/main/java/cresschute/node/LoopMonitor.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.StringJoiner;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * Measures how late the event loop runs its timers, and what it did meanwhile.
@@ -25,7 +26,8 @@
     private static final Logger LOG = System.getLogger("cresschute.node");
 
     private final long[] spentNs = new long[Activity.values().length];
-    private long lastTickNs = System.nanoTime();
+    private final LongSupplier clockNs;
+    private long lastTickNs;
     private long maxLagMs;
 
     /** What the loop spends time on; the rest is other handlers, garbage collection and waiting. */
@@ -38,6 +40,26 @@
         DISPATCHER_TURNS
     }
 
+    /** Creates a monitor that measures nothing before {@link #begin}. */
+    public LoopMonitor() {
+        this(System::nanoTime);
+    }
+
+    /**
+     * Creates a monitor with a clock of its own.
+     *
+     * @param clockNs a monotonic clock, ns
+     */
+    LoopMonitor(LongSupplier clockNs) {
+        this.clockNs = clockNs;
+    }
+
+    /** Begins to measure: the first tick is due in {@value #TICK_MS} ms. */
+    void begin() {
+        Arrays.fill(spentNs, 0);
+        lastTickNs = clockNs.getAsLong();
+    }
+
     /** Adds time that was spent, ns. */
     public void spent(Activity activity, long ns) {
         spentNs[activity.ordinal()] += ns;
@@ -45,7 +67,7 @@
 
     /** Notes that the timer that is due every {@value #TICK_MS} ms has run. */
     void tick() {
-        final long nowNs = System.nanoTime();
+        final long nowNs = clockNs.getAsLong();
         final long lagMs = TimeUnit.NANOSECONDS.toMillis(nowNs - lastTickNs) - TICK_MS;
         maxLagMs = Math.max(maxLagMs, lagMs);
         if (lagMs >= LOGGED_LAG_MS) {
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -228,6 +228,7 @@
             ListenerBinding.requireBound(
                     peers.listen(config.peers().listen()), "for peers ", config.peers().listen());
         }
+        loop.execute(this::beginLoopMonitor);
         loop.execute(
                 () ->
                         lifecycle.start(
@@ -243,11 +244,6 @@
                 STATUS_INTERVAL_S,
                 STATUS_INTERVAL_S,
                 TimeUnit.SECONDS);
-        loop.scheduleAtFixedRate(
-                new RepeatedTask("loop monitor", loopMonitor::tick),
-                LoopMonitor.TICK_MS,
-                LoopMonitor.TICK_MS,
-                TimeUnit.MILLISECONDS);
         final SocketAddress address = bound.channel().localAddress();
         LogEvent.of("listening", "node " + config.name() + " listens on " + address)
                 .with("node", config.name())
@@ -256,6 +252,15 @@
         return address;
     }
 
+    private void beginLoopMonitor() {
+        loopMonitor.begin();
+        loop.scheduleAtFixedRate(
+                new RepeatedTask("loop monitor", loopMonitor::tick),
+                LoopMonitor.TICK_MS,
+                LoopMonitor.TICK_MS,
+                TimeUnit.MILLISECONDS);
+    }
+
     /** Waits until clients may connect: their requests need the initial endpoint list. */
     private void awaitInitialList() {
         try {
