--- a/src/test/java/cresschute/node/FaultSoakTest.java
+++ b/src/test/java/cresschute/node/FaultSoakTest.java
@@ -119,7 +119,9 @@
                 each.close();
             }
         }
-        assertThat(broken).as("seed " + seed + ", faults " + drawn).isEmpty();
+        assertThat(broken)
+                .as("seed %s, faults %s, the node's log:%n%s", seed, drawn, nodeLog())
+                .isEmpty();
     }
 
     // ---- Faults ----
@@ -285,6 +287,10 @@
         node.process().close();
     }
 
+    private String nodeLog() throws InterruptedException {
+        return String.join(System.lineSeparator(), node.process().remainingLines());
+    }
+
     // ---- Rules ----
 
     private void checkAnswers(List<UsualClients.Answer> answers) {
