Watches of pushed lists are opened again within a fraction of drainGraceUs

The node did not read rules.drainGraceUs, and the pauses of up to 150 ms were made for the usual 400 ms: under a grace of 60 ms 30 broken watches took 3.4 and 3.8 s, so a drain could come late each time. PushedListTest.reopensWatchSoonerIfGraceIsShort and ...BecomesShort fail before.

The times that a node keeps on its connections are one record, NodeTimeouts, which a reload hands over whole.

--- a/src/main/java/cresschute/node/ConfigReloader.java
+++ b/src/main/java/cresschute/node/ConfigReloader.java
@@ -45,8 +45,8 @@
         /** Switches the watch of the endpoint list to the discovery service at this address. */
         void setDiscoveryAddress(InetSocketAddress address);
 
-        /** Applies connect and idle timeouts to connections to workers. */
-        void applyConnectionTimeouts(NodeConfig next);
+        /** Applies timeouts to the connections that exist and to those made from now on. */
+        void applyTimeouts(NodeTimeouts next);
 
         /** Applies classes and settings to requests that are accepted from now on. */
         void applySettings(ClassTable classes, DispatchSettings settings);
@@ -133,10 +133,9 @@
     }
 
     /**
-     * Applies the connection timeouts, classes and settings of a new configuration as far as a
-     * running node can change them. Open requests keep their class; new requests are parsed with
-     * the new classes. The connection timeouts apply even if the classes and settings need a
-     * restart.
+     * Applies the timeouts, classes and settings of a new configuration as far as a running node
+     * can change them. Open requests keep their class; new requests are parsed with the new
+     * classes. The timeouts apply even if the classes and settings need a restart.
      *
      * @param next the new configuration
      * @param pendingRestart the parts that need a restart; this method adds the parts that it
@@ -144,7 +143,7 @@
      * @return a description of the applied changes for the log line; empty if there is none
      */
     private String applySettings(NodeConfig next, List<String> pendingRestart) {
-        target.applyConnectionTimeouts(next);
+        target.applyTimeouts(next.timeouts());
         if (zonesOrKindsDiffer(next)) {
             pendingRestart.add("zones and kinds");
             return "";
--- a/src/main/java/cresschute/node/NodeConfig.java
+++ b/src/main/java/cresschute/node/NodeConfig.java
@@ -22,8 +22,7 @@
  * @param classes the names of the request classes, in the order of the settings
  * @param zones zone names, in the order of the settings
  * @param kinds names of the machine kinds, in the order of the settings
- * @param connectTimeoutUs the timeout for connecting to a worker, microseconds
- * @param idleTimeoutUs the time after which workers close an idle connection, microseconds
+ * @param timeouts the times that the node keeps on its connections
  * @param maxDescriptors the maximum number of file descriptors of the process
  * @param initialEndpoints the last known endpoint list, used until discovery answers; may be
  *     outdated
@@ -43,8 +42,7 @@
         List<String> classes,
         List<String> zones,
         List<String> kinds,
-        long connectTimeoutUs,
-        long idleTimeoutUs,
+        NodeTimeouts timeouts,
         int maxDescriptors,
         EndpointList initialEndpoints,
         String controlSocket,
@@ -64,8 +62,7 @@
             List<String> classes,
             List<String> zones,
             List<String> kinds,
-            long connectTimeoutUs,
-            long idleTimeoutUs,
+            NodeTimeouts timeouts,
             int maxDescriptors,
             EndpointList initialEndpoints,
             String controlSocket,
@@ -82,8 +79,7 @@
                 classes,
                 zones,
                 kinds,
-                connectTimeoutUs,
-                idleTimeoutUs,
+                timeouts,
                 maxDescriptors,
                 initialEndpoints,
                 controlSocket,
@@ -104,8 +100,7 @@
             List<String> classes,
             List<String> zones,
             List<String> kinds,
-            long connectTimeoutUs,
-            long idleTimeoutUs,
+            NodeTimeouts timeouts,
             int maxDescriptors,
             EndpointList initialEndpoints,
             String controlSocket,
@@ -120,8 +115,7 @@
                 classes,
                 zones,
                 kinds,
-                connectTimeoutUs,
-                idleTimeoutUs,
+                timeouts,
                 maxDescriptors,
                 initialEndpoints,
                 controlSocket,
@@ -173,8 +167,10 @@
                 settings.classes(),
                 settings.zones(),
                 settings.kinds(),
-                settings.connectTimeoutUs(),
-                settings.idleTimeoutUs(),
+                new NodeTimeouts(
+                        settings.connectTimeoutUs(),
+                        settings.idleTimeoutUs(),
+                        NodeTimeouts.DEFAULT_DRAIN_GRACE_US),
                 settings.maxFileDescriptors(),
                 new EndpointList(-1, true, workers),
                 settings.controlSocket(),
--- a/src/main/java/cresschute/node/NodeConfigParser.java
+++ b/src/main/java/cresschute/node/NodeConfigParser.java
@@ -75,7 +75,6 @@
         try {
             final JsonObject json = Json.object(text);
             final JsonObject settings = Json.child(json, "settings");
-            final JsonObject dispatchLimits = optionalChild(settings, "limits");
             final JsonObject processLimits = optionalChild(json, "limits");
             final EndpointList initialEndpoints =
                     json.has("known")
@@ -90,10 +89,7 @@
                     classNames(settings),
                     names(settings, "zones"),
                     names(settings, "hostTypes"),
-                    (long)
-                            Json.number(
-                                    dispatchLimits, "connectTimeoutUs", DEFAULT_CONNECT_TIMEOUT_US),
-                    (long) Json.number(dispatchLimits, "connIdleUs", DEFAULT_CONN_IDLE_US),
+                    timeouts(settings),
                     (int) Json.number(processLimits, "sockets", DEFAULT_SOCKETS),
                     initialEndpoints,
                     null,
@@ -111,6 +107,15 @@
         }
     }
 
+    private static NodeTimeouts timeouts(JsonObject settings) {
+        final JsonObject limits = optionalChild(settings, "limits");
+        final JsonObject rules = optionalChild(settings, "rules");
+        return new NodeTimeouts(
+                (long) Json.number(limits, "connectTimeoutUs", DEFAULT_CONNECT_TIMEOUT_US),
+                (long) Json.number(limits, "connIdleUs", DEFAULT_CONN_IDLE_US),
+                (long) Json.number(rules, "drainGraceUs", NodeTimeouts.DEFAULT_DRAIN_GRACE_US));
+    }
+
     private static OperatorSettings parseOperatorSettings(
             Map<String, String> environment, JsonObject json) {
         final String passedSocket = environment.get(PASSED_SOCKET);
--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -154,8 +154,7 @@
                 new WorkerConnectionPool(
                         loop,
                         faults,
-                        config.connectTimeoutUs(),
-                        config.idleTimeoutUs(),
+                        config.timeouts(),
                         descriptors.workerConnections(),
                         config.bodies() != null,
                         memory,
@@ -196,8 +195,15 @@
     }
 
     private DiscoveryClient createDiscovery(RateLimitedLog faults) {
-        return new DiscoveryClient(
-                loop, config.discovery(), lifecycle, faults, new SplittableRandom(config.seed()));
+        final DiscoveryClient client =
+                new DiscoveryClient(
+                        loop,
+                        config.discovery(),
+                        lifecycle,
+                        faults,
+                        new SplittableRandom(config.seed()));
+        client.applyTimeouts(config.timeouts());
+        return client;
     }
 
     // ---- Start ----
@@ -322,8 +328,11 @@
         }
 
         @Override
-        public void applyConnectionTimeouts(NodeConfig next) {
-            workers.applySettings(next.connectTimeoutUs(), next.idleTimeoutUs());
+        public void applyTimeouts(NodeTimeouts next) {
+            workers.applyTimeouts(next);
+            if (discovery != null) {
+                discovery.applyTimeouts(next);
+            }
         }
 
         @Override
--- a/src/main/java/cresschute/node/http/DiscoveryClient.java
+++ b/src/main/java/cresschute/node/http/DiscoveryClient.java
@@ -4,6 +4,7 @@
 import cresschute.node.Discovery;
 import cresschute.node.EndpointList;
 import cresschute.node.Json;
+import cresschute.node.NodeTimeouts;
 import cresschute.node.PeerFault;
 import cresschute.node.RateLimitedLog;
 import cresschute.node.RequestLifecycle;
@@ -159,6 +160,11 @@
         }
     }
 
+    /** Applies the grace of a drain, which limits how long a pushed list may be unwatched. */
+    public void applyTimeouts(NodeTimeouts timeouts) {
+        reopenBackoff.setDrainGraceUs(timeouts.drainGraceUs());
+    }
+
     private void openWatch() {
         cancelTimer();
         watching = true;
--- a/src/main/java/cresschute/node/http/WorkerConnectionPool.java
+++ b/src/main/java/cresschute/node/http/WorkerConnectionPool.java
@@ -7,6 +7,7 @@
 import cresschute.node.HeapBudget;
 import cresschute.node.LoadQueryListener;
 import cresschute.node.LoopMonitor;
+import cresschute.node.NodeTimeouts;
 import cresschute.node.PeerFault;
 import cresschute.node.RateLimitedLog;
 import cresschute.node.RequestContent;
@@ -70,8 +71,7 @@
     /**
      * Creates an empty pool.
      *
-     * @param connectTimeoutUs how long a connection may take to be established, us
-     * @param connIdleUs how long workers keep an idle connection, us
+     * @param timeouts the times for connecting and for idle connections
      * @param maxConnections maximum number of open connections
      * @param streamedResults whether results may be streamed
      * @param memory accounts for connections and for the unfinished lines of workers
@@ -80,8 +80,7 @@
     public WorkerConnectionPool(
             EventLoop loop,
             RateLimitedLog faults,
-            long connectTimeoutUs,
-            long connIdleUs,
+            NodeTimeouts timeouts,
             int maxConnections,
             boolean streamedResults,
             MemoryAccount memory,
@@ -105,22 +104,19 @@
                                                         monitor.spent(
                                                                 LoopMonitor.Activity.WORKER_READS,
                                                                 ns)));
-        applySettings(connectTimeoutUs, connIdleUs);
+        applyTimeouts(timeouts);
     }
 
     /**
-     * Applies the settings to connections that are opened, or become idle, from now on. If the idle
+     * Applies timeouts to connections that are opened, or become idle, from now on. If the idle
      * timeout becomes shorter, the connections that are idle now are closed.
-     *
-     * @param connectTimeoutUs how long a connection may take to be established, us
-     * @param connIdleUs how long workers keep an idle connection, us
      */
-    public void applySettings(long connectTimeoutUs, long connIdleUs) {
+    public void applyTimeouts(NodeTimeouts timeouts) {
         bootstrap.option(
                 ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                (int) Math.max(1, connectTimeoutUs / US_PER_MS));
+                (int) Math.max(1, timeouts.connectUs() / US_PER_MS));
         final long before = maxIdleUs;
-        maxIdleUs = (long) (connIdleUs * IDLE_FRACTION);
+        maxIdleUs = (long) (timeouts.idleUs() * IDLE_FRACTION);
         if (maxIdleUs < before) {
             closeAllIdle();
         }
--- a/src/test/java/cresschute/node/NodeConfigTest.java
+++ b/src/test/java/cresschute/node/NodeConfigTest.java
@@ -26,10 +26,23 @@
         assertThat(config.classes()).containsExactly("check", "file");
         assertThat(config.settings().classes().get(1).idempotency()).isEqualTo(Idempotency.KEYED);
         assertThat(config.settings().endpointListIsPolled()).isTrue();
-        assertThat(config.idleTimeoutUs()).isEqualTo(2_000_000);
+        assertThat(config.timeouts())
+                .isEqualTo(
+                        new NodeTimeouts(250_000, 2_000_000, NodeTimeouts.DEFAULT_DRAIN_GRACE_US));
         assertThat(config.initialEndpoints().version()).isEqualTo(3);
     }
 
+    @Test
+    void parsesDrainGrace() throws Exception {
+        final String config =
+                validConfig()
+                        .replace(
+                                "\"limits\":{\"conn",
+                                "\"rules\":{\"drainGraceUs\":60000},\"limits\":{\"conn");
+        final NodeConfig parsed = NodeConfigParser.parse(config, Map.of());
+        assertThat(parsed.timeouts().drainGraceUs()).isEqualTo(60_000);
+    }
+
     @Test
     void parsesOperatorSettings() throws Exception {
         final NodeConfig none = NodeConfigParser.parse(validConfig(), Map.of());
--- a/src/test/java/cresschute/node/PushedListTest.java
+++ b/src/test/java/cresschute/node/PushedListTest.java
@@ -32,6 +32,15 @@
     /** How long a change may take if a watch has fallen silent, ms. */
     private static final long MAX_PROPAGATION_MS = 6_000;
 
+    /** A grace that is shorter than the pauses made for the usual one, us. */
+    private static final long SHORT_GRACE_US = 60_000;
+
+    /** How many watches a test breaks before a pause has surely reached its limit. */
+    private static final int BROKEN_WATCHES = 30;
+
+    /** How long these take at least with the pauses made for the usual grace, ms. */
+    private static final long USUAL_PAUSES_MS = 2_000;
+
     /** How long a node may take to start if discovery does not answer, ms. */
     private static final long SILENT_START_MS = 6_000;
 
@@ -58,6 +67,14 @@
                                 "\"membershipMode\":\"" + mode + "\"");
     }
 
+    private String withShortGrace(String config) {
+        return withAgent("push")
+                .apply(config)
+                .replace(
+                        "\"membershipMode\"",
+                        "\"rules\":{\"drainGraceUs\":" + SHORT_GRACE_US + "},\"membershipMode\"");
+    }
+
     private static <T> CompletableFuture<T> async(Callable<T> task) {
         return CompletableFuture.supplyAsync(
                 () -> {
@@ -198,6 +215,38 @@
         }
     }
 
+    /** Guards against pauses that are longer than the grace of the settings. */
+    @Test
+    void reopensWatchSoonerIfGraceIsShort() throws Exception {
+        final CompletableFuture<TestNode> starting =
+                async(() -> TestNode.configured(this::withShortGrace, SEND_NOTHING));
+        final Peer discovery = openWatch(starting);
+        try (TestNode node = starting.get()) {
+            assertWatchesReopenSooner(discovery);
+            assertThat(node.server.invariantBreaches()).isZero();
+        }
+    }
+
+    /** Guards against pauses that keep to the grace that the settings had at the start. */
+    @Test
+    void reopensWatchSoonerIfGraceBecomesShort() throws Exception {
+        final CompletableFuture<TestNode> starting = startNode();
+        final Peer discovery = openWatch(starting);
+        try (TestNode node = starting.get()) {
+            reload(node, this::withShortGrace);
+            assertWatchesReopenSooner(discovery);
+        }
+    }
+
+    private void assertWatchesReopenSooner(Peer openWatch) throws IOException {
+        final long startNs = System.nanoTime();
+        openWatch.reset();
+        for (int i = 0; i < BROKEN_WATCHES; i++) {
+            Peer.accept(agent).reset();
+        }
+        assertThat(millisSince(startNs)).isLessThan(USUAL_PAUSES_MS);
+    }
+
     /** Answers the next watch with a drain, which must reach the dispatcher within the grace. */
     private void assertDrainArrivesWithinGrace(TestNode node, long startNs) throws Exception {
         acceptWatch(1, list(2, false, entry("s-1", node.worker, "DRAINING")));
--- a/src/test/java/cresschute/node/http/ReopenBackoffTest.java
+++ b/src/test/java/cresschute/node/http/ReopenBackoffTest.java
@@ -19,4 +19,24 @@
             assertThat(backoff.nextPauseMs()).isBetween(10L, 20L);
         }
     }
+
+    /** Guards against a pause that uses up a grace shorter than the usual one. */
+    @Test
+    void leavesMostOfShortGrace() {
+        final ReopenBackoff backoff = new ReopenBackoff(new SplittableRandom(1));
+        backoff.setDrainGraceUs(100_000);
+        for (int failure = 0; failure < 50; failure++) {
+            assertThat(backoff.nextPauseMs()).isBetween(10L, 37L);
+        }
+    }
+
+    /** Guards against calls without a pause where the settings leave no grace at all. */
+    @Test
+    void keepsDistanceWithoutGrace() {
+        final ReopenBackoff backoff = new ReopenBackoff(new SplittableRandom(1));
+        backoff.setDrainGraceUs(0);
+        for (int failure = 0; failure < 50; failure++) {
+            assertThat(backoff.nextPauseMs()).isBetween(5L, 10L);
+        }
+    }
 }
--- a/src/test/java/cresschute/node/http/WorkerConnectionTest.java
+++ b/src/test/java/cresschute/node/http/WorkerConnectionTest.java
@@ -5,6 +5,7 @@
 import cresschute.dispatch.Outcome;
 import cresschute.flow.MemoryAccount;
 import cresschute.node.LoopMonitor;
+import cresschute.node.NodeTimeouts;
 import cresschute.node.RateLimitedLog;
 import cresschute.node.RequestContent;
 import io.netty.buffer.Unpooled;
@@ -36,8 +37,7 @@
                     new WorkerConnectionPool(
                             channel.eventLoop(),
                             faults,
-                            1_000,
-                            IDLE_US,
+                            new NodeTimeouts(1_000, IDLE_US, NodeTimeouts.DEFAULT_DRAIN_GRACE_US),
                             10,
                             false,
                             new MemoryAccount(Integer.MAX_VALUE),
--- a/src/test/java/cresschute/scale/RequestLifecycleScaleTest.java
+++ b/src/test/java/cresschute/scale/RequestLifecycleScaleTest.java
@@ -14,6 +14,7 @@
 import cresschute.node.EndpointList;
 import cresschute.node.LoadQueryListener;
 import cresschute.node.NodeConfig;
+import cresschute.node.NodeTimeouts;
 import cresschute.node.RateLimitedLog;
 import cresschute.node.RequestContent;
 import cresschute.node.RequestLifecycle;
@@ -100,8 +101,7 @@
                         List.of("urgent", "usual", "once"),
                         zones(),
                         List.of("k0", "k1"),
-                        250_000,
-                        10_000_000,
+                        new NodeTimeouts(250_000, 10_000_000, NodeTimeouts.DEFAULT_DRAIN_GRACE_US),
                         1_024,
                         known,
                         null,
