--- a/src/main/java/cresschute/node/NodeConfig.java
+++ b/src/main/java/cresschute/node/NodeConfig.java
@@ -52,44 +52,6 @@
         ConfigKeys fileKeys,
         Peers peers) {
 
-    /** Creates the configuration of a node without peers. */
-    public NodeConfig(
-            String name,
-            InetSocketAddress listen,
-            InetSocketAddress discovery,
-            long seed,
-            DispatchSettings settings,
-            List<String> classes,
-            List<String> zones,
-            List<String> kinds,
-            NodeTimeouts timeouts,
-            int maxDescriptors,
-            EndpointList initialEndpoints,
-            String controlSocket,
-            String stateFolder,
-            Bodies bodies,
-            OperatorSettings operators,
-            ConfigKeys fileKeys) {
-        this(
-                name,
-                listen,
-                discovery,
-                seed,
-                settings,
-                classes,
-                zones,
-                kinds,
-                timeouts,
-                maxDescriptors,
-                initialEndpoints,
-                controlSocket,
-                stateFolder,
-                bodies,
-                operators,
-                fileKeys,
-                null);
-    }
-
     /** Creates the configuration of a node without peers that is not run by the platform. */
     public NodeConfig(
             String name,
@@ -122,7 +84,8 @@
                 stateFolder,
                 bodies,
                 OperatorSettings.NONE,
-                ConfigKeys.NONE);
+                ConfigKeys.NONE,
+                null);
     }
 
     /**
--- a/src/main/java/cresschute/node/NodeConfigParser.java
+++ b/src/main/java/cresschute/node/NodeConfigParser.java
@@ -96,7 +96,8 @@
                     null,
                     null,
                     parseOperatorSettings(environment, json),
-                    ConfigKeys.of(json));
+                    ConfigKeys.of(json),
+                    null);
         } catch (JsonParseException | IllegalArgumentException e) {
             throw new ConfigException(
                     "configuration: "
--- a/src/test/java/cresschute/node/TestNode.java
+++ b/src/test/java/cresschute/node/TestNode.java
@@ -164,7 +164,8 @@
                                                 : new InetSocketAddress("127.0.0.1", 0),
                                         passed != null,
                                         shared == null ? null : shared.toString()),
-                                read.fileKeys()),
+                                read.fileKeys(),
+                                null),
                         passed,
                         given -> {
                             actions = given;
