--- a/src/main/java/cresschute/node/NodeServer.java
+++ b/src/main/java/cresschute/node/NodeServer.java
@@ -1,6 +1,7 @@
 package cresschute.node;
 
 import cresschute.control.files.SharedRequestIds;
+import cresschute.dispatch.DispatchSettings;
 import cresschute.dispatch.Dispatcher;
 import cresschute.dispatch.DispatcherActions;
 import cresschute.dispatch.DispatcherEvents;
@@ -19,10 +20,13 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.lang.management.ManagementFactory;
+import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
+import java.util.HashSet;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
@@ -157,12 +161,7 @@
                         loopMonitor);
         discovery = config.discovery() == null ? null : createDiscovery(faults);
         statusLog = new StatusLog(this::status, lifecycle.invariant());
-        reloader =
-                new ConfigReloader(
-                        config,
-                        loop,
-                        new NodeReloadTarget(
-                                config, operators, lifecycle, clientListener, workers, discovery));
+        reloader = new ConfigReloader(config, loop, new ReloadTarget());
         shutdown = new GracefulShutdown(loop, new ShutdownSteps());
     }
 
@@ -304,6 +303,45 @@
         reloader.reload(source);
     }
 
+    /** Applies a reload to the components. */
+    private final class ReloadTarget implements ConfigReloader.Target {
+
+        /**
+         * The figures shown on consoles and the capacity for streamed bodies are kept by class
+         * number.
+         */
+        @Override
+        public boolean requiresInitialClasses() {
+            return operators.hasControlService() || config.bodies() != null;
+        }
+
+        @Override
+        public Set<Integer> classesInUse() {
+            final Set<Integer> inUse = new HashSet<>(lifecycle.classesInUse());
+            inUse.addAll(clientListener.queuedClasses());
+            return inUse;
+        }
+
+        @Override
+        public void setDiscoveryAddress(InetSocketAddress address) {
+            discovery.changeAddress(address);
+        }
+
+        @Override
+        public void applyTimeouts(NodeTimeouts next) {
+            workers.applyTimeouts(next);
+            if (discovery != null) {
+                discovery.applyTimeouts(next);
+            }
+        }
+
+        @Override
+        public void applySettings(ClassTable classes, DispatchSettings settings) {
+            lifecycle.applySettings(classes, settings);
+            clientListener.applySettings(classes.live(), classes.classes(), settings.tenants());
+        }
+    }
+
     // ---- Stop ----
 
     /**
